--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,669 @@
+// Package control: this file holds every decision of a sender. Its types and the Outlet that it calls are
+// in interface.go, its state in state.go.
+//
+// How to call it: New once an instance; then, for each batch of news, Clock with the time, the calls that
+// tell what happened (Take, Ended, Probed, Withdrawn, Listed, Noted, Started) and at last Settle, which
+// releases what may go. All it wants done it asks of the Outlet. It reads no clock and shares nothing.
+//
+// The ordinary path is the design's: a bucket keeps the allowance that answers report and the waits that
+// were told, texts are held in order of arrival, calls out never pass the allowance left, and a text whose
+// wait plus a usual call passes its validity period is refused. What else stands here guards a rule or
+// meets a symptom, and says which.
+package control
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+const (
+	defaultPause = Second // of a bucket that reads nought or refuses, where no wait is told: the design's
+	bucketCap    = 1024   // buckets remembered, as many as the document keeps bearer queues
+	firstWindow  = 8.0    // calls at once where nothing else bounds them, until experience does
+	smoothing    = 0.2    // weight of the newest of a series: about the last ten count
+)
+
+// New makes an instance. Settings that make no sense are an error that names them.
+func New(seed uint64, set Settings, out Outlet) (*Sender, error) {
+	s := &Sender{
+		out: out, set: set, chance: newPCG(seed),
+		products: map[string]*product{}, texts: map[string]*text{}, keys: map[string]*keyLine{},
+		receivers: map[ReceiverID]*receiver{}, buckets: map[bucketKey]*bucket{},
+		destinations: map[int64]*destination{},
+	}
+	for name, v := range set {
+		if n, err := strconv.ParseFloat(v, 64); err == nil && n < 0 && strings.HasSuffix(name, "Us") {
+			return nil, fmt.Errorf("setting %s is a negative time", name)
+		}
+	}
+	for _, name := range []string{"Specifics.MaxCalls", "Permissions.TryLimit", "RequestClasses.count"} {
+		if s.number(name, 0) < 1 {
+			return nil, fmt.Errorf("setting %s is less than 1 or no number", name)
+		}
+	}
+	s.slots = int(s.number("Specifics.MaxCalls", 1))
+	for i := range int(s.number("RequestClasses.count", 0)) {
+		at := fmt.Sprintf("RequestClasses.%d.", i)
+		p := &product{
+			name: set[at+"Name"], repeat: set[at+"Repeat"], sla: s.span(at+"ObjectiveUs", 0),
+			window: s.span(at+"RepeatWindowUs", 0), zoned: set[at+"Group"] != "all",
+			inOrder: set[at+"SerialByKey"] == "true",
+		}
+		p.pace = float64(p.sla) / 10 // a guess until the first answer
+		s.products[p.name] = p
+	}
+	return s, nil
+}
+
+func (s *Sender) number(name string, otherwise float64) float64 {
+	if n, err := strconv.ParseFloat(s.set[name], 64); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+// span reads a time, rounded down: spans bound what may still be done.
+func (s *Sender) span(name string, otherwise Time) Time {
+	return Time(s.number(name, float64(otherwise)*100) / 100)
+}
+
+// perKind reads the value of a setting that holds one for each kind.
+func (s *Sender) perKind(name, kind string) string {
+	values := strings.Split(s.set[name], ",")
+	if i := slices.Index(strings.Split(s.set["Kinds"], ","), kind); i >= 0 && i < len(values) {
+		return values[i]
+	}
+	return ""
+}
+
+// Clock tells the time of the calls that follow.
+func (s *Sender) Clock(now Time) { s.now = max(s.now, now) }
+
+// Listed takes news of the list; whole: what is not in it is gone.
+func (s *Sender) Listed(whole bool, entries []Entry) {
+	if whole {
+		for _, d := range s.order {
+			for _, r := range d.receivers {
+				r.listing = Removed
+			}
+		}
+	}
+	for _, e := range entries {
+		r := s.receivers[e.Receiver]
+		if r == nil {
+			if e.Listing == Removed {
+				continue
+			}
+			r = &receiver{id: e.Receiver, dest: s.destination(e.Destination), kind: e.Kind}
+			s.receivers[e.Receiver] = r
+			r.dest.receivers = append(r.dest.receivers, r)
+			slices.SortFunc(r.dest.receivers, func(a, b *receiver) int { return int(int64(a.id) - int64(b.id)) })
+		}
+		r.listing, r.rate, r.zone = e.Listing, e.Rate, e.Zone
+	}
+}
+
+func (s *Sender) destination(id int64) *destination {
+	d := s.destinations[id]
+	if d == nil {
+		d = &destination{id: id}
+		s.destinations[id] = d
+		s.order = append(s.order, d)
+	}
+	return d
+}
+
+// bucketOf gives a receiver's bucket: its destination's, or its own where routes are apart. Past the cap
+// the least recently used goes, unless a wait, a hold or a call still hangs on it.
+func (s *Sender) bucketOf(r *receiver) *bucket {
+	key := bucketKey{dest: r.dest.id}
+	if s.perKind("Specifics.RoutesApart", r.kind) == "true" {
+		key.route = r.id
+	}
+	b := s.buckets[key]
+	if b == nil {
+		if len(s.buckets) >= bucketCap {
+			var oldest *bucket
+			for _, o := range s.buckets {
+				if o.flight == 0 && s.now >= max(o.waitUntil, o.heldUntil) && (oldest == nil || o.used < oldest.used) {
+					oldest = o
+				}
+			}
+			if oldest != nil {
+				delete(s.buckets, oldest.key)
+			}
+		}
+		b = &bucket{key: key, window: firstWindow}
+		s.buckets[key] = b
+	}
+	return b
+}
+
+// Take takes a text in; from here on it is owed one final answer.
+func (s *Sender) Take(a Arrival) {
+	p := s.products[a.Product]
+	if p == nil { // not in the settings: nothing allows a repeat
+		p = &product{name: a.Product, pace: float64(Second) / 10}
+		s.products[a.Product] = p
+	}
+	s.seq++
+	t := &text{id: a.ID, seq: s.seq, product: p, dest: s.destination(a.Destination), key: a.Key,
+		validUntil: s.now + a.TimeLeft, wantedBy: s.now + p.sla}
+	s.texts[t.id] = t
+	if p.inOrder && t.key != "" {
+		if s.keys[t.key] == nil {
+			s.keys[t.key] = &keyLine{}
+		}
+		s.keys[t.key].texts = append(s.keys[t.key].texts, t)
+	}
+	s.hold(t)
+}
+
+// hold puts a text in its destination's queue, by arrival: one that comes back stands at the head again.
+func (s *Sender) hold(t *text) {
+	q := t.dest.queue
+	i := len(q)
+	for i > 0 && q[i-1].seq > t.seq {
+		i--
+	}
+	t.dest.queue = slices.Insert(q, i, t)
+}
+
+// Withdrawn: nobody wants the text any more; a submit of it that is out runs on.
+func (s *Sender) Withdrawn(id string) {
+	if t := s.texts[id]; t != nil {
+		s.finish(t)
+	}
+}
+
+// Started: the answer has begun, the submit is the client's now; its end is still told.
+func (s *Sender) Started(id string) {
+	if t := s.texts[id]; t != nil {
+		t.over = true
+	}
+}
+
+// finish closes a text; while a submit of it is out it is remembered, so that its end can be told apart.
+func (s *Sender) finish(t *text) {
+	t.over = true
+	if i := slices.Index(t.dest.queue, t); i >= 0 {
+		t.dest.queue = slices.Delete(t.dest.queue, i, i+1)
+	}
+	if t.out != nil {
+		return
+	}
+	delete(s.texts, t.id)
+	if k := s.keys[t.key]; k != nil && t.product.inOrder {
+		if i := slices.Index(k.texts, t); i >= 0 {
+			k.texts = slices.Delete(k.texts, i, i+1)
+		}
+		if len(k.texts) == 0 && s.now >= k.restUntil {
+			delete(s.keys, t.key)
+		}
+	}
+}
+
+// giveUp ends a text at once: nacked where handing it in again does no harm, else undeliverable.
+func (s *Sender) giveUp(t *text, wait Time) {
+	p := t.product
+	if !t.mayHaveRun || p.repeat == "safe" || (p.repeat == "keyed" && !p.zoned) {
+		if s.set["Permissions.RetryAfter"] != "true" {
+			wait = 0
+		}
+		s.out.Nack(t.id, min(wait, s.span("Permissions.MaxRetryAfterUs", 0)))
+	} else {
+		s.out.Undeliverable(t.id)
+	}
+	s.finish(t)
+}
+
+// mayRepeat is rule 2, for every send: never two submits out, no more than the settings allow, and after
+// one that may have run only what the product's kind allows, to where a repeat is known, while it is known.
+func (s *Sender) mayRepeat(t *text, r *receiver) bool {
+	switch {
+	case t.over || t.out != nil || t.submits >= int(s.number("Permissions.TryLimit", 1)):
+		return false
+	case !t.mayHaveRun || t.product.repeat == "safe":
+		return true
+	case t.product.repeat == "keyed":
+		return s.now < s.repeatEnd(t) && (r == nil || !t.product.zoned || r.zone == t.ranZone)
+	}
+	return false
+}
+
+// repeatEnd is when a text can no longer be sent again; one tenth early, as the clock is rounded down.
+func (s *Sender) repeatEnd(t *text) Time {
+	if t.mayHaveRun && t.product.repeat == "keyed" {
+		return t.ranSince + t.product.window - 1
+	}
+	return math.MaxInt64
+}
+
+// hisTurn is rule 5, for every send: texts of a key one at a time, in order, with the rest between them.
+func (s *Sender) hisTurn(t *text) bool {
+	k := s.keys[t.key]
+	if !t.product.inOrder || k == nil {
+		return true
+	}
+	return k.texts[0] == t && (s.now >= k.restUntil || t.submits > 0)
+}
+
+// mayReach is the gate of rules 3, 4 and 6 that every call passes, probes too: nothing to a receiver that
+// drains or is gone, nothing before a told wait is over, nothing past the budget of one that comes back.
+func (s *Sender) mayReach(r *receiver) bool {
+	return r.listing == Up && s.now >= r.bucket.waitUntil && s.withinBudget(r)
+}
+
+// withinBudget is rule 4. A receiver that came back bears a multiple of its present capacity over a window;
+// this sender keeps to its part of that as if all senders did the same. Capacity is taken from the
+// reported limit, which it is never below, else from the listed rate at its worst.
+func (s *Sender) withinBudget(r *receiver) bool {
+	if r.cold == 0 && r.badSince == 0 {
+		return true
+	}
+	window := s.span("Contract.FallUs", 2*Second)
+	sent := 0
+	for _, o := range r.dest.receivers {
+		if o.bucket == r.bucket {
+			o.weighed = slices.DeleteFunc(o.weighed, func(at Time) bool { return at <= s.now-window })
+			if o.cold != 0 || o.badSince != 0 {
+				sent += len(o.weighed)
+			}
+		}
+	}
+	return sent == 0 || float64(len(r.weighed)) < s.budget(r)
+}
+
+// budget is how many calls this sender may have sent to a receiver within the window.
+func (s *Sender) budget(r *receiver) float64 {
+	rate := r.bucket.limit
+	if rate == 0 {
+		rate = r.rate
+		if s.set["WeightSource"] == "rough" {
+			rate /= 1.5 // told up to half too high
+		}
+		if s.set["WeightSource"] == "silent" {
+			rate = 0
+		}
+	}
+	if r.bucket.key.route == 0 {
+		rate /= float64(len(r.dest.receivers))
+	}
+	share := s.number("Contract.ColdFrom", 0)
+	if ramp := s.span("Contract.RampTimeUs", 0); r.cold > 0 && ramp > 0 {
+		share += (1 - share) * float64(s.now-r.cold) / float64(ramp)
+	}
+	seconds := float64(s.span("Contract.FallUs", 0)) / float64(Second)
+	return s.number("Contract.FallMultiple", 1) * rate * share * seconds / max(1, s.number("Instances", 1))
+}
+
+// room says how many calls a bucket bears at once: none while it reads nought, one until its first answer
+// or after a hold, else the allowance left, or where there is no limit what experience bears.
+func (s *Sender) room(b *bucket) int {
+	switch {
+	case s.now < b.heldUntil:
+		return 0
+	case !b.known:
+		return 1
+	case b.limit == 0:
+		return int(b.window)
+	}
+	return int(max(1, min(b.left, b.window)))
+}
+
+// Settle decides what goes now; call it once after all news of a batch.
+func (s *Sender) Settle() {
+	for _, d := range s.order {
+		for _, r := range d.receivers {
+			r.bucket = s.bucketOf(r)
+			s.watch(r)
+		}
+		s.refuseLate(d)
+	}
+	for s.callsOut < s.slots {
+		var best *receiver
+		for _, d := range s.order {
+			if i, r := s.pick(d); i >= 0 && (best == nil || d.flight < best.dest.flight) {
+				best = r
+			}
+		}
+		if best == nil {
+			break
+		}
+		s.send(best)
+	}
+	s.plan()
+}
+
+// refuseLate refuses what cannot be delivered in time: wait plus a usual call passes the validity period,
+// or the time for a repeat ends before the wait does.
+func (s *Sender) refuseLate(d *destination) {
+	if len(d.queue) == 0 {
+		return
+	}
+	wait := Time(math.MaxInt64)
+	for _, r := range d.receivers {
+		if r.listing == Up {
+			wait = min(wait, max(0, r.bucket.waitUntil-s.now, r.bucket.heldUntil-s.now))
+		}
+	}
+	if wait == math.MaxInt64 {
+		wait = 0 // the list names no receiver now; a later one may
+	}
+	for _, t := range slices.Clone(d.queue) {
+		if s.now+wait+s.usual(t) > t.validUntil || !s.mayRepeat(t, nil) || s.now+wait >= s.repeatEnd(t) {
+			s.giveUp(t, wait)
+		}
+	}
+}
+
+// usual is how long a call for the text takes as a rule.
+func (s *Sender) usual(t *text) Time {
+	if t.dest.pace > 0 {
+		return Time(t.dest.pace)
+	}
+	return Time(t.product.pace)
+}
+
+// pick finds the first held text of a destination that may go, and its receiver.
+func (s *Sender) pick(d *destination) (int, *receiver) {
+	if len(d.queue) == 0 {
+		return -1, nil
+	}
+	var open []*receiver
+	for _, r := range d.receivers {
+		if !r.down && s.now >= r.restUntil && !s.suspect(r) && r.bucket.flight < s.room(r.bucket) && s.mayReach(r) {
+			open = append(open, r)
+		}
+	}
+	if len(open) == 0 {
+		return -1, nil
+	}
+	slices.SortStableFunc(open, func(a, b *receiver) int {
+		if a.bucket != b.bucket { // routes apart: the free one with most allowance left
+			return int(math.Copysign(1, b.bucket.left-a.bucket.left))
+		}
+		if len(a.calls) != len(b.calls) {
+			return len(a.calls) - len(b.calls)
+		}
+		return int(b.used - a.used) // its connection is warm
+	})
+	for i, t := range d.queue {
+		for _, r := range open {
+			if s.mayRepeat(t, r) && s.hisTurn(t) {
+				return i, r
+			}
+		}
+	}
+	return -1, nil
+}
+
+// send opens one call to a receiver and lets as many held texts ride in it as its kind bundles.
+func (s *Sender) send(r *receiver) {
+	c := &call{to: r, sent: s.now}
+	bundle := 1
+	if n, err := strconv.Atoi(s.perKind("Specifics.BundleMax", r.kind)); err == nil {
+		bundle = max(1, n)
+	}
+	for _, t := range slices.Clone(r.dest.queue) {
+		if len(c.texts) < bundle && s.mayRepeat(t, r) && s.hisTurn(t) {
+			s.submit(t, c)
+		}
+	}
+	r.calls = append(r.calls, c)
+	r.weighed = append(r.weighed, s.now)
+	r.used = s.now
+	r.bucket.flight++
+	r.bucket.used = s.seq
+	r.dest.flight++
+	s.callsOut++
+}
+
+// submit sends one text; what is to be done with its result is left in the text.
+func (s *Sender) submit(t *text, c *call) {
+	i := slices.Index(t.dest.queue, t)
+	t.dest.queue = slices.Delete(t.dest.queue, i, i+1)
+	sub := &submit{no: t.submits, call: c}
+	t.submits++
+	t.out = sub
+	c.texts = append(c.texts, t)
+	t.next = func(r Result) { s.answered(t, sub, r) }
+	s.out.Submit(t.id, c.to.id, s.timeout(t))
+}
+
+// timeout bounds a submit where giving up on it leaves time for another; else it may take its time.
+func (s *Sender) timeout(t *text) Time {
+	usual := s.usual(t)
+	long := max(10*usual, t.product.sla)
+	if t.product.repeat == "keyed" {
+		long = min(long, t.product.window-2*usual)
+	}
+	if t.mayHaveRun && t.product.repeat != "safe" || t.product.repeat == "unsafe" ||
+		long < 4*usual || s.now+long+usual > t.validUntil {
+		return 0
+	}
+	return long
+}
+
+// Ended hands the result of a submit to the step that waits for it.
+func (s *Sender) Ended(id string, no int, r Result) {
+	if t := s.texts[id]; t != nil && t.out != nil && t.out.no == no {
+		t.next(r)
+	}
+}
+
+// answered closes a submit and says what becomes of its text.
+func (s *Sender) answered(t *text, sub *submit, r Result) {
+	c := sub.call
+	t.out, t.next = nil, nil
+	if !c.heard {
+		c.heard = true
+		s.learn(c.to, r, c.sent)
+	}
+	c.texts = slices.DeleteFunc(c.texts, func(o *text) bool { return o == t })
+	if len(c.texts) == 0 {
+		c.to.calls = slices.DeleteFunc(c.to.calls, func(o *call) bool { return o == c })
+		c.to.bucket.flight--
+		c.to.dest.flight--
+		s.callsOut--
+	}
+	if r.Outcome == Delivered {
+		smooth(&t.dest.pace, float64(r.Took))
+		smooth(&t.product.pace, float64(r.Took))
+	}
+	if ran := r.Outcome != Full && r.Outcome != NoConnection && r.Outcome != Unsent; ran && !t.mayHaveRun {
+		t.mayHaveRun, t.ranSince, t.ranZone = true, c.sent, c.to.zone
+	}
+	if k := s.keys[t.key]; k != nil && (r.Outcome == NoAnswer || r.Outcome == Lost || r.Outcome == Cancelled) {
+		k.restUntil = s.now + s.span("Contract.KeyRestUs", 0) + 1
+	}
+	switch {
+	case r.Closed || t.over:
+		s.finish(t)
+	case s.mayRepeat(t, nil):
+		s.hold(t)
+	default:
+		s.giveUp(t, max(0, c.to.bucket.waitUntil-s.now))
+	}
+}
+
+func smooth(mean *float64, v float64) {
+	if *mean == 0 {
+		*mean = v
+	}
+	*mean += smoothing * (v - *mean)
+}
+
+// learn takes from one call or probe what it tells of a receiver and its bucket.
+func (s *Sender) learn(r *receiver, res Result, sent Time) {
+	b := r.bucket
+	s.reported(b, res.Report)
+	switch res.Outcome {
+	case Unsent, Cancelled:
+		return
+	case Full:
+		if res.Wait > 0 { // one tenth more, as the clock is rounded down
+			b.waitUntil = max(b.waitUntil, s.now+res.Wait+1)
+		} else {
+			b.heldUntil = max(b.heldUntil, s.now+defaultPause)
+		}
+		b.window = max(1, b.window/2)
+		r.answered = s.now
+		if r.badSince == 0 {
+			r.badSince = s.now
+		}
+	case Delivered:
+		b.known = true
+		smooth(&r.pace, float64(res.Took))
+		r.answered = s.now
+		if r.down || (r.badSince > 0 && s.now-r.badSince > s.span("Contract.FallUs", 2*Second)) || r.ill > 0.4 {
+			r.cold = s.now // back from an outage, or not out of it yet
+		}
+		if r.cold > 0 && s.now-r.cold > s.span("Contract.RampTimeUs", 0) {
+			r.cold = 0
+		}
+		r.down, r.fails, r.badSince = false, 0, 0
+		r.ill -= smoothing * r.ill
+		b.window += 1 / b.window
+	case NoConnection:
+		if r.answered >= sent { // it answers others: its connections are all taken
+			b.window = max(1, b.window/2)
+			return
+		}
+		s.failed(r)
+	default:
+		if res.Outcome == Errored {
+			r.answered = s.now
+		}
+		s.failed(r)
+	}
+}
+
+// reported takes a reported allowance: at nought the bucket holds.
+func (s *Sender) reported(b *bucket, report []float64) {
+	names := strings.Split(s.set["Report.Names"], ",")
+	x0, x1 := slices.Index(names, "x0"), slices.Index(names, "x1")
+	if x0 < 0 || x1 < 0 || x0 >= len(report) || x1 >= len(report) {
+		return
+	}
+	if math.IsNaN(report[x0]) || math.IsNaN(report[x1]) {
+		return
+	}
+	b.known, b.limit, b.left = true, report[x1], report[x0]*report[x1]
+	if b.limit > 0 && b.left < 0.5 {
+		b.heldUntil = max(b.heldUntil, s.now+defaultPause/2)
+	}
+}
+
+// failed notes a call that failed; two in a row, and the receiver is looked at before it gets more texts.
+func (s *Sender) failed(r *receiver) {
+	r.fails++
+	r.ill += smoothing * (1 - r.ill)
+	if r.badSince == 0 {
+		r.badSince = s.now
+	}
+	if r.fails >= 2 {
+		r.down = true
+	}
+	rest := float64(Second) / 8 * math.Pow(2, float64(min(r.fails, 4)))
+	r.restUntil = s.now + Time(rest*(0.75+0.5*s.chance.unit()))
+}
+
+// patience is how long a receiver with calls out may show no sign of life.
+func (s *Sender) patience(r *receiver) Time {
+	pace := r.pace
+	if pace == 0 {
+		pace = max(r.dest.pace, float64(Second)/2)
+	}
+	return Time(3*pace) + Second/2
+}
+
+// suspect: calls are out, and for longer than patience nothing has come back.
+func (s *Sender) suspect(r *receiver) bool {
+	return len(r.calls) > 0 && s.now-max(r.calls[0].sent, r.answered) > s.patience(r)
+}
+
+// watch looks at a receiver that is down or suspect, by a probe, which risks no text.
+func (s *Sender) watch(r *receiver) {
+	if !r.down && !s.suspect(r) || r.probing || s.now < r.restUntil || len(r.calls)+len(r.dest.queue) == 0 {
+		return
+	}
+	if s.set["Permissions.Probes"] != "true" {
+		r.down = false // a text has to look
+		return
+	}
+	if s.mayReach(r) {
+		r.probing, r.probed = true, s.now
+		r.weighed = append(r.weighed, s.now)
+		s.out.Probe(r.id)
+	}
+}
+
+// Probed takes what a probe found. A receiver found silent loses the texts that can go elsewhere.
+func (s *Sender) Probed(id ReceiverID, res Result) {
+	r := s.receivers[id]
+	if r == nil || !r.probing {
+		return
+	}
+	r.probing = false
+	s.learn(r, res, r.probed)
+	if res.Outcome != NoAnswer && res.Outcome != NoConnection && res.Outcome != Lost || r.answered > r.probed {
+		return
+	}
+	r.down = true
+	if s.set["Permissions.MayCancel"] != "true" {
+		return
+	}
+	elsewhere := slices.ContainsFunc(r.dest.receivers, func(o *receiver) bool { return o != r && !o.down && o.listing == Up })
+	for _, c := range r.calls {
+		for _, t := range c.texts {
+			if !t.out.cancelled && !t.over && (t.product.repeat == "safe" || t.product.repeat == "keyed" && elsewhere) {
+				t.out.cancelled = true
+				s.out.Cancel(t.id, t.out.no)
+			}
+		}
+	}
+}
+
+// Noted takes a note of another sender. None is sent: what senders see apart has not been found to help.
+func (s *Sender) Noted(int, []byte) {}
+
+// plan asks to be woken when time alone next changes what may be done.
+func (s *Sender) plan() {
+	at := Time(math.MaxInt64)
+	due := func(t Time) {
+		if t > s.now {
+			at = min(at, t)
+		}
+	}
+	for _, d := range s.order {
+		for _, t := range d.queue {
+			due(t.validUntil - s.usual(t) + 1)
+			due(s.repeatEnd(t))
+			if k := s.keys[t.key]; k != nil {
+				due(k.restUntil)
+			}
+		}
+		for _, r := range d.receivers {
+			if len(r.calls) > 0 {
+				due(max(r.calls[0].sent, r.answered) + s.patience(r) + 1)
+			}
+			if len(r.calls)+len(d.queue) > 0 {
+				due(r.restUntil)
+				due(r.bucket.waitUntil)
+				due(r.bucket.heldUntil)
+				if len(r.weighed) > 0 && (r.cold > 0 || r.badSince > 0) {
+					due(r.weighed[0] + s.span("Contract.FallUs", 2*Second))
+				}
+			}
+		}
+	}
+	if at < math.MaxInt64 && (s.wakeAt <= s.now || at < s.wakeAt) {
+		s.wakeAt = at
+		s.marks++
+		s.out.Wake(at, s.marks)
+	}
+}
--- /dev/null
+++ b/control/interface.go
@@ -0,0 +1,81 @@
+// Package control decides when, where and how often each text is submitted.
+package control
+
+// Time is in tenths of a millisecond: an instant of the caller's clock, or a span.
+type Time int64
+
+// Second is one second.
+const Second Time = 10000
+
+// ReceiverID names a receiver as the list does.
+type ReceiverID uint32
+
+// Settings are the instance's settings, name to value, as the caller was given them.
+type Settings map[string]string
+
+// Outlet is what the module calls to have something done.
+type Outlet interface {
+	Submit(text string, to ReceiverID, timeout Time) // timeout 0: until the validity period is up
+	Cancel(text string, submit int)
+	Nack(text string, comeBack Time) // comeBack 0: no advice
+	Undeliverable(text string)
+	Wake(at Time, mark int64)
+	Probe(to ReceiverID)
+	Note(content []byte) // to every other sender
+	Log(line string)
+}
+
+// Arrival is a text as it is handed in.
+type Arrival struct {
+	ID          string
+	Product     string
+	Destination int64
+	TimeLeft    Time // of the validity period
+	Key         string
+	Retry       bool // the client hands it in again
+	Returned    bool // a sender died holding it
+}
+
+// Listing says how the list speaks of a receiver.
+type Listing int
+
+// The listings.
+const (
+	Up Listing = iota
+	Draining
+	Removed
+)
+
+// Entry is one line of the list of receivers.
+type Entry struct {
+	Receiver    ReceiverID
+	Rate        float64 // calls a second that the destination takes, if the list tells
+	Destination int64
+	Kind        string
+	Zone        string
+	Listing     Listing
+}
+
+// Outcome says how a submit or a probe ended.
+type Outcome int
+
+// The outcomes.
+const (
+	Delivered    Outcome = iota
+	Errored              // the destination answered with an error
+	Full                 // turned away unseen
+	NoAnswer             // timed out
+	NoConnection         // none could be made
+	Lost                 // the connection broke
+	Cancelled
+	Unsent // never left this sender
+)
+
+// Result is how one submit or probe ended and what came with it.
+type Result struct {
+	Outcome Outcome
+	Closed  bool      // the text has its final answer
+	Took    Time      // since it was sent
+	Wait    Time      // told wait, with Full
+	Report  []float64 // in the order of the setting Report.Names; nil if none came, NaN if left out
+}
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,126 @@
+package control
+
+// What lasts for one submit.
+
+// call is what a destination counts as one call: one submit, or a bundle of them with one fate.
+type call struct {
+	to    *receiver
+	sent  Time
+	texts []*text // not yet answered
+	heard bool    // an outcome of it has been learned from
+}
+
+type submit struct {
+	no        int
+	call      *call
+	cancelled bool
+}
+
+// What lasts for one text.
+
+type text struct {
+	id         string
+	seq        int64 // order of arrival
+	product    *product
+	dest       *destination
+	key        string
+	validUntil Time
+	wantedBy   Time
+	submits    int
+	mayHaveRun bool
+	ranSince   Time         // when the first submit that may have run was sent
+	ranZone    string       // and the zone it went to
+	out        *submit      // at most one
+	next       func(Result) // what to do with the result of the step under way
+	over       bool         // has its final answer, or is wanted no more
+}
+
+// What lasts for one receiver, one limit, one destination.
+
+type receiver struct {
+	id      ReceiverID
+	dest    *destination
+	bucket  *bucket
+	kind    string
+	zone    string
+	rate    float64
+	listing Listing
+	calls   []*call // out, oldest first
+
+	pace      float64 // of an answered call, tenths
+	answered  Time    // last sign of life
+	used      Time
+	fails     int     // in a row
+	ill       float64 // share of late calls that failed
+	badSince  Time    // first failure or refusal with no success after it; 0 if none
+	down      bool
+	restUntil Time
+	probing   bool
+	probed    Time
+	cold      Time   // when it was last seen to come back; 0 if warm
+	weighed   []Time // calls and probes sent there within the window of the budget
+}
+
+type bucket struct {
+	key       bucketKey
+	known     bool // an answer has come
+	limit     float64
+	left      float64
+	flight    int
+	window    float64 // calls that have been found bearable at once
+	waitUntil Time    // told
+	heldUntil Time    // by the allowance
+	used      int64
+}
+
+type bucketKey struct {
+	dest  int64
+	route ReceiverID // 0 where receivers share one limit
+}
+
+type destination struct {
+	id        int64
+	receivers []*receiver
+	queue     []*text // held, in order of arrival
+	flight    int
+	pace      float64
+}
+
+// What lasts as long as the instance.
+
+type product struct {
+	name     string
+	value    float64
+	sla      Time
+	repeat   string
+	window   Time
+	zoned    bool // repeats are known only within one zone
+	inOrder  bool
+	pace     float64
+	lateKeep float64
+}
+
+type keyLine struct {
+	texts     []*text // unfinished, in the order they were taken
+	restUntil Time
+}
+
+// Sender is one instance of the module.
+type Sender struct {
+	out          Outlet
+	set          Settings
+	now          Time
+	chance       pcg
+	products     map[string]*product
+	texts        map[string]*text
+	keys         map[string]*keyLine
+	receivers    map[ReceiverID]*receiver
+	buckets      map[bucketKey]*bucket
+	destinations map[int64]*destination
+	order        []*destination // by first mention
+	slots        int
+	callsOut     int
+	seq          int64
+	wakeAt       Time // earliest wake asked for and not come; 0 if none
+	marks        int64
+}
--- /dev/null
+++ b/internal/onyx/onyx.go
@@ -0,0 +1,172 @@
+// Package onyx reads and writes the lines of the wire onyx-7696.
+//
+// A line is a name and then field=value pairs, set apart by single spaces. A
+// reading fault is told once, with the number of the line and the field.
+package onyx
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Reader takes lines off the wire, however long they are.
+type Reader struct {
+	in *bufio.Reader
+	no int
+}
+
+// NewReader reads from r.
+func NewReader(r io.Reader) *Reader { return &Reader{in: bufio.NewReaderSize(r, 1<<20)} }
+
+// Next gives the next line; io.EOF at a clean end of input.
+func (r *Reader) Next() (*Line, error) {
+	raw, err := r.in.ReadString('\n')
+	if err != nil && (raw == "" || !errors.Is(err, io.EOF)) {
+		return nil, err
+	}
+	r.no++
+	return parse(strings.TrimSuffix(raw, "\n"), r.no)
+}
+
+// Line is one message; its getters note the first fault, which Err returns.
+type Line struct {
+	Name   string
+	No     int
+	Fields []Field
+	err    error
+}
+
+// Field is one name=value pair as it stood on the line.
+type Field struct{ Name, Value string }
+
+func parse(raw string, no int) (*Line, error) {
+	parts := strings.Split(raw, " ")
+	l := &Line{Name: parts[0], No: no, Fields: make([]Field, 0, len(parts)-1)}
+	if l.Name == "" {
+		return nil, fmt.Errorf("line %d: no message name", no)
+	}
+	for _, p := range parts[1:] {
+		name, value, ok := strings.Cut(p, "=")
+		if !ok || name == "" {
+			return nil, fmt.Errorf("line %d: %s: %q is no field=value", no, l.Name, p)
+		}
+		l.Fields = append(l.Fields, Field{name, value})
+	}
+	return l, nil
+}
+
+func (l *Line) find(name string) (string, bool) {
+	for _, f := range l.Fields {
+		if f.Name == name {
+			return f.Value, true
+		}
+	}
+	return "", false
+}
+
+// Fault records what is wrong with a field, unless something already was.
+func (l *Line) Fault(field, what string) {
+	if l.err == nil {
+		l.err = fmt.Errorf("line %d: %s: field %s: %s", l.No, l.Name, field, what)
+	}
+}
+
+// Err is the first fault found in the line.
+func (l *Line) Err() error { return l.err }
+
+// Word gives a field that must be there.
+func (l *Line) Word(name string) string {
+	v, ok := l.find(name)
+	if !ok || v == "" {
+		l.Fault(name, "missing")
+	}
+	return v
+}
+
+// Opt gives a field that may be absent.
+func (l *Line) Opt(name string) string {
+	v, _ := l.find(name)
+	return v
+}
+
+// Whole gives a whole number that must be there, within [low, high].
+func (l *Line) Whole(name string, low, high int64) int64 {
+	v := l.Word(name)
+	if l.err != nil {
+		return 0
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || n < low || n > high {
+		l.Fault(name, fmt.Sprintf("%q is no whole number from %d to %d", v, low, high))
+	}
+	return n
+}
+
+// OptWhole is Whole with nought for an absent field.
+func (l *Line) OptWhole(name string, low, high int64) int64 {
+	if l.Opt(name) == "" {
+		return 0
+	}
+	return l.Whole(name, low, high)
+}
+
+// Seed gives an unsigned whole number that must be there.
+func (l *Line) Seed(name string) uint64 {
+	n, err := strconv.ParseUint(l.Word(name), 10, 64)
+	if err != nil {
+		l.Fault(name, "no whole number")
+	}
+	return n
+}
+
+// Flag gives a bool; an absent one is false.
+func (l *Line) Flag(name string) bool {
+	switch v := l.Opt(name); v {
+	case "1":
+		return true
+	case "", "0":
+		return false
+	default:
+		l.Fault(name, fmt.Sprintf("%q is neither 1 nor 0", v))
+		return false
+	}
+}
+
+// OptNumber gives a finite number of nought or more; an absent one is nought.
+func (l *Line) OptNumber(name string) float64 {
+	v := l.Opt(name)
+	if v == "" {
+		return 0
+	}
+	return l.number(name, v)
+}
+
+// Numbers gives a comma-joined row; what is left empty is NaN.
+func (l *Line) Numbers(name string) []float64 {
+	v := l.Opt(name)
+	if v == "" {
+		return nil
+	}
+	var row []float64
+	for _, p := range strings.Split(v, ",") {
+		n := math.NaN()
+		if p != "" {
+			n = l.number(name, p)
+		}
+		row = append(row, n)
+	}
+	return row
+}
+
+func (l *Line) number(name, v string) float64 {
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || n < 0 || math.IsInf(n, 0) || math.IsNaN(n) {
+		l.Fault(name, fmt.Sprintf("%q is no number of nought or more", v))
+	}
+	return n
+}
