--- a/control/control.go
+++ b/control/control.go
@@ -459,6 +459,7 @@
 func (s *Sender) answered(t *text, sub *submit, r Result) {
 	c := sub.call
 	t.out, t.next = nil, nil
+	s.told(c.to.bucket, r) // each text of a bundle may be told another wait, and all bind
 	if !c.heard {
 		c.heard = true
 		s.learn(c.to, r, c.sent)
@@ -505,9 +506,7 @@
 	case Unsent, Cancelled:
 		return
 	case Full:
-		if res.Wait > 0 { // one tenth more, as the clock is rounded down
-			b.waitUntil = max(b.waitUntil, s.now+res.Wait+1)
-		} else {
+		if res.Wait == 0 {
 			b.heldUntil = max(b.heldUntil, s.now+defaultPause)
 		}
 		b.window = max(1, b.window/2)
@@ -542,6 +541,13 @@
 	}
 }
 
+// told keeps a told wait, one tenth longer as the clock is rounded down.
+func (s *Sender) told(b *bucket, res Result) {
+	if res.Outcome == Full && res.Wait > 0 {
+		b.waitUntil = max(b.waitUntil, s.now+res.Wait+1)
+	}
+}
+
 // reported takes a reported allowance: at nought the bucket holds.
 func (s *Sender) reported(b *bucket, report []float64) {
 	names := strings.Split(s.set["Report.Names"], ",")
@@ -609,6 +615,7 @@
 		return
 	}
 	r.probing = false
+	s.told(r.bucket, res)
 	s.learn(r, res, r.probed)
 	if res.Outcome != NoAnswer && res.Outcome != NoConnection && res.Outcome != Lost || r.answered > r.probed {
 		return
