--- a/control/control.go
+++ b/control/control.go
@@ -311,7 +311,10 @@
 	case b.limit == 0:
 		return int(b.window)
 	}
-	return int(max(1, min(b.left, b.window)))
+	if b.left < 1 { // the hold is over: one call looks
+		b.left = 1
+	}
+	return int(min(float64(b.flight)+b.left, max(1, b.window)))
 }
 
 // Settle decides what goes now; call it once after all news of a batch.
@@ -417,6 +420,8 @@
 	r.weighed = append(r.weighed, s.now)
 	r.used = s.now
 	r.bucket.flight++
+	r.bucket.left--
+	s.holdAtNought(r.bucket)
 	r.bucket.used = s.seq
 	r.dest.flight++
 	s.callsOut++
@@ -558,9 +563,20 @@
 	if math.IsNaN(report[x0]) || math.IsNaN(report[x1]) {
 		return
 	}
-	b.known, b.limit, b.left = true, report[x1], report[x0]*report[x1]
-	if b.limit > 0 && b.left < 0.5 {
-		b.heldUntil = max(b.heldUntil, s.now+defaultPause/2)
+	if b.known && b.share == report[x0] && b.limit == report[x1] {
+		return // the same report again: it does not know what was sent since
+	}
+	b.known, b.share, b.limit, b.left = true, report[x0], report[x1], report[x0]*report[x1]
+	b.heldUntil = s.now
+	s.holdAtNought(b)
+}
+
+// holdAtNought holds a bucket that has no whole call left, until this sender's part of the limit has freed
+// one; the design's pause is the longest.
+func (s *Sender) holdAtNought(b *bucket) {
+	if b.limit > 0 && b.left < 1 {
+		gap := (1 - b.left) * max(1, s.number("Instances", 1)) / b.limit * float64(Second)
+		b.heldUntil = max(b.heldUntil, s.now+min(defaultPause, Time(gap)))
 	}
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -65,7 +65,8 @@
 	key       bucketKey
 	known     bool // an answer has come
 	limit     float64
-	left      float64
+	share     float64 // as last reported
+	left      float64 // calls, by that report and what was sent since
 	flight    int
 	window    float64 // calls that have been found bearable at once
 	waitUntil Time    // told
