Refuse the least worth of a queue that outgrows its destination

A queue past the longest SLA time now gives up, at once and with advice, what would earn least. Should hold for any lasting excess; may hurt where clients do not come back and the excess is short.

--- a/control/control.go
+++ b/control/control.go
@@ -50,8 +50,10 @@
 		p := &product{
 			name: set[at+"Name"], repeat: set[at+"Repeat"], sla: s.span(at+"ObjectiveUs", 0),
 			window: s.span(at+"RepeatWindowUs", 0), zoned: set[at+"Group"] != "all",
-			inOrder: set[at+"SerialByKey"] == "true",
+			inOrder: set[at+"SerialByKey"] == "true", value: s.number(at+"Value", 1),
+			lateKeep: s.number(at+"LateShare", 0), validity: s.span(at+"HardLimitUs", 0),
 		}
+		s.longestSLA = max(s.longestSLA, p.sla)
 		p.pace = float64(p.sla) / 10 // a guess until the first answer
 		s.products[p.name] = p
 	}
@@ -151,7 +153,7 @@
 	}
 	s.seq++
 	t := &text{id: a.ID, seq: s.seq, product: p, dest: s.destination(a.Destination), key: a.Key,
-		validUntil: s.now + a.TimeLeft, wantedBy: s.now + p.sla}
+		validUntil: s.now + a.TimeLeft, wantedBy: s.now + p.sla - max(0, p.validity-a.TimeLeft)}
 	s.texts[t.id] = t
 	if p.inOrder && t.key != "" {
 		if s.keys[t.key] == nil {
@@ -279,16 +281,7 @@
 
 // budget is how many calls this sender may have sent to a receiver within the window.
 func (s *Sender) budget(r *receiver) float64 {
-	rate := r.bucket.limit
-	if rate == 0 {
-		rate = r.rate
-		if s.set["WeightSource"] == "rough" {
-			rate /= 1.5 // told up to half too high
-		}
-		if s.set["WeightSource"] == "silent" {
-			rate = 0
-		}
-	}
+	rate := s.capacity(r)
 	if r.bucket.key.route == 0 {
 		rate /= float64(len(r.dest.receivers))
 	}
@@ -361,6 +354,72 @@
 			s.giveUp(t, wait)
 		}
 	}
+	s.shed(d, wait)
+}
+
+// shed bounds a queue that outgrows its destination: what would wait past the longest SLA time only makes
+// everything behind it late too. The texts that would earn least by then are refused at once, and the
+// client told when to come back, while the rest keep their order.
+func (s *Sender) shed(d *destination, wait Time) {
+	rate := s.drain(d)
+	for len(d.queue) > 1 && float64(len(d.queue)) > rate*float64(s.longestSLA)/float64(Second) {
+		var least *text
+		worth := math.Inf(1)
+		for i, t := range d.queue {
+			at := s.now + wait + Time(float64(i+1)/rate*float64(Second)) + s.usual(t)
+			if w := s.worth(t, at); w <= worth {
+				least, worth = t, w
+			}
+		}
+		s.giveUp(least, wait+Time(float64(len(d.queue))/rate*float64(Second))-s.longestSLA)
+	}
+}
+
+// worth is the revenue of a text delivered at a time: full by its SLA time, then less and less.
+func (s *Sender) worth(t *text, at Time) float64 {
+	p := t.product
+	late := float64(at - t.wantedBy)
+	switch {
+	case at > t.validUntil:
+		return 0
+	case late <= 0:
+		return p.value
+	case s.set["Specifics.Fades"] == "halves":
+		return p.value * max(p.lateKeep, math.Pow(0.5, late/float64(p.sla)))
+	}
+	return p.value * (1 - (1-p.lateKeep)*late/float64(max(1, t.validUntil-t.wantedBy)))
+}
+
+// drain is how many texts a second this sender may hope to get through to a destination: what got through
+// of late, and at least its part of the limit, or of the listed rate where there is none.
+func (s *Sender) drain(d *destination) float64 {
+	rate := 0.0
+	for _, r := range d.receivers {
+		rate = max(rate, s.capacity(r)/max(1, s.number("Instances", 1)))
+	}
+	return max(rate, s.flow(d, 0), 0.1)
+}
+
+// flow keeps the texts a second that got through over the longest SLA time or so.
+func (s *Sender) flow(d *destination, delivered float64) float64 {
+	span := float64(max(1, s.longestSLA))
+	d.through = d.through*math.Exp(-float64(s.now-d.throughAt)/span) + delivered
+	d.throughAt = s.now
+	return d.through * float64(Second) / span
+}
+
+// capacity is the calls a second that a receiver's bucket surely takes: the reported limit, else the listed
+// rate at its worst.
+func (s *Sender) capacity(r *receiver) float64 {
+	switch {
+	case r.bucket.limit > 0:
+		return r.bucket.limit
+	case s.set["WeightSource"] == "nominal":
+		return r.rate
+	case s.set["WeightSource"] == "rough":
+		return r.rate / 1.5 // told up to half too high
+	}
+	return 0
 }
 
 // usual is how long a call for the text takes as a rule.
@@ -477,6 +536,7 @@
 		s.callsOut--
 	}
 	if r.Outcome == Delivered {
+		s.flow(t.dest, 1)
 		smooth(&t.dest.pace, float64(r.Took))
 		smooth(&t.product.pace, float64(r.Took))
 	}
@@ -567,7 +627,6 @@
 		return // the same report again: it does not know what was sent since
 	}
 	b.known, b.share, b.limit, b.left = true, report[x0], report[x1], report[x0]*report[x1]
-	b.heldUntil = s.now
 	s.holdAtNought(b)
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -85,6 +85,8 @@
 	queue     []*text // held, in order of arrival
 	flight    int
 	pace      float64
+	through   float64 // texts that got through of late, fading
+	throughAt Time
 }
 
 // What lasts as long as the instance.
@@ -93,6 +95,7 @@
 	name     string
 	value    float64
 	sla      Time
+	validity Time
 	repeat   string
 	window   Time
 	zoned    bool // repeats are known only within one zone
@@ -120,6 +123,7 @@
 	destinations map[int64]*destination
 	order        []*destination // by first mention
 	slots        int
+	longestSLA   Time
 	callsOut     int
 	seq          int64
 	wakeAt       Time // earliest wake asked for and not come; 0 if none
