--- a/control/control.go
+++ b/control/control.go
@@ -290,7 +290,7 @@
 		share += (1 - share) * float64(s.now-r.cold) / float64(ramp)
 	}
 	seconds := float64(s.span("Contract.FallUs", 0)) / float64(Second)
-	return s.number("Contract.FallMultiple", 1) * rate * share * seconds / max(1, s.number("Instances", 1))
+	return s.number("Contract.FallMultiple", 1) * rate * share * seconds / s.senders()
 }
 
 // room says how many calls a bucket bears at once: none while it reads nought, one until its first answer
@@ -395,7 +395,7 @@
 func (s *Sender) drain(d *destination) float64 {
 	rate := 0.0
 	for _, r := range d.receivers {
-		rate = max(rate, s.capacity(r)/max(1, s.number("Instances", 1)))
+		rate = max(rate, s.capacity(r)/s.senders())
 	}
 	return max(rate, s.flow(d, 0), 0.1)
 }
@@ -572,8 +572,9 @@
 		return
 	case Full:
 		if res.Wait == 0 {
-			b.heldUntil = max(b.heldUntil, s.now+defaultPause)
+			b.heldUntil = max(b.heldUntil, s.now+s.pause(b, r))
 		}
+		b.fulls++
 		b.window = max(1, b.window/2)
 		r.answered = s.now
 		if r.badSince == 0 {
@@ -589,7 +590,7 @@
 		if r.cold > 0 && s.now-r.cold > s.span("Contract.RampTimeUs", 0) {
 			r.cold = 0
 		}
-		r.down, r.fails, r.badSince = false, 0, 0
+		r.down, r.fails, r.badSince, b.fulls = false, 0, 0, 0
 		r.ill -= smoothing * r.ill
 		b.window += 1 / b.window
 	case NoConnection:
@@ -630,11 +631,28 @@
 	s.holdAtNought(b)
 }
 
+// pause is how long a bucket holds after a refusal that tells no wait: until this sender's part of the limit
+// has freed a call, or a usual call ends where there is none; twice that each further time, as it may be
+// shut or others may take what frees; the design's pause at most.
+func (s *Sender) pause(b *bucket, r *receiver) Time {
+	gap := r.dest.pace
+	if b.limit > 0 {
+		gap = float64(Second) * s.senders() / b.limit
+	}
+	if gap == 0 {
+		return defaultPause
+	}
+	return Time(min(float64(defaultPause), gap*math.Pow(2, float64(min(b.fulls, 9)))))
+}
+
+// senders is how many share what a destination takes.
+func (s *Sender) senders() float64 { return max(1, s.number("Instances", 1)) }
+
 // holdAtNought holds a bucket that has no whole call left, until this sender's part of the limit has freed
 // one; the design's pause is the longest.
 func (s *Sender) holdAtNought(b *bucket) {
 	if b.limit > 0 && b.left < 1 {
-		gap := (1 - b.left) * max(1, s.number("Instances", 1)) / b.limit * float64(Second)
+		gap := (1 - b.left) * s.senders() / b.limit * float64(Second)
 		b.heldUntil = max(b.heldUntil, s.now+min(defaultPause, Time(gap)))
 	}
 }
--- a/control/state.go
+++ b/control/state.go
@@ -67,6 +67,7 @@
 	limit     float64
 	share     float64 // as last reported
 	left      float64 // calls, by that report and what was sent since
+	fulls     int     // refusals since the last delivery
 	flight    int
 	window    float64 // calls that have been found bearable at once
 	waitUntil Time    // told
