--- a/control/control.go
+++ b/control/control.go
@@ -664,9 +664,10 @@
 	if r.badSince == 0 {
 		r.badSince = s.now
 	}
-	if r.fails >= 2 {
-		r.down = true
+	if r.fails < 2 {
+		return // one failure says little
 	}
+	r.down = r.down || r.fails > 2 || r.answered < s.now
 	rest := float64(Second) / 8 * math.Pow(2, float64(min(r.fails, 4)))
 	r.restUntil = s.now + Time(rest*(0.75+0.5*s.chance.unit()))
 }
