--- a/control/control.go
+++ b/control/control.go
@@ -495,18 +495,22 @@
 	t.out = sub
 	c.texts = append(c.texts, t)
 	t.next = func(r Result) { s.answered(t, sub, r) }
-	s.out.Submit(t.id, c.to.id, s.timeout(t))
+	s.out.Submit(t.id, c.to.id, s.timeout(t, c.to))
 }
 
-// timeout bounds a submit where giving up on it leaves time for another; else it may take its time.
-func (s *Sender) timeout(t *text) Time {
-	usual := s.usual(t)
+// timeout bounds a submit where giving up on it leaves time for another; else it may take its time. At a
+// receiver that answers some calls and loses others without a word, an answer is not waited for long.
+func (s *Sender) timeout(t *text, r *receiver) Time {
+	usual, end := s.usual(t), t.validUntil
 	long := max(10*usual, t.product.sla)
-	if t.product.repeat == "keyed" {
-		long = min(long, t.product.window-2*usual)
+	if r.lost > 0.05 {
+		long = 4 * usual
 	}
-	if t.mayHaveRun && t.product.repeat != "safe" || t.product.repeat == "unsafe" ||
-		long < 4*usual || s.now+long+usual > t.validUntil {
+	if t.product.repeat != "safe" {
+		end = min(end, s.repeatEnd(t), s.now+t.product.window) // no window: no repeat
+	}
+	long = min(long, end-s.now-2*usual)
+	if long < 3*usual {
 		return 0
 	}
 	return long
@@ -592,6 +596,7 @@
 		}
 		r.down, r.fails, r.badSince, b.fulls = false, 0, 0, 0
 		r.ill -= smoothing * r.ill
+		r.lost -= smoothing * r.lost
 		b.window += 1 / b.window
 	case NoConnection:
 		if r.answered >= sent { // it answers others: its connections are all taken
@@ -600,6 +605,10 @@
 		}
 		s.failed(r)
 	default:
+		if res.Outcome == NoAnswer && r.answered > sent { // it answers others, so it is not silent
+			r.lost += smoothing * (1 - r.lost)
+			return
+		}
 		if res.Outcome == Errored {
 			r.answered = s.now
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -52,6 +52,7 @@
 	used      Time
 	fails     int     // in a row
 	ill       float64 // share of late calls that failed
+	lost      float64 // share of late calls that got no answer while others did
 	badSince  Time    // first failure or refusal with no success after it; 0 if none
 	down      bool
 	restUntil Time
