--- a/control/control.go
+++ b/control/control.go
@@ -547,7 +547,7 @@
 	if ran := r.Outcome != Full && r.Outcome != NoConnection && r.Outcome != Unsent; ran && !t.mayHaveRun {
 		t.mayHaveRun, t.ranSince, t.ranZone = true, c.sent, c.to.zone
 	}
-	if k := s.keys[t.key]; k != nil && (r.Outcome == NoAnswer || r.Outcome == Lost || r.Outcome == Cancelled) {
+	if k := s.keys[t.key]; k != nil && t.product.inOrder && (r.Outcome == NoAnswer || r.Outcome == Lost || r.Outcome == Cancelled) {
 		k.restUntil = s.now + s.span("Contract.KeyRestUs", 0) + 1
 	}
 	switch {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,6 +1,224 @@
 package control
 
-import "testing"
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "300", "rapid.steps": "150", "rapid.nofailfile": "true", "rapid.shrinktime": "2s"} {
+		if err := flag.Set(name, value); err != nil { // the same verdict every time
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func expect(t *testing.T, w *world, what string, got, want any) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+	for _, b := range w.broken {
+		t.Error(b)
+	}
+}
+
+// TestRules drives one sender through whatever may happen and checks the rules at every call it makes.
+func TestRules(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(rt, "seed"), nil)
+		n := 0
+		odd := func() []float64 {
+			return rapid.SampledFrom([][]float64{nil, {0, 10}, {1, 10}, {0.3, 4}, {3, 5}, {0, 0}, {math.NaN(), 3}, {1}}).Draw(rt, "report")
+		}
+		wait := func(o Outcome) Time {
+			if o != Full {
+				return 0
+			}
+			return rapid.SampledFrom([]Time{0, 0, 700, 2500, 15000, 36000 * Second}).Draw(rt, "wait")
+		}
+		outcome := rapid.SampledFrom([]Outcome{Delivered, Delivered, Delivered, Delivered, Errored, Full, NoConnection,
+			NoConnection, NoConnection, Lost, Unsent, NoAnswer})
+		rt.Repeat(map[string]func(*rapid.T){
+			"take": func(*rapid.T) {
+				for range rapid.SampledFrom([]int{1, 1, 2, 30}).Draw(rt, "clump") {
+					n++
+					w.take(fmt.Sprint("t", n), rapid.SampledFrom([]string{"free", "marked", "once", "queued"}).Draw(rt, "product"),
+						int64(rapid.IntRange(1, 4).Draw(rt, "dest")), rapid.SampledFrom([]string{"", "a", "b"}).Draw(rt, "key"),
+						rapid.SampledFrom([]Time{8 * Second, 8 * Second, 3 * Second, 10, 0, -5}).Draw(rt, "left"))
+				}
+			},
+			"answer": func(*rapid.T) {
+				if outs := w.outs(); len(outs) > 0 {
+					x, o := rapid.SampledFrom(outs).Draw(rt, "text"), outcome.Draw(rt, "outcome")
+					for _, y := range outs { // a bundle has one fate
+						if y == x || y.out == x.out && y.outAt == x.outAt && w.to[y.out].Kind == "two" {
+							w.answer(y, o, wait(o), odd()...)
+						}
+					}
+				}
+			},
+			"probed": func(*rapid.T) {
+				if len(w.probes) > 0 {
+					id, at, o := w.probes[0].to, w.probes[0].at, outcome.Draw(rt, "outcome")
+					w.probes = w.probes[1:]
+					told := wait(o)
+					w.hear(w.to[id], o, told, at)
+					w.step(func() { w.s.Probed(id, Result{Outcome: o, Took: 300, Wait: told, Report: odd()}) })
+				}
+			},
+			"pass": func(*rapid.T) {
+				w.advance(rapid.SampledFrom([]Time{50, 500, 3000, 12000, 30000}).Draw(rt, "time"))
+			},
+			"list": func(*rapid.T) {
+				p := w.to[ReceiverID(rapid.IntRange(11, 16).Draw(rt, "receiver"))]
+				p.Listing = rapid.SampledFrom([]Listing{Up, Up, Draining, Removed}).Draw(rt, "listing")
+				p.toldAt = w.now
+				whole := rapid.Bool().Draw(rt, "whole")
+				w.step(func() { w.s.Listed(whole, map[bool][]Entry{true: w.entries(), false: {p.Entry}}[whole]) })
+			},
+			"withdraw": func(*rapid.T) {
+				if n > 0 {
+					x := w.texts[fmt.Sprint("t", rapid.IntRange(1, n).Draw(rt, "text"))]
+					x.over = true
+					w.step(func() { w.s.Withdrawn(x.id) })
+				}
+			},
+			"stale": func(*rapid.T) {
+				w.step(func() {
+					w.s.Ended("t1", 99, Result{Outcome: Full, Wait: Second})
+					w.s.Ended("never", 0, Result{})
+					w.s.Probed(999, Result{})
+					w.s.Noted(1, []byte("x"))
+				})
+			},
+			"": func(*rapid.T) {
+				w.check()
+				if len(w.broken) > 0 {
+					rt.Fatal(w.broken)
+				}
+			},
+		})
+	})
+}
+
+// fill takes n texts for destination 1 and answers each once: the first outcome goes to the first.
+func fill(w *world, n int, product string, dest int64) {
+	for i := range n {
+		w.take(fmt.Sprint(product, dest, "-", i), product, dest, "", 8*Second)
+	}
+}
+
+func TestOneCallUntilTheFirstAnswer(t *testing.T) {
+	w := newWorld(1, nil)
+	fill(w, 5, "free", 1)
+	expect(t, w, "sent before an answer", w.sends, 1)
+	w.advance(500)
+	w.answer(w.outs()[0], Delivered, 0, 0.3, 10)
+	expect(t, w, "sent on three left", w.sends, 4)
+}
+
+func TestNoughtHoldsAndWaitsAreTold(t *testing.T) {
+	w := newWorld(1, nil)
+	fill(w, 3, "free", 1)
+	w.advance(500)
+	w.answer(w.outs()[0], Delivered, 0, 0, 10)
+	expect(t, w, "sent at nought", w.sends, 1)
+	w.advance(2500) // two senders on ten a second: a call every 0.2 s
+	expect(t, w, "sent after the hold", w.sends, 2)
+	w.answer(w.outs()[0], Full, 3*Second)
+	w.advance(29000)
+	expect(t, w, "sent in the wait", w.sends, 2)
+	w.advance(1500)
+	expect(t, w, "sent after the wait", w.sends, 3)
+	w.answer(w.outs()[0], Full, 9*Second)
+	expect(t, w, "refused at once, as the wait outlasts the validity period", w.nacks, 2)
+	expect(t, w, "with the wait, capped", w.lastNack, 3*Second)
+}
+
+func TestNoLimitIsNotHeld(t *testing.T) {
+	w := newWorld(1, nil)
+	fill(w, 6, "free", 1)
+	w.answer(w.outs()[0], Delivered, 0, 0, 0)
+	expect(t, w, "sent without a limit", w.sends, 6)
+}
+
+// Several calls went out on one stale reading.
+func TestSameReportDoesNotRefill(t *testing.T) {
+	w := newWorld(1, nil)
+	fill(w, 8, "free", 1)
+	w.advance(500)
+	w.answer(w.outs()[0], Delivered, 0, 0.2, 10)
+	expect(t, w, "sent on two left", w.sends, 3)
+	w.answer(w.outs()[0], Delivered, 0, 0.2, 10)
+	expect(t, w, "sent on the same reading", w.sends, 3)
+}
+
+// Only the first text of a bundle was asked for its told wait.
+func TestEveryWaitOfABundleBinds(t *testing.T) {
+	w := newWorld(1, nil)
+	fill(w, 4, "free", 2)
+	w.answer(w.outs()[0], Delivered, 0, 1, 20)
+	outs := w.outs()
+	expect(t, w, "texts in one call", len(outs), 3)
+	w.answer(outs[0], Full, 500)
+	w.answer(outs[1], Full, 20000)
+	w.answer(outs[2], Full, 0)
+	sends := w.sends
+	w.advance(19000)
+	expect(t, w, "sent in the longest wait", w.sends, sends)
+}
+
+// A backlog in order of arrival made every later text late.
+func TestLongQueueRefusesTheLeastWorth(t *testing.T) {
+	w := newWorld(1, nil)
+	fill(w, 9, "once", 1)
+	fill(w, 9, "free", 1) // ten a second for two senders, SLA time 2 s: ten may wait
+	expect(t, w, "refused", w.nacks, 7)
+	for i := range 9 {
+		expect(t, w, "the dearer product is kept", w.texts[fmt.Sprint("once1-", i)].over, false)
+	}
+}
+
+// Time-outs of many seconds where some calls were lost and others answered.
+func TestLostCallsShortenTimeouts(t *testing.T) {
+	w := newWorld(1, nil)
+	w.step(func() { w.s.Listed(false, []Entry{{Receiver: 12, Destination: 1, Listing: Removed}}) })
+	for i := range 3 {
+		a := w.take(fmt.Sprint("a", i), "free", 1, "", 8*Second)
+		w.advance(1000)
+		w.answer(a, Delivered, 0, 1, 10)
+	}
+	lost := w.take("lost", "free", 1, "", 8*Second)
+	expect(t, w, "a usual time-out", lost.outUntil-lost.outAt, 2*Second)
+	w.advance(1000)
+	b := w.take("b", "free", 1, "", 8*Second)
+	w.advance(1000)
+	w.answer(b, Delivered, 0, 1, 10)
+	w.answer(lost, NoAnswer, 0)
+	expect(t, w, "a time-out after a lost call", lost.outUntil-lost.outAt, Time(4000))
+	expect(t, w, "receiver down", w.s.receivers[11].down, false)
+}
+
+func TestSettingsThatMakeNoSense(t *testing.T) {
+	for name, value := range map[string]string{"Specifics.MaxCalls": "0", "Contract.FallUs": "-1", "RequestClasses.count": "x"} {
+		set := Settings{}
+		for k, v := range testSettings {
+			set[k] = v
+		}
+		set[name] = value
+		if _, err := New(1, set, nil); err == nil {
+			t.Errorf("%s=%s was taken", name, value)
+		}
+	}
+}
 
 func TestPCGIsSeeded(t *testing.T) {
 	a, b, c := newPCG(1), newPCG(1), newPCG(2)
