--- a/control/control.go
+++ b/control/control.go
@@ -502,10 +502,7 @@
 // receiver that answers some calls and loses others without a word, an answer is not waited for long.
 func (s *Sender) timeout(t *text, r *receiver) Time {
 	usual, end := s.usual(t), t.validUntil
-	long := max(10*usual, t.product.sla)
-	if r.lost > 0.05 {
-		long = 4 * usual
-	}
+	long := max(Second, Time(max(4, 10-60*max(r.lost, s.lost))*float64(usual)))
 	if t.product.repeat != "safe" {
 		end = min(end, s.repeatEnd(t), s.now+t.product.window) // no window: no repeat
 	}
@@ -597,6 +594,7 @@
 		r.down, r.fails, r.badSince, b.fulls = false, 0, 0, 0
 		r.ill -= smoothing * r.ill
 		r.lost -= smoothing * r.lost
+		s.lost -= smoothing / 4 * s.lost
 		b.window += 1 / b.window
 	case NoConnection:
 		if r.answered >= sent { // it answers others: its connections are all taken
@@ -607,6 +605,7 @@
 	default:
 		if res.Outcome == NoAnswer && r.answered > sent { // it answers others, so it is not silent
 			r.lost += smoothing * (1 - r.lost)
+			s.lost += smoothing / 4 * (1 - s.lost)
 			return
 		}
 		if res.Outcome == Errored {
--- a/control/state.go
+++ b/control/state.go
@@ -126,6 +126,7 @@
 	order        []*destination // by first mention
 	slots        int
 	longestSLA   Time
+	lost         float64 // as a receiver's, over all of them
 	callsOut     int
 	seq          int64
 	wakeAt       Time // earliest wake asked for and not come; 0 if none
