--- a/control/control.go
+++ b/control/control.go
@@ -307,7 +307,7 @@
 	if b.left < 1 { // the hold is over: one call looks
 		b.left = 1
 	}
-	return int(min(float64(b.flight)+b.left, max(1, b.window)))
+	return int(min(float64(b.flight)+b.left, max(1, b.window)+float64(b.overdue)))
 }
 
 // Settle decides what goes now; call it once after all news of a batch.
@@ -315,7 +315,15 @@
 	for _, d := range s.order {
 		for _, r := range d.receivers {
 			r.bucket = s.bucketOf(r)
+			r.bucket.overdue = 0
+		}
+		for _, r := range d.receivers {
 			s.watch(r)
+			for _, c := range r.calls { // lost ones must not keep others from going
+				if float64(s.now-c.sent) > 4*d.pace && s.now-c.sent > Second/2 {
+					r.bucket.overdue++
+				}
+			}
 		}
 		s.refuseLate(d)
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -70,6 +70,7 @@
 	left      float64 // calls, by that report and what was sent since
 	fulls     int     // refusals since the last delivery
 	flight    int
+	overdue   int     // of those in flight
 	window    float64 // calls that have been found bearable at once
 	waitUntil Time    // told
 	heldUntil Time    // by the allowance
