--- a/control/control.go
+++ b/control/control.go
@@ -510,7 +510,7 @@
 // receiver that answers some calls and loses others without a word, an answer is not waited for long.
 func (s *Sender) timeout(t *text, r *receiver) Time {
 	usual, end := s.usual(t), t.validUntil
-	long := Time(max(4, 15-110*max(r.lost, s.lost)) * float64(usual))
+	long := Time(max(4, 15-220*max(r.lost, s.lost)) * float64(usual))
 	if t.product.repeat != "safe" {
 		end = min(end, s.repeatEnd(t), s.now+t.product.window) // no window: no repeat
 	}
@@ -669,7 +669,7 @@
 func (s *Sender) holdAtNought(b *bucket) {
 	if b.limit > 0 && b.left < 1 {
 		gap := (1 - b.left) * s.senders() / b.limit * float64(Second)
-		b.heldUntil = max(b.heldUntil, s.now+min(defaultPause, Time(gap)))
+		b.heldUntil = max(b.heldUntil, s.now+min(s.longestSLA, Time(gap)))
 	}
 }
 
