--- a/control/control.go
+++ b/control/control.go
@@ -593,7 +593,7 @@
 		b.known = true
 		smooth(&r.pace, float64(res.Took))
 		r.answered = s.now
-		if r.down || (r.badSince > 0 && s.now-r.badSince > s.span("Contract.FallUs", 2*Second)) || r.ill > 0.4 {
+		if r.down || (r.badSince > 0 && s.now-r.badSince > s.span("Contract.FallUs", 2*Second)) || r.ill > 0.5 {
 			r.cold = s.now // back from an outage, or not out of it yet
 		}
 		if r.cold > 0 && s.now-r.cold > s.span("Contract.RampTimeUs", 0) {
@@ -665,7 +665,7 @@
 func (s *Sender) senders() float64 { return max(1, s.number("Instances", 1)) }
 
 // holdAtNought holds a bucket that has no whole call left, until this sender's part of the limit has freed
-// one; the design's pause is the longest.
+// one: were all to look each second, many senders would use up a small limit by looking.
 func (s *Sender) holdAtNought(b *bucket) {
 	if b.limit > 0 && b.left < 1 {
 		gap := (1 - b.left) * s.senders() / b.limit * float64(Second)
