--- a/control/control.go
+++ b/control/control.go
@@ -263,15 +263,15 @@
 // this sender keeps to its part of that as if all senders did the same. Capacity is taken from the
 // reported limit, which it is never below, else from the listed rate at its worst.
 func (s *Sender) withinBudget(r *receiver) bool {
-	if r.cold == 0 && r.badSince == 0 {
+	window := s.span("Contract.FallUs", 2*Second)
+	if !s.struck(r) {
 		return true
 	}
-	window := s.span("Contract.FallUs", 2*Second)
 	sent := 0
 	for _, o := range r.dest.receivers {
 		if o.bucket == r.bucket {
 			o.weighed = slices.DeleteFunc(o.weighed, func(at Time) bool { return at <= s.now-window })
-			if o.cold != 0 || o.badSince != 0 {
+			if s.struck(o) {
 				sent += len(o.weighed)
 			}
 		}
@@ -279,6 +279,12 @@
 	return sent == 0 || float64(len(r.weighed)) < s.budget(r)
 }
 
+// struck: the receiver is in an outage or back from one, as far as this sender saw. Refusals alone are one
+// only if nothing was delivered for the time in which a cold destination falls.
+func (s *Sender) struck(r *receiver) bool {
+	return r.cold != 0 || r.down || r.badSince > 0 && s.now-r.badSince > s.span("Contract.FallUs", 2*Second)
+}
+
 // budget is how many calls this sender may have sent to a receiver within the window.
 func (s *Sender) budget(r *receiver) float64 {
 	rate := s.capacity(r)
@@ -593,7 +599,7 @@
 		b.known = true
 		smooth(&r.pace, float64(res.Took))
 		r.answered = s.now
-		if r.down || (r.badSince > 0 && s.now-r.badSince > s.span("Contract.FallUs", 2*Second)) || r.ill > 0.5 {
+		if r.down || r.cold == 0 && s.struck(r) || r.ill > 0.5 {
 			r.cold = s.now // back from an outage, or not out of it yet
 		}
 		if r.cold > 0 && s.now-r.cold > s.span("Contract.RampTimeUs", 0) {
@@ -772,7 +778,7 @@
 				due(r.restUntil)
 				due(r.bucket.waitUntil)
 				due(r.bucket.heldUntil)
-				if len(r.weighed) > 0 && (r.cold > 0 || r.badSince > 0) {
+				if len(r.weighed) > 0 && s.struck(r) {
 					due(r.weighed[0] + s.span("Contract.FallUs", 2*Second))
 				}
 			}
