The learned window halves from the calls that are out

Cause: a window grown in quiet times stayed far above the calls out, so that refusals did not slow anything.

--- a/control/control.go
+++ b/control/control.go
@@ -590,7 +590,7 @@
 			b.heldUntil = max(b.heldUntil, s.now+s.pause(b, r))
 		}
 		b.fulls++
-		b.window = max(1, b.window/2)
+		b.window = max(1, min(b.window, float64(b.flight))/2)
 		r.answered = s.now
 		if r.badSince == 0 {
 			r.badSince = s.now
