--- a/control/control.go
+++ b/control/control.go
@@ -590,6 +590,7 @@
 			b.heldUntil = max(b.heldUntil, s.now+s.pause(b, r))
 		}
 		b.fulls++
+		b.strain += smoothing * (1 - b.strain)
 		b.window = max(1, min(b.window, float64(b.flight))/2)
 		r.answered = s.now
 		if r.badSince == 0 {
@@ -610,6 +611,7 @@
 		r.lost -= smoothing * r.lost
 		s.lost -= smoothing / 4 * s.lost
 		b.window += 1 / b.window
+		b.strain -= smoothing * b.strain
 	case NoConnection:
 		if r.answered >= sent { // it answers others: its connections are all taken
 			b.window = max(1, b.window/2)
@@ -650,7 +652,9 @@
 		return // the same report again: it does not know what was sent since
 	}
 	b.known, b.share, b.limit, b.left = true, report[x0], report[x1], report[x0]*report[x1]
-	s.holdAtNought(b)
+	if b.left < 1 {
+		s.holdAtNought(b)
+	}
 }
 
 // pause is how long a bucket holds after a refusal that tells no wait: until this sender's part of the limit
@@ -673,8 +677,8 @@
 // holdAtNought holds a bucket that has no whole call left, until this sender's part of the limit has freed
 // one: were all to look each second, many senders would use up a small limit by looking.
 func (s *Sender) holdAtNought(b *bucket) {
-	if b.limit > 0 && b.left < 1 {
-		gap := (1 - b.left) * s.senders() / b.limit * float64(Second)
+	if need := max(1-b.left, 2*b.strain); b.limit > 0 && need > 0 {
+		gap := need * s.senders() / b.limit * float64(Second)
 		b.heldUntil = max(b.heldUntil, s.now+min(s.longestSLA, Time(gap)))
 	}
 }
--- a/control/state.go
+++ b/control/state.go
@@ -69,6 +69,7 @@
 	share     float64 // as last reported
 	left      float64 // calls, by that report and what was sent since
 	fulls     int     // refusals since the last delivery
+	strain    float64 // share of late calls that were refused
 	flight    int
 	overdue   int     // of those in flight
 	window    float64 // calls that have been found bearable at once
