--- a/control/control.go
+++ b/control/control.go
@@ -13,6 +13,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -106,6 +107,15 @@
 		}
 		r.listing, r.rate, r.zone = e.Listing, e.Rate, e.Zone
 	}
+	for _, d := range s.order { // nothing hangs on them any more
+		d.receivers = slices.DeleteFunc(d.receivers, func(r *receiver) bool {
+			gone := r.listing == Removed && len(r.calls) == 0 && !r.probing && !s.struck(r)
+			if gone {
+				delete(s.receivers, r.id)
+			}
+			return gone
+		})
+	}
 }
 
 func (s *Sender) destination(id int64) *destination {
@@ -130,7 +140,8 @@
 		if len(s.buckets) >= bucketCap {
 			var oldest *bucket
 			for _, o := range s.buckets {
-				if o.flight == 0 && s.now >= max(o.waitUntil, o.heldUntil) && (oldest == nil || o.used < oldest.used) {
+				idle := o.flight == 0 && s.now >= max(o.waitUntil, o.heldUntil)
+				if idle && (oldest == nil || o.used < oldest.used) {
 					oldest = o
 				}
 			}
@@ -202,8 +213,8 @@
 		if i := slices.Index(k.texts, t); i >= 0 {
 			k.texts = slices.Delete(k.texts, i, i+1)
 		}
-		if len(k.texts) == 0 && s.now >= k.restUntil {
-			delete(s.keys, t.key)
+		if len(k.texts) == 0 { // its rest may still run
+			maps.DeleteFunc(s.keys, func(_ string, k *keyLine) bool { return len(k.texts) == 0 && s.now >= k.restUntil })
 		}
 	}
 }
@@ -376,6 +387,9 @@
 // client told when to come back, while the rest keep their order.
 func (s *Sender) shed(d *destination, wait Time) {
 	rate := s.drain(d)
+	if rate == 0 { // nothing is known of it yet
+		return
+	}
 	for len(d.queue) > 1 && float64(len(d.queue)) > rate*float64(s.longestSLA)/float64(Second) {
 		var least *text
 		worth := math.Inf(1)
@@ -405,13 +419,18 @@
 }
 
 // drain is how many texts a second this sender may hope to get through to a destination: what got through
-// of late, and at least its part of the limit, or of the listed rate where there is none.
+// of late, and at least its part of the capacity, or where none is told what the window lets through. It is
+// nought before the first answer.
 func (s *Sender) drain(d *destination) float64 {
 	rate := 0.0
 	for _, r := range d.receivers {
-		rate = max(rate, s.capacity(r)/s.senders())
+		if capacity := s.capacity(r); capacity > 0 {
+			rate = max(rate, capacity/s.senders(), s.flow(d, 0))
+		} else if d.pace > 0 {
+			rate = max(rate, r.bucket.window*float64(Second)/d.pace, s.flow(d, 0))
+		}
 	}
-	return max(rate, s.flow(d, 0), 0.1)
+	return rate
 }
 
 // flow keeps the texts a second that got through over the longest SLA time or so.
@@ -558,7 +577,8 @@
 	if ran := r.Outcome != Full && r.Outcome != NoConnection && r.Outcome != Unsent; ran && !t.mayHaveRun {
 		t.mayHaveRun, t.ranSince, t.ranZone = true, c.sent, c.to.zone
 	}
-	if k := s.keys[t.key]; k != nil && t.product.inOrder && (r.Outcome == NoAnswer || r.Outcome == Lost || r.Outcome == Cancelled) {
+	mayRunOn := r.Outcome == NoAnswer || r.Outcome == Lost || r.Outcome == Cancelled
+	if k := s.keys[t.key]; k != nil && t.product.inOrder && mayRunOn {
 		k.restUntil = s.now + s.span("Contract.KeyRestUs", 0) + 1
 	}
 	switch {
@@ -583,8 +603,9 @@
 	b := r.bucket
 	s.reported(b, res.Report)
 	switch res.Outcome {
-	case Unsent, Cancelled:
-		return
+	case Unsent: // no slot was free after all: not at once again
+		r.restUntil = s.now + Second/8
+	case Cancelled:
 	case Full:
 		if res.Wait == 0 {
 			b.heldUntil = max(b.heldUntil, s.now+s.pause(b, r))
@@ -600,6 +621,9 @@
 		b.known = true
 		smooth(&r.pace, float64(res.Took))
 		r.answered = s.now
+		if r.down {
+			s.out.Log(fmt.Sprintf("receiver %d back", r.id))
+		}
 		if r.down || r.cold == 0 && s.struck(r) || r.ill > 0.5 {
 			r.cold = s.now // back from an outage, or not out of it yet
 		}
@@ -693,7 +717,10 @@
 	if r.fails < 2 {
 		return // one failure says little
 	}
-	r.down = r.down || r.fails > 2 || r.answered < s.now
+	if !r.down && (r.fails > 2 || r.answered < s.now) {
+		r.down = true
+		s.out.Log(fmt.Sprintf("receiver %d down: %d failures in a row", r.id, r.fails))
+	}
 	rest := float64(Second) / 8 * math.Pow(2, float64(min(r.fails, 4)))
 	r.restUntil = s.now + Time(rest*(0.75+0.5*s.chance.unit()))
 }
@@ -744,7 +771,7 @@
 	if s.set["Permissions.MayCancel"] != "true" {
 		return
 	}
-	elsewhere := slices.ContainsFunc(r.dest.receivers, func(o *receiver) bool { return o != r && !o.down && o.listing == Up })
+	elsewhere := slices.ContainsFunc(r.dest.receivers, func(o *receiver) bool { return !o.down && o.listing == Up })
 	for _, c := range r.calls {
 		for _, t := range c.texts {
 			if !t.out.cancelled && !t.over && (t.product.repeat == "safe" || t.product.repeat == "keyed" && elsewhere) {
