--- a/control/control.go
+++ b/control/control.go
@@ -185,11 +185,16 @@
 	t.dest.queue = slices.Insert(q, i, t)
 }
 
-// Withdrawn: nobody wants the text any more; a submit of it that is out runs on.
+// Withdrawn: nobody wants the text any more; a submit of it that is out is called off.
 func (s *Sender) Withdrawn(id string) {
-	if t := s.texts[id]; t != nil {
-		s.finish(t)
+	t := s.texts[id]
+	if t == nil {
+		return
 	}
+	if t.out != nil && s.set["Permissions.MayCancel"] == "true" {
+		s.out.Cancel(t.id, t.out.no)
+	}
+	s.finish(t)
 }
 
 // Started: the answer has begun, the submit is the client's now; its end is still told.
@@ -214,7 +219,8 @@
 			k.texts = slices.Delete(k.texts, i, i+1)
 		}
 		if len(k.texts) == 0 { // its rest may still run
-			maps.DeleteFunc(s.keys, func(_ string, k *keyLine) bool { return len(k.texts) == 0 && s.now >= k.restUntil })
+			over := func(_ string, k *keyLine) bool { return len(k.texts) == 0 && s.now >= k.restUntil }
+			maps.DeleteFunc(s.keys, over)
 		}
 	}
 }
@@ -274,11 +280,10 @@
 // this sender keeps to its part of that as if all senders did the same. Capacity is taken from the
 // reported limit, which it is never below, else from the listed rate at its worst.
 func (s *Sender) withinBudget(r *receiver) bool {
-	window := s.span("Contract.FallUs", 2*Second)
 	if !s.struck(r) {
 		return true
 	}
-	sent := 0
+	window, sent := s.span("Contract.FallUs", 2*Second), 0
 	for _, o := range r.dest.receivers {
 		if o.bucket == r.bucket {
 			o.weighed = slices.DeleteFunc(o.weighed, func(at Time) bool { return at <= s.now-window })
@@ -499,10 +504,8 @@
 // send opens one call to a receiver and lets as many held texts ride in it as its kind bundles.
 func (s *Sender) send(r *receiver) {
 	c := &call{to: r, sent: s.now}
-	bundle := 1
-	if n, err := strconv.Atoi(s.perKind("Specifics.BundleMax", r.kind)); err == nil {
-		bundle = max(1, n)
-	}
+	bundle, _ := strconv.Atoi(s.perKind("Specifics.BundleMax", r.kind))
+	bundle = max(1, bundle)
 	for _, t := range slices.Clone(r.dest.queue) {
 		if len(c.texts) < bundle && s.mayRepeat(t, r) && s.hisTurn(t) {
 			s.submit(t, c)
@@ -669,12 +672,10 @@
 	if x0 < 0 || x1 < 0 || x0 >= len(report) || x1 >= len(report) {
 		return
 	}
-	if math.IsNaN(report[x0]) || math.IsNaN(report[x1]) {
+	same := b.known && b.share == report[x0] && b.limit == report[x1] // knows nothing of what was sent since
+	if same || math.IsNaN(report[x0]) || math.IsNaN(report[x1]) {
 		return
 	}
-	if b.known && b.share == report[x0] && b.limit == report[x1] {
-		return // the same report again: it does not know what was sent since
-	}
 	b.known, b.share, b.limit, b.left = true, report[x0], report[x1], report[x0]*report[x1]
 	if b.left < 1 {
 		s.holdAtNought(b)
@@ -685,28 +686,34 @@
 // has freed a call, or a usual call ends where there is none; twice that each further time, as it may be
 // shut or others may take what frees; the design's pause at most.
 func (s *Sender) pause(b *bucket, r *receiver) Time {
-	gap := r.dest.pace
+	gap := Time(r.dest.pace)
 	if b.limit > 0 {
-		gap = float64(Second) * s.senders() / b.limit
+		gap = s.freeing(b, 1)
 	}
 	if gap == 0 {
 		return defaultPause
 	}
-	return Time(min(float64(defaultPause), gap*math.Pow(2, float64(min(b.fulls, 9)))))
+	return min(defaultPause, gap<<min(b.fulls, 9))
 }
 
-// senders is how many share what a destination takes.
-func (s *Sender) senders() float64 { return max(1, s.number("Instances", 1)) }
-
 // holdAtNought holds a bucket that has no whole call left, until this sender's part of the limit has freed
-// one: were all to look each second, many senders would use up a small limit by looking.
+// one: were all to look each second, many senders would use up a small limit by looking. As far as calls
+// are being refused it spaces them too: several senders read the same allowance, and refused calls may
+// use it up.
 func (s *Sender) holdAtNought(b *bucket) {
 	if need := max(1-b.left, 2*b.strain); b.limit > 0 && need > 0 {
-		gap := need * s.senders() / b.limit * float64(Second)
-		b.heldUntil = max(b.heldUntil, s.now+min(s.longestSLA, Time(gap)))
+		b.heldUntil = max(b.heldUntil, s.now+min(s.longestSLA, s.freeing(b, need)))
 	}
 }
 
+// freeing is the time in which this sender's even part of a limit frees so many calls.
+func (s *Sender) freeing(b *bucket, calls float64) Time {
+	return Time(calls * s.senders() / b.limit * float64(Second))
+}
+
+// senders is how many share what a destination takes.
+func (s *Sender) senders() float64 { return max(1, s.number("Instances", 1)) }
+
 // failed notes a call that failed; two in a row, and the receiver is looked at before it gets more texts.
 func (s *Sender) failed(r *receiver) {
 	r.fails++
@@ -755,7 +762,7 @@
 	}
 }
 
-// Probed takes what a probe found. A receiver found silent loses the texts that can go elsewhere.
+// Probed takes what a probe found; one that found a receiver silent puts it down.
 func (s *Sender) Probed(id ReceiverID, res Result) {
 	r := s.receivers[id]
 	if r == nil || !r.probing {
@@ -764,22 +771,8 @@
 	r.probing = false
 	s.told(r.bucket, res)
 	s.learn(r, res, r.probed)
-	if res.Outcome != NoAnswer && res.Outcome != NoConnection && res.Outcome != Lost || r.answered > r.probed {
-		return
-	}
-	r.down = true
-	if s.set["Permissions.MayCancel"] != "true" {
-		return
-	}
-	elsewhere := slices.ContainsFunc(r.dest.receivers, func(o *receiver) bool { return !o.down && o.listing == Up })
-	for _, c := range r.calls {
-		for _, t := range c.texts {
-			if !t.out.cancelled && !t.over && (t.product.repeat == "safe" || t.product.repeat == "keyed" && elsewhere) {
-				t.out.cancelled = true
-				s.out.Cancel(t.id, t.out.no)
-			}
-		}
-	}
+	silent := res.Outcome == NoAnswer || res.Outcome == NoConnection || res.Outcome == Lost
+	r.down = r.down || silent && r.answered <= r.probed
 }
 
 // Noted takes a note of another sender. None is sent: what senders see apart has not been found to help.
--- a/control/state.go
+++ b/control/state.go
@@ -11,9 +11,8 @@
 }
 
 type submit struct {
-	no        int
-	call      *call
-	cancelled bool
+	no   int
+	call *call
 }
 
 // What lasts for one text.
