Tidy: the calls that weigh are pruned at each send, faults of settings in a fixed order

The random runs now take any answer as a sign of life and share a destination's rate among the receivers still listed, as the module does.

--- a/control/control.go
+++ b/control/control.go
@@ -35,8 +35,8 @@
 		receivers: map[ReceiverID]*receiver{}, buckets: map[bucketKey]*bucket{},
 		destinations: map[int64]*destination{},
 	}
-	for name, v := range set {
-		if n, err := strconv.ParseFloat(v, 64); err == nil && n < 0 && strings.HasSuffix(name, "Us") {
+	for _, name := range slices.Sorted(maps.Keys(set)) {
+		if strings.HasSuffix(name, "Us") && s.number(name, 0) < 0 {
 			return nil, fmt.Errorf("setting %s is a negative time", name)
 		}
 	}
@@ -141,7 +141,7 @@
 			var oldest *bucket
 			for _, o := range s.buckets {
 				idle := o.flight == 0 && s.now >= max(o.waitUntil, o.heldUntil)
-				if idle && (oldest == nil || o.used < oldest.used) {
+				if idle && (oldest == nil || o.used < oldest.used) { // no two were used last by one text
 					oldest = o
 				}
 			}
@@ -283,16 +283,25 @@
 	if !s.struck(r) {
 		return true
 	}
-	window, sent := s.span("Contract.FallUs", 2*Second), 0
+	sent := 0
 	for _, o := range r.dest.receivers {
-		if o.bucket == r.bucket {
-			o.weighed = slices.DeleteFunc(o.weighed, func(at Time) bool { return at <= s.now-window })
-			if s.struck(o) {
-				sent += len(o.weighed)
-			}
+		if o.bucket == r.bucket && s.struck(o) {
+			sent += s.recent(o)
 		}
 	}
-	return sent == 0 || float64(len(r.weighed)) < s.budget(r)
+	return sent == 0 || float64(s.recent(r)) < s.budget(r)
+}
+
+// weigh notes a call or a probe; recent counts those within the window of the budget.
+func (s *Sender) weigh(r *receiver) {
+	s.recent(r)
+	r.weighed = append(r.weighed, s.now)
+}
+
+func (s *Sender) recent(r *receiver) int {
+	from := s.now - s.span("Contract.FallUs", 2*Second)
+	r.weighed = slices.DeleteFunc(r.weighed, func(at Time) bool { return at <= from })
+	return len(r.weighed)
 }
 
 // struck: the receiver is in an outage or back from one, as far as this sender saw. Refusals alone are one
@@ -352,7 +361,7 @@
 	for s.callsOut < s.slots {
 		var best *receiver
 		for _, d := range s.order {
-			if i, r := s.pick(d); i >= 0 && (best == nil || d.flight < best.dest.flight) {
+			if r := s.pick(d); r != nil && (best == nil || d.flight < best.dest.flight) {
 				best = r
 			}
 		}
@@ -367,17 +376,15 @@
 // refuseLate refuses what cannot be delivered in time: wait plus a usual call passes the validity period,
 // or the time for a repeat ends before the wait does.
 func (s *Sender) refuseLate(d *destination) {
-	if len(d.queue) == 0 {
-		return
-	}
-	wait := Time(math.MaxInt64)
+	var waits []Time
 	for _, r := range d.receivers {
 		if r.listing == Up {
-			wait = min(wait, max(0, r.bucket.waitUntil-s.now, r.bucket.heldUntil-s.now))
+			waits = append(waits, max(0, r.bucket.waitUntil-s.now, r.bucket.heldUntil-s.now))
 		}
 	}
-	if wait == math.MaxInt64 {
-		wait = 0 // the list names no receiver now; a later one may
+	wait := Time(0) // where the list names no receiver now; a later one may
+	if len(waits) > 0 {
+		wait = slices.Min(waits)
 	}
 	for _, t := range slices.Clone(d.queue) {
 		if s.now+wait+s.usual(t) > t.validUntil || !s.mayRepeat(t, nil) || s.now+wait >= s.repeatEnd(t) {
@@ -392,10 +399,7 @@
 // client told when to come back, while the rest keep their order.
 func (s *Sender) shed(d *destination, wait Time) {
 	rate := s.drain(d)
-	if rate == 0 { // nothing is known of it yet
-		return
-	}
-	for len(d.queue) > 1 && float64(len(d.queue)) > rate*float64(s.longestSLA)/float64(Second) {
+	for rate > 0 && len(d.queue) > 1 && float64(len(d.queue)) > rate*float64(s.longestSLA)/float64(Second) {
 		var least *text
 		worth := math.Inf(1)
 		for i, t := range d.queue {
@@ -468,20 +472,14 @@
 	return Time(t.product.pace)
 }
 
-// pick finds the first held text of a destination that may go, and its receiver.
-func (s *Sender) pick(d *destination) (int, *receiver) {
-	if len(d.queue) == 0 {
-		return -1, nil
-	}
+// pick finds the receiver for the first held text of a destination that may go; nil if none may.
+func (s *Sender) pick(d *destination) *receiver {
 	var open []*receiver
 	for _, r := range d.receivers {
 		if !r.down && s.now >= r.restUntil && !s.suspect(r) && r.bucket.flight < s.room(r.bucket) && s.mayReach(r) {
 			open = append(open, r)
 		}
 	}
-	if len(open) == 0 {
-		return -1, nil
-	}
 	slices.SortStableFunc(open, func(a, b *receiver) int {
 		if a.bucket != b.bucket { // routes apart: the free one with most allowance left
 			return int(math.Copysign(1, b.bucket.left-a.bucket.left))
@@ -491,14 +489,14 @@
 		}
 		return int(b.used - a.used) // its connection is warm
 	})
-	for i, t := range d.queue {
+	for _, t := range d.queue {
 		for _, r := range open {
 			if s.mayRepeat(t, r) && s.hisTurn(t) {
-				return i, r
+				return r
 			}
 		}
 	}
-	return -1, nil
+	return nil
 }
 
 // send opens one call to a receiver and lets as many held texts ride in it as its kind bundles.
@@ -512,7 +510,7 @@
 		}
 	}
 	r.calls = append(r.calls, c)
-	r.weighed = append(r.weighed, s.now)
+	s.weigh(r)
 	r.used = s.now
 	r.bucket.flight++
 	r.bucket.left--
@@ -542,8 +540,7 @@
 	if t.product.repeat != "safe" {
 		end = min(end, s.repeatEnd(t), s.now+t.product.window) // no window: no repeat
 	}
-	long = min(long, end-s.now-2*usual)
-	if long < 3*usual {
+	if long = min(long, end-s.now-2*usual); long < 3*usual {
 		return 0
 	}
 	return long
@@ -757,7 +754,7 @@
 	}
 	if s.mayReach(r) {
 		r.probing, r.probed = true, s.now
-		r.weighed = append(r.weighed, s.now)
+		s.weigh(r)
 		s.out.Probe(r.id)
 	}
 }
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -46,7 +46,7 @@
 	toldAt    Time // when the list said it drains or is gone
 	waitUntil Time
 	calls     []Time
-	good      Time // its last delivery
+	good      Time // its last answer
 	failing   bool // its last call failed
 	since     Time // it has been back, cold, since then; 0 if warm
 	outage    bool
@@ -160,6 +160,9 @@
 
 // hear keeps what a sender must remember of an outcome: told waits, and who failed before it came back.
 func (w *world) hear(p *place, o Outcome, wait, at Time) {
+	if o == Full || o == Errored || o == Delivered {
+		p.good = w.now
+	}
 	switch {
 	case o == Full:
 		for _, q := range w.to {
@@ -171,7 +174,7 @@
 		if p.outage {
 			p.outage, p.since, p.calls = false, w.now, nil
 		}
-		p.failing, p.good = false, w.now
+		p.failing = false
 	case o == NoConnection && at > p.good: // else only its connections are taken
 		p.outage = p.outage || p.failing
 		p.failing = true
@@ -225,8 +228,10 @@
 	p.calls = slices.DeleteFunc(p.calls, func(at Time) bool { return at <= w.now-2*Second })
 	if p.since > 0 && w.now < p.since+8*Second { // half of 2 x rate x 2 s: two senders
 		rate := 10.0
-		if p.Kind != "apart" {
-			rate /= 2
+		for _, q := range w.to { // they share what the destination takes
+			if q != p && q.Destination == p.Destination && q.Kind != "apart" && q.Listing != Removed {
+				rate /= 2
+			}
 		}
 		bound := 2 * rate * (0.2 + 0.8*float64(w.now-p.since)/float64(8*Second))
 		if float64(len(p.calls)) > max(1, bound)+1 {
