A receiver that was in trouble is not forgotten with its listing

Found by the random runs: a receiver removed, forgotten and listed again came back without its budget. Only receivers without trouble are forgotten now.

--- a/control/control.go
+++ b/control/control.go
@@ -107,9 +107,9 @@
 		}
 		r.listing, r.rate, r.zone = e.Listing, e.Rate, e.Zone
 	}
-	for _, d := range s.order { // nothing hangs on them any more
+	for _, d := range s.order { // nothing hangs on them; an outage is remembered, as they may be listed again
 		d.receivers = slices.DeleteFunc(d.receivers, func(r *receiver) bool {
-			gone := r.listing == Removed && len(r.calls) == 0 && !r.probing && !s.struck(r)
+			gone := r.listing == Removed && len(r.calls) == 0 && !r.probing && r.badSince == 0 && r.cold == 0
 			if gone {
 				delete(s.receivers, r.id)
 			}
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -47,6 +47,7 @@
 	waitUntil Time
 	calls     []Time
 	good      Time // its last answer
+	failAt    Time // when the last call that failed was sent
 	failing   bool // its last call failed
 	since     Time // it has been back, cold, since then; 0 if warm
 	outage    bool
@@ -176,8 +177,8 @@
 		}
 		p.failing = false
 	case o == NoConnection && at > p.good: // else only its connections are taken
-		p.outage = p.outage || p.failing
-		p.failing = true
+		p.outage = p.outage || p.failing && at != p.failAt // texts of one call fail once
+		p.failing, p.failAt = true, at
 	}
 }
 
