--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -289,7 +289,7 @@
 	case "server_error":
 		r.Outcome = control.Errored
 	case "turned_away":
-		r.Outcome, r.Wait = control.Full, control.Time(remark*1000/perTenth)
+		r.Outcome, r.Wait = control.Full, control.Time(remark*(1000/perTenth))
 	case "no_answer":
 		r.Outcome = control.NoAnswer
 	case "no_connection":
--- a/control/control.go
+++ b/control/control.go
@@ -433,7 +433,7 @@
 func (s *Sender) drain(d *destination) float64 {
 	rate := 0.0
 	for _, r := range d.receivers {
-		if capacity := s.capacity(r); capacity > 0 {
+		if capacity := s.capacity(r); capacity > 0.01 {
 			rate = max(rate, capacity/s.senders(), s.flow(d, 0))
 		} else if d.pace > 0 {
 			rate = max(rate, r.bucket.window*float64(Second)/d.pace, s.flow(d, 0))
@@ -673,7 +673,7 @@
 	if same || math.IsNaN(report[x0]) || math.IsNaN(report[x1]) {
 		return
 	}
-	b.known, b.share, b.limit, b.left = true, report[x0], report[x1], report[x0]*report[x1]
+	b.known, b.share, b.limit, b.left = true, report[x0], report[x1], min(1, report[x0])*report[x1]
 	if b.left < 1 {
 		s.holdAtNought(b)
 	}
@@ -699,13 +699,14 @@
 // use it up.
 func (s *Sender) holdAtNought(b *bucket) {
 	if need := max(1-b.left, 2*b.strain); b.limit > 0 && need > 0 {
-		b.heldUntil = max(b.heldUntil, s.now+min(s.longestSLA, s.freeing(b, need)))
+		b.heldUntil = max(b.heldUntil, s.now+s.freeing(b, need))
 	}
 }
 
-// freeing is the time in which this sender's even part of a limit frees so many calls.
+// freeing is the time in which this sender's even part of a limit frees so many calls, the longest SLA time
+// at most: a limit next to nought must not hold a bucket for ever.
 func (s *Sender) freeing(b *bucket, calls float64) Time {
-	return Time(calls * s.senders() / b.limit * float64(Second))
+	return Time(min(float64(s.longestSLA), calls*s.senders()/b.limit*float64(Second)))
 }
 
 // senders is how many share what a destination takes.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -36,7 +36,7 @@
 		w := newWorld(rapid.Uint64().Draw(rt, "seed"), nil)
 		n := 0
 		odd := func() []float64 {
-			return rapid.SampledFrom([][]float64{nil, {0, 10}, {1, 10}, {0.3, 4}, {3, 5}, {0, 0}, {math.NaN(), 3}, {1}}).Draw(rt, "report")
+			return rapid.SampledFrom([][]float64{nil, {0, 10}, {1, 10}, {0.3, 4}, {3, 5}, {0, 0}, {1, 1e-15}, {math.NaN(), 3}, {1}}).Draw(rt, "report")
 		}
 		wait := func(o Outcome) Time {
 			if o != Full {
