--- a/control/control.go
+++ b/control/control.go
@@ -529,14 +529,14 @@
 	t.out = sub
 	c.texts = append(c.texts, t)
 	t.next = func(r Result) { s.answered(t, sub, r) }
-	s.out.Submit(t.id, c.to.id, s.timeout(t, c.to))
+	s.out.Submit(t.id, c.to.id, s.timeout(t))
 }
 
-// timeout bounds a submit where giving up on it leaves time for another; else it may take its time. At a
-// receiver that answers some calls and loses others without a word, an answer is not waited for long.
-func (s *Sender) timeout(t *text, r *receiver) Time {
+// timeout bounds a submit where giving up on it leaves time for another; else it may take its time. While
+// receivers that answer some calls lose others without a word, no answer is waited for long.
+func (s *Sender) timeout(t *text) Time {
 	usual, end := s.usual(t), t.validUntil
-	long := Time(max(4, 15-220*max(r.lost, s.lost)) * float64(usual))
+	long := Time(max(4, 15-220*s.lost) * float64(usual))
 	if t.product.repeat != "safe" {
 		end = min(end, s.repeatEnd(t), s.now+t.product.window) // no window: no repeat
 	}
@@ -632,7 +632,6 @@
 		}
 		r.down, r.fails, r.badSince, b.fulls = false, 0, 0, 0
 		r.ill -= smoothing * r.ill
-		r.lost -= smoothing * r.lost
 		s.lost -= smoothing / 4 * s.lost
 		b.window += 1 / b.window
 		b.strain -= smoothing * b.strain
@@ -644,7 +643,6 @@
 		s.failed(r)
 	default:
 		if res.Outcome == NoAnswer && r.answered > sent { // it answers others, so it is not silent
-			r.lost += smoothing * (1 - r.lost)
 			s.lost += smoothing / 4 * (1 - s.lost)
 			return
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -51,7 +51,6 @@
 	used      Time
 	fails     int     // in a row
 	ill       float64 // share of late calls that failed
-	lost      float64 // share of late calls that got no answer while others did
 	badSince  Time    // first failure or refusal with no success after it; 0 if none
 	down      bool
 	restUntil Time
@@ -127,7 +126,7 @@
 	order        []*destination // by first mention
 	slots        int
 	longestSLA   Time
-	lost         float64 // as a receiver's, over all of them
+	lost         float64 // share of late calls that got no answer from receivers that answered others
 	callsOut     int
 	seq          int64
 	wakeAt       Time // earliest wake asked for and not come; 0 if none
