--- a/control/control.go
+++ b/control/control.go
@@ -87,7 +87,9 @@
 
 // Listed takes news of the list; whole: what is not in it is gone.
 func (s *Sender) Listed(whole bool, entries []Entry) {
+	var touched []*destination
 	if whole {
+		touched = s.order
 		for _, d := range s.order {
 			for _, r := range d.receivers {
 				r.listing = Removed
@@ -100,14 +102,19 @@
 			if e.Listing == Removed {
 				continue
 			}
-			r = &receiver{id: e.Receiver, dest: s.destination(e.Destination), kind: e.Kind}
+			r = &receiver{id: e.Receiver, dest: s.destination(e.Destination),
+				apart: s.perKind("Specifics.RoutesApart", e.Kind) == "true"}
+			r.bundle, _ = strconv.Atoi(s.perKind("Specifics.BundleMax", e.Kind))
 			s.receivers[e.Receiver] = r
 			r.dest.receivers = append(r.dest.receivers, r)
 			slices.SortFunc(r.dest.receivers, func(a, b *receiver) int { return int(int64(a.id) - int64(b.id)) })
 		}
 		r.listing, r.rate, r.zone = e.Listing, e.Rate, e.Zone
+		if !whole {
+			touched = append(touched, r.dest)
+		}
 	}
-	for _, d := range s.order { // nothing hangs on them; an outage is remembered, as they may be listed again
+	for _, d := range touched { // nothing hangs on them; an outage is remembered, as they may be listed again
 		d.receivers = slices.DeleteFunc(d.receivers, func(r *receiver) bool {
 			gone := r.listing == Removed && len(r.calls) == 0 && !r.probing && r.badSince == 0 && r.cold == 0
 			if gone {
@@ -121,7 +128,7 @@
 func (s *Sender) destination(id int64) *destination {
 	d := s.destinations[id]
 	if d == nil {
-		d = &destination{id: id}
+		d = &destination{id: id, no: len(s.order)}
 		s.destinations[id] = d
 		s.order = append(s.order, d)
 	}
@@ -132,7 +139,7 @@
 // the least recently used goes, unless a wait, a hold or a call still hangs on it.
 func (s *Sender) bucketOf(r *receiver) *bucket {
 	key := bucketKey{dest: r.dest.id}
-	if s.perKind("Specifics.RoutesApart", r.kind) == "true" {
+	if r.apart {
 		key.route = r.id
 	}
 	b := s.buckets[key]
@@ -183,6 +190,11 @@
 		i--
 	}
 	t.dest.queue = slices.Insert(q, i, t)
+	if !t.dest.busy {
+		t.dest.busy = true
+		at, _ := slices.BinarySearchFunc(s.busy, t.dest.no, func(d *destination, no int) int { return d.no - no })
+		s.busy = slices.Insert(s.busy, at, t.dest)
+	}
 }
 
 // Withdrawn: nobody wants the text any more; a submit of it that is out is called off.
@@ -341,9 +353,15 @@
 	return int(min(float64(b.flight)+b.left, max(1, b.window)+float64(b.overdue)))
 }
 
-// Settle decides what goes now; call it once after all news of a batch.
+// Settle decides what goes now; call it once after all news of a batch. It walks the destinations that
+// have texts or calls, not the list: a sender may know thousands and have texts for a few.
 func (s *Sender) Settle() {
-	for _, d := range s.order {
+	s.busy = slices.DeleteFunc(s.busy, func(d *destination) bool {
+		probing := func(r *receiver) bool { return r.probing }
+		d.busy = len(d.queue) > 0 || d.flight > 0 || slices.ContainsFunc(d.receivers, probing)
+		return !d.busy
+	})
+	for _, d := range s.busy {
 		for _, r := range d.receivers {
 			r.bucket = s.bucketOf(r)
 			r.bucket.overdue = 0
@@ -360,7 +378,7 @@
 	}
 	for s.callsOut < s.slots {
 		var best *receiver
-		for _, d := range s.order {
+		for _, d := range s.busy {
 			if r := s.pick(d); r != nil && (best == nil || d.flight < best.dest.flight) {
 				best = r
 			}
@@ -502,10 +520,8 @@
 // send opens one call to a receiver and lets as many held texts ride in it as its kind bundles.
 func (s *Sender) send(r *receiver) {
 	c := &call{to: r, sent: s.now}
-	bundle, _ := strconv.Atoi(s.perKind("Specifics.BundleMax", r.kind))
-	bundle = max(1, bundle)
 	for _, t := range slices.Clone(r.dest.queue) {
-		if len(c.texts) < bundle && s.mayRepeat(t, r) && s.hisTurn(t) {
+		if len(c.texts) < max(1, r.bundle) && s.mayRepeat(t, r) && s.hisTurn(t) {
 			s.submit(t, c)
 		}
 	}
@@ -782,7 +798,7 @@
 			at = min(at, t)
 		}
 	}
-	for _, d := range s.order {
+	for _, d := range s.busy {
 		for _, t := range d.queue {
 			due(t.validUntil - s.usual(t) + 1)
 			due(s.repeatEnd(t))
--- a/control/state.go
+++ b/control/state.go
@@ -40,7 +40,8 @@
 	id      ReceiverID
 	dest    *destination
 	bucket  *bucket
-	kind    string
+	apart   bool // a route of its own
+	bundle  int  // texts in one call at most
 	zone    string
 	rate    float64
 	listing Listing
@@ -83,9 +84,11 @@
 
 type destination struct {
 	id        int64
+	no        int // by first mention
 	receivers []*receiver
 	queue     []*text // held, in order of arrival
 	flight    int
+	busy      bool // stands in Sender.busy
 	pace      float64
 	through   float64 // texts that got through of late, fading
 	throughAt Time
@@ -124,6 +127,7 @@
 	buckets      map[bucketKey]*bucket
 	destinations map[int64]*destination
 	order        []*destination // by first mention
+	busy         []*destination // those with texts or calls, by first mention
 	slots        int
 	longestSLA   Time
 	lost         float64 // share of late calls that got no answer from receivers that answered others
