Close idle connections that are seldom used or were found all taken

Cause: a receiver takes a dozen connections, idle ones counted, and hundreds of senders each kept one for five seconds after a text a minute.

--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -328,6 +328,8 @@
 
 func (i *instance) Probe(to control.ReceiverID) { i.say("PROBE Who=%d Receiver=%d", i.who, to) }
 
+func (i *instance) Close(to control.ReceiverID) { i.say("CLOSE Who=%d Receiver=%d", i.who, to) }
+
 func (i *instance) Note(content []byte) {
 	i.say("SAY Who=%d To=all Content=%s", i.who, hex.EncodeToString(content))
 }
--- a/control/control.go
+++ b/control/control.go
@@ -83,7 +83,12 @@
 }
 
 // Clock tells the time of the calls that follow.
-func (s *Sender) Clock(now Time) { s.now = max(s.now, now) }
+func (s *Sender) Clock(now Time) {
+	if s.began == 0 {
+		s.began = now
+	}
+	s.now = max(s.now, now)
+}
 
 // Listed takes news of the list; whole: what is not in it is gone.
 func (s *Sender) Listed(whole bool, entries []Entry) {
@@ -173,6 +178,7 @@
 	t := &text{id: a.ID, seq: s.seq, product: p, dest: s.destination(a.Destination), key: a.Key,
 		validUntil: s.now + a.TimeLeft, wantedBy: s.now + p.sla - max(0, p.validity-a.TimeLeft)}
 	s.texts[t.id] = t
+	t.dest.arrived++
 	if p.inOrder && t.key != "" {
 		if s.keys[t.key] == nil {
 			s.keys[t.key] = &keyLine{}
@@ -356,11 +362,6 @@
 // Settle decides what goes now; call it once after all news of a batch. It walks the destinations that
 // have texts or calls, not the list: a sender may know thousands and have texts for a few.
 func (s *Sender) Settle() {
-	s.busy = slices.DeleteFunc(s.busy, func(d *destination) bool {
-		probing := func(r *receiver) bool { return r.probing }
-		d.busy = len(d.queue) > 0 || d.flight > 0 || slices.ContainsFunc(d.receivers, probing)
-		return !d.busy
-	})
 	for _, d := range s.busy {
 		for _, r := range d.receivers {
 			r.bucket = s.bucketOf(r)
@@ -388,9 +389,29 @@
 		}
 		s.send(best)
 	}
+	s.busy = slices.DeleteFunc(s.busy, func(d *destination) bool {
+		d.busy = len(d.queue)+d.flight > 0
+		for _, r := range d.receivers {
+			s.hangUp(r)
+			d.busy = d.busy || r.probing
+		}
+		return !d.busy
+	})
 	s.plan()
 }
 
+// hangUp closes the idle connection to a receiver whose next text is not expected before it would close by
+// itself, or whose connections were all taken. A receiver takes few, idle ones counted: hundreds of senders
+// that each keep one they hardly use leave none for the others. It costs a handshake where it guesses wrong.
+func (s *Sender) hangUp(r *receiver) {
+	idle := s.span("Permissions.ConnIdleUs", 0)
+	seldom := r.dest.arrived*float64(idle) < float64(s.now-s.began+idle)
+	if r.connected && len(r.calls) == 0 && (seldom || r.crowded) {
+		r.connected = false
+		s.out.Close(r.id)
+	}
+}
+
 // refuseLate refuses what cannot be delivered in time: wait plus a usual call passes the validity period,
 // or the time for a repeat ends before the wait does.
 func (s *Sender) refuseLate(d *destination) {
@@ -527,7 +548,7 @@
 	}
 	r.calls = append(r.calls, c)
 	s.weigh(r)
-	r.used = s.now
+	r.used, r.connected = s.now, true
 	r.bucket.flight++
 	r.bucket.left--
 	s.holdAtNought(r.bucket)
@@ -654,6 +675,7 @@
 	case NoConnection:
 		if r.answered >= sent { // it answers others: its connections are all taken
 			b.window = max(1, b.window/2)
+			r.crowded = true
 			return
 		}
 		s.failed(r)
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -15,6 +15,7 @@
 	order    []string
 	to       map[ReceiverID]*place
 	probes   []probe
+	closed   []ReceiverID
 	wakes    []Time
 	broken   []string
 	nacks    int
@@ -308,6 +309,7 @@
 func (w *world) Wake(at Time, _ int64) { w.wakes = append(w.wakes, at) }
 func (w *world) Note([]byte)           {}
 func (w *world) Log(string)            {}
+func (w *world) Close(to ReceiverID)   { w.closed = append(w.closed, to) }
 
 func (w *world) Probe(to ReceiverID) {
 	w.reach(w.to[to], false)
--- a/control/interface.go
+++ b/control/interface.go
@@ -21,6 +21,7 @@
 	Undeliverable(text string)
 	Wake(at Time, mark int64)
 	Probe(to ReceiverID)
+	Close(to ReceiverID) // this sender's idle connections there
 	Note(content []byte) // to every other sender
 	Log(line string)
 }
--- a/control/state.go
+++ b/control/state.go
@@ -47,6 +47,8 @@
 	listing Listing
 	calls   []*call // out, oldest first
 
+	connected bool    // a connection may be open
+	crowded   bool    // all its connections were found taken
 	pace      float64 // of an answered call, tenths
 	answered  Time    // last sign of life
 	used      Time
@@ -89,6 +91,7 @@
 	queue     []*text // held, in order of arrival
 	flight    int
 	busy      bool // stands in Sender.busy
+	arrived   float64
 	pace      float64
 	through   float64 // texts that got through of late, fading
 	throughAt Time
@@ -119,6 +122,7 @@
 	out          Outlet
 	set          Settings
 	now          Time
+	began        Time // first told
 	chance       pcg
 	products     map[string]*product
 	texts        map[string]*text
