Return budget as a fraction of a call, drawn anew each window; every sender that saw a failure keeps it

Cause: one call a window was always allowed, and 266 of them in 3 s push over a receiver that bears 11. Now a draw decides on the fraction, the part lies between an even one and own usual traffic, one failure is enough to count as struck, and where less than two calls fit a text looks instead of a probe.

--- a/control/control.go
+++ b/control/control.go
@@ -295,19 +295,16 @@
 }
 
 // withinBudget is rule 4. A receiver that came back bears a multiple of its present capacity over a window;
-// this sender keeps to its part of that as if all senders did the same. Capacity is taken from the
-// reported limit, which it is never below, else from the listed rate at its worst.
+// this sender keeps to its part of that. With hundreds of senders that part is a fraction of a call: then a
+// draw, new each window, says whether the one call goes, so that all together they send what is borne.
 func (s *Sender) withinBudget(r *receiver) bool {
 	if !s.struck(r) {
 		return true
 	}
-	sent := 0
-	for _, o := range r.dest.receivers {
-		if o.bucket == r.bucket && s.struck(o) {
-			sent += s.recent(o)
-		}
+	if s.now >= r.drawAt {
+		r.drawAt, r.draw = s.now+s.span("Contract.FallUs", 2*Second), s.chance.unit()
 	}
-	return sent == 0 || float64(s.recent(r)) < s.budget(r)
+	return float64(s.recent(r)+1) <= s.budget(r)+r.draw
 }
 
 // weigh notes a call or a probe; recent counts those within the window of the budget.
@@ -322,24 +319,37 @@
 	return len(r.weighed)
 }
 
-// struck: the receiver is in an outage or back from one, as far as this sender saw. Refusals alone are one
-// only if nothing was delivered for the time in which a cold destination falls.
+// struck: the receiver is in an outage or back from one, as far as this sender saw. One lost connection may
+// only mean that all are taken; refusals are an outage only if they go on, with no delivery, for the time in
+// which a cold destination falls.
 func (s *Sender) struck(r *receiver) bool {
-	return r.cold != 0 || r.down || r.badSince > 0 && s.now-r.badSince > s.span("Contract.FallUs", 2*Second)
+	fall := s.span("Contract.FallUs", 2*Second)
+	return r.cold != 0 || r.down || r.fails > 0 || r.badSince > 0 && s.now-r.badSince > fall && s.now-r.badAt <= fall
 }
 
-// budget is how many calls this sender may have sent to a receiver within the window.
+// budget is how many calls this sender may have sent to a receiver within the window. Its part of the
+// capacity lies halfway between an even one and its own usual traffic: the first is safe whatever comes, but
+// most senders have nothing to send; the second is what all together send as a rule.
 func (s *Sender) budget(r *receiver) float64 {
-	rate := s.capacity(r)
-	if r.bucket.key.route == 0 {
-		rate /= float64(len(r.dest.receivers))
+	part := s.usualRate(r.dest)
+	if capacity := s.capacity(r); capacity > 0 {
+		part = (part + capacity/s.senders()) / 2
+	}
+	if !r.apart {
+		part /= float64(len(r.dest.receivers))
 	}
 	share := s.number("Contract.ColdFrom", 0)
 	if ramp := s.span("Contract.RampTimeUs", 0); r.cold > 0 && ramp > 0 {
 		share += (1 - share) * float64(s.now-r.cold) / float64(ramp)
 	}
 	seconds := float64(s.span("Contract.FallUs", 0)) / float64(Second)
-	return s.number("Contract.FallMultiple", 1) * rate * share * seconds / s.senders()
+	return s.number("Contract.FallMultiple", 1) * part * share * seconds
+}
+
+// usualRate is how many texts a second this sender is handed for a destination, over all its time; a first
+// text is no rate yet.
+func (s *Sender) usualRate(d *destination) float64 {
+	return d.arrived * float64(Second) / float64(max(1, s.now-s.began+s.span("Permissions.ConnIdleUs", Second)))
 }
 
 // room says how many calls a bucket bears at once: none while it reads nought, one until its first answer
@@ -405,7 +415,7 @@
 // that each keep one they hardly use leave none for the others. It costs a handshake where it guesses wrong.
 func (s *Sender) hangUp(r *receiver) {
 	idle := s.span("Permissions.ConnIdleUs", 0)
-	seldom := r.dest.arrived*float64(idle) < float64(s.now-s.began+idle)
+	seldom := s.usualRate(r.dest)*float64(idle)/float64(Second) < 1
 	if r.connected && len(r.calls) == 0 && (seldom || r.crowded) {
 		r.connected = false
 		s.out.Close(r.id)
@@ -651,9 +661,7 @@
 		b.strain += smoothing * (1 - b.strain)
 		b.window = max(1, min(b.window, float64(b.flight))/2)
 		r.answered = s.now
-		if r.badSince == 0 {
-			r.badSince = s.now
-		}
+		s.bad(r)
 	case Delivered:
 		b.known = true
 		smooth(&r.pace, float64(res.Took))
@@ -661,7 +669,8 @@
 		if r.down {
 			s.out.Log(fmt.Sprintf("receiver %d back", r.id))
 		}
-		if r.down || r.cold == 0 && s.struck(r) || r.ill > 0.5 {
+		long := s.now-r.badSince > s.span("Contract.FallUs", 2*Second)
+		if r.down || r.cold == 0 && (r.fails > 1 || long && s.struck(r)) || r.ill > 0.5 {
 			r.cold = s.now // back from an outage, or not out of it yet
 		}
 		if r.cold > 0 && s.now-r.cold > s.span("Contract.RampTimeUs", 0) {
@@ -748,13 +757,19 @@
 // senders is how many share what a destination takes.
 func (s *Sender) senders() float64 { return max(1, s.number("Instances", 1)) }
 
+// bad notes a call that failed or was refused.
+func (s *Sender) bad(r *receiver) {
+	r.badAt = s.now
+	if r.badSince == 0 {
+		r.badSince = s.now
+	}
+}
+
 // failed notes a call that failed; two in a row, and the receiver is looked at before it gets more texts.
 func (s *Sender) failed(r *receiver) {
 	r.fails++
 	r.ill += smoothing * (1 - r.ill)
-	if r.badSince == 0 {
-		r.badSince = s.now
-	}
+	s.bad(r)
 	if r.fails < 2 {
 		return // one failure says little
 	}
@@ -785,8 +800,8 @@
 	if !r.down && !s.suspect(r) || r.probing || s.now < r.restUntil || len(r.calls)+len(r.dest.queue) == 0 {
 		return
 	}
-	if s.set["Permissions.Probes"] != "true" {
-		r.down = false // a text has to look
+	if s.set["Permissions.Probes"] != "true" || s.budget(r) < 2 {
+		r.down = false // a text has to look: there is no call to spare for a probe
 		return
 	}
 	if s.mayReach(r) {
@@ -836,8 +851,11 @@
 				due(r.restUntil)
 				due(r.bucket.waitUntil)
 				due(r.bucket.heldUntil)
-				if len(r.weighed) > 0 && s.struck(r) {
-					due(r.weighed[0] + s.span("Contract.FallUs", 2*Second))
+				if s.struck(r) {
+					due(r.drawAt)
+					if len(r.weighed) > 0 {
+						due(r.weighed[0] + s.span("Contract.FallUs", 2*Second))
+					}
 				}
 			}
 		}
