Refusals with allowance left show a shut receiver; the end of a told wait counts as its return

Cause: a shut bank told all its senders the same moment of opening, and they came back together within 0.4 s, five times what it could take; refusals at the limit come with a reading near nought, those of a shut receiver with a full one, which tells the two apart.

--- a/control/control.go
+++ b/control/control.go
@@ -319,12 +319,14 @@
 	return len(r.weighed)
 }
 
-// struck: the receiver is in an outage or back from one, as far as this sender saw. One lost connection may
-// only mean that all are taken; refusals are an outage only if they go on, with no delivery, for the time in
-// which a cold destination falls.
+// struck: the receiver is in an outage or back from one, as far as this sender saw. Refusals are an outage
+// only if they go on, or bar it, with no delivery, for the time in which a cold destination falls; after the
+// last of them, or the end of a told wait, it is as warm as one that came back then.
 func (s *Sender) struck(r *receiver) bool {
-	fall := s.span("Contract.FallUs", 2*Second)
-	return r.cold != 0 || r.down || r.fails > 0 || r.badSince > 0 && s.now-r.badSince > fall && s.now-r.badAt <= fall
+	ramp := s.span("Contract.RampTimeUs", 0)
+	last := max(r.badAt, r.bucket.waitUntil)
+	return r.down || r.fails > 0 || r.cold != 0 && s.now <= r.cold+ramp ||
+		r.badSince > 0 && last-r.badSince > s.span("Contract.FallUs", 2*Second) && s.now <= last+ramp
 }
 
 // budget is how many calls this sender may have sent to a receiver within the window. Its part of the
@@ -661,7 +663,9 @@
 		b.strain += smoothing * (1 - b.strain)
 		b.window = max(1, min(b.window, float64(b.flight))/2)
 		r.answered = s.now
-		s.bad(r)
+		if b.limit == 0 || b.left >= 1 { // not for its limit: it is shut, or its queue is full
+			s.bad(r)
+		}
 	case Delivered:
 		b.known = true
 		smooth(&r.pace, float64(res.Took))
@@ -670,12 +674,10 @@
 			s.out.Log(fmt.Sprintf("receiver %d back", r.id))
 		}
 		long := s.now-r.badSince > s.span("Contract.FallUs", 2*Second)
-		if r.down || r.cold == 0 && (r.fails > 1 || long && s.struck(r)) || r.ill > 0.5 {
+		warm := s.now > r.cold+s.span("Contract.RampTimeUs", 0)
+		if r.down || warm && r.badSince > 0 && (r.fails > 1 || long && s.struck(r)) || r.ill > 0.5 {
 			r.cold = s.now // back from an outage, or not out of it yet
 		}
-		if r.cold > 0 && s.now-r.cold > s.span("Contract.RampTimeUs", 0) {
-			r.cold = 0
-		}
 		r.down, r.fails, r.badSince, b.fulls = false, 0, 0, 0
 		r.ill -= smoothing * r.ill
 		s.lost -= smoothing / 4 * s.lost
