--- a/control/control.go
+++ b/control/control.go
@@ -684,9 +684,9 @@
 		b.window += 1 / b.window
 		b.strain -= smoothing * b.strain
 	case NoConnection:
+		r.crowded = true // perhaps; then an idle connection of this sender is one of them
 		if r.answered >= sent { // it answers others: its connections are all taken
 			b.window = max(1, b.window/2)
-			r.crowded = true
 			return
 		}
 		s.failed(r)
