After a second refusal in a row a sender waits out a random, doubling part of the even share

Cause: where refused calls use up the limit, 36 senders asking a notary of 5 calls a second every four seconds each got 26 texts through in 45 s and 342 refused.

--- a/control/control.go
+++ b/control/control.go
@@ -659,7 +659,10 @@
 		if res.Wait == 0 {
 			b.heldUntil = max(b.heldUntil, s.now+s.pause(b, r))
 		}
-		b.fulls++
+		if b.fulls++; b.fulls > 1 && b.limit > 0 { // others took what was free: fewer must ask
+			more := s.chance.unit() * float64(s.freeing(b, 1)<<min(b.fulls-2, 4))
+			b.heldUntil = max(b.heldUntil, b.waitUntil, s.now) + Time(more)
+		}
 		b.strain += smoothing * (1 - b.strain)
 		b.window = max(1, min(b.window, float64(b.flight))/2)
 		r.answered = s.now
@@ -678,7 +681,7 @@
 		if r.down || warm && r.badSince > 0 && (r.fails > 1 || long && s.struck(r)) || r.ill > 0.5 {
 			r.cold = s.now // back from an outage, or not out of it yet
 		}
-		r.down, r.fails, r.badSince, b.fulls = false, 0, 0, 0
+		r.down, r.fails, r.badSince, b.fulls = false, 0, 0, b.fulls/2
 		r.ill -= smoothing * r.ill
 		s.lost -= smoothing / 4 * s.lost
 		b.window += 1 / b.window
