--- a/control/control.go
+++ b/control/control.go
@@ -412,13 +412,18 @@
 	s.plan()
 }
 
-// hangUp closes the idle connection to a receiver whose next text is not expected before it would close by
-// itself, or whose connections were all taken. A receiver takes few, idle ones counted: hundreds of senders
-// that each keep one they hardly use leave none for the others. It costs a handshake where it guesses wrong.
+// hangUp closes an idle connection that is not worth its place. A receiver takes some few times the calls
+// that it serves at once, idle ones counted: hundreds of senders that each keep one they hardly use leave
+// none for the others. It is kept where own calls fill a good part of the time; or where the next is due
+// before it would close by itself, none was refused, and one for each sender is within what is served at once.
 func (s *Sender) hangUp(r *receiver) {
-	idle := s.span("Permissions.ConnIdleUs", 0)
-	seldom := s.usualRate(r.dest)*float64(idle)/float64(Second) < 1
-	if r.connected && len(r.calls) == 0 && (seldom || r.crowded) {
+	if !r.connected || len(r.calls) > 0 {
+		return
+	}
+	rate, pace := s.usualRate(r.dest), r.dest.pace/float64(Second)
+	due := rate*float64(s.span("Permissions.ConnIdleUs", 0)) >= float64(Second)
+	few := s.senders() <= max(firstWindow, s.capacity(r)*pace/float64(len(r.dest.receivers)))
+	if rate*pace < 0.25 && !(due && few && !r.crowded) {
 		r.connected = false
 		s.out.Close(r.id)
 	}
