--- a/control/control.go
+++ b/control/control.go
@@ -420,10 +420,10 @@
 	if !r.connected || len(r.calls) > 0 {
 		return
 	}
-	rate, pace := s.usualRate(r.dest), r.dest.pace/float64(Second)
-	due := rate*float64(s.span("Permissions.ConnIdleUs", 0)) >= float64(Second)
-	few := s.senders() <= max(firstWindow, s.capacity(r)*pace/float64(len(r.dest.receivers)))
-	if rate*pace < 0.25 && !(due && few && !r.crowded) {
+	each, pace := float64(len(r.dest.receivers)), r.dest.pace/float64(Second)
+	due := s.usualRate(r.dest)*float64(s.span("Permissions.ConnIdleUs", 0)) >= float64(Second)
+	few := s.senders() <= max(firstWindow, s.capacity(r)*pace/each)
+	if s.flow(r.dest, 0)*pace/each < 0.25 && !(due && few && !r.crowded) {
 		r.connected = false
 		s.out.Close(r.id)
 	}
