--- a/control/control.go
+++ b/control/control.go
@@ -2,7 +2,7 @@
 // in interface.go, its state in state.go.
 //
 // How to call it: New once an instance; then, for each batch of news, Clock with the time, the calls that
-// tell what happened (Take, Ended, Probed, Withdrawn, Listed, Noted, Started) and at last Settle, which
+// tell what happened (Take, Ended, Withdrawn, Listed, Noted, Started) and at last Settle, which
 // releases what may go. All it wants done it asks of the Outlet. It reads no clock and shares nothing.
 //
 // The ordinary path is the design's: a bucket keeps the allowance that answers report and the waits that
@@ -121,7 +121,7 @@
 	}
 	for _, d := range touched { // nothing hangs on them; an outage is remembered, as they may be listed again
 		d.receivers = slices.DeleteFunc(d.receivers, func(r *receiver) bool {
-			gone := r.listing == Removed && len(r.calls) == 0 && !r.probing && r.badSince == 0 && r.cold == 0
+			gone := r.listing == Removed && len(r.calls) == 0 && r.badSince == 0 && r.cold == 0
 			if gone {
 				delete(s.receivers, r.id)
 			}
@@ -288,7 +288,7 @@
 	return k.texts[0] == t && (s.now >= k.restUntil || t.submits > 0)
 }
 
-// mayReach is the gate of rules 3, 4 and 6 that every call passes, probes too: nothing to a receiver that
+// mayReach is the gate of rules 3, 4 and 6 that every call passes: nothing to a receiver that
 // drains or is gone, nothing before a told wait is over, nothing past the budget of one that comes back.
 func (s *Sender) mayReach(r *receiver) bool {
 	return r.listing == Up && s.now >= r.bucket.waitUntil && s.withinBudget(r)
@@ -307,7 +307,7 @@
 	return float64(s.recent(r)+1) <= s.budget(r)+r.draw
 }
 
-// weigh notes a call or a probe; recent counts those within the window of the budget.
+// weigh notes a call; recent counts those within the window of the budget.
 func (s *Sender) weigh(r *receiver) {
 	s.recent(r)
 	r.weighed = append(r.weighed, s.now)
@@ -325,7 +325,7 @@
 func (s *Sender) struck(r *receiver) bool {
 	ramp := s.span("Contract.RampTimeUs", 0)
 	last := max(r.badAt, r.bucket.waitUntil)
-	return r.down || r.fails > 0 || r.cold != 0 && s.now <= r.cold+ramp ||
+	return r.fails > 0 || r.cold != 0 && s.now <= r.cold+ramp ||
 		r.badSince > 0 && last-r.badSince > s.span("Contract.FallUs", 2*Second) && s.now <= last+ramp
 }
 
@@ -380,7 +380,6 @@
 			r.bucket.overdue = 0
 		}
 		for _, r := range d.receivers {
-			s.watch(r)
 			for _, c := range r.calls { // lost ones must not keep others from going
 				if float64(s.now-c.sent) > 4*d.pace && s.now-c.sent > Second/2 {
 					r.bucket.overdue++
@@ -405,7 +404,6 @@
 		d.busy = len(d.queue)+d.flight > 0
 		for _, r := range d.receivers {
 			s.hangUp(r)
-			d.busy = d.busy || r.probing
 		}
 		return !d.busy
 	})
@@ -532,7 +530,7 @@
 func (s *Sender) pick(d *destination) *receiver {
 	var open []*receiver
 	for _, r := range d.receivers {
-		if !r.down && s.now >= r.restUntil && !s.suspect(r) && r.bucket.flight < s.room(r.bucket) && s.mayReach(r) {
+		if s.now >= r.restUntil && !s.suspect(r) && r.bucket.flight < s.room(r.bucket) && s.mayReach(r) {
 			open = append(open, r)
 		}
 	}
@@ -652,7 +650,7 @@
 	*mean += smoothing * (v - *mean)
 }
 
-// learn takes from one call or probe what it tells of a receiver and its bucket.
+// learn takes from one call what it tells of a receiver and its bucket.
 func (s *Sender) learn(r *receiver, res Result, sent Time) {
 	b := r.bucket
 	s.reported(b, res.Report)
@@ -678,21 +676,21 @@
 		b.known = true
 		smooth(&r.pace, float64(res.Took))
 		r.answered = s.now
-		if r.down {
+		if r.fails > 1 {
 			s.out.Log(fmt.Sprintf("receiver %d back", r.id))
 		}
 		long := s.now-r.badSince > s.span("Contract.FallUs", 2*Second)
 		warm := s.now > r.cold+s.span("Contract.RampTimeUs", 0)
-		if r.down || warm && r.badSince > 0 && (r.fails > 1 || long && s.struck(r)) || r.ill > 0.5 {
+		if r.fails > 1 || warm && r.badSince > 0 && long && s.struck(r) || r.ill > 0.5 {
 			r.cold = s.now // back from an outage, or not out of it yet
 		}
-		r.down, r.fails, r.badSince, b.fulls = false, 0, 0, b.fulls/2
+		r.fails, r.badSince, b.fulls = 0, 0, b.fulls/2
 		r.ill -= smoothing * r.ill
 		s.lost -= smoothing / 4 * s.lost
 		b.window += 1 / b.window
 		b.strain -= smoothing * b.strain
 	case NoConnection:
-		r.crowded = true // perhaps; then an idle connection of this sender is one of them
+		r.crowded = true        // perhaps; then an idle connection of this sender is one of them
 		if r.answered >= sent { // it answers others: its connections are all taken
 			b.window = max(1, b.window/2)
 			return
@@ -783,9 +781,8 @@
 	if r.fails < 2 {
 		return // one failure says little
 	}
-	if !r.down && (r.fails > 2 || r.answered < s.now) {
-		r.down = true
-		s.out.Log(fmt.Sprintf("receiver %d down: %d failures in a row", r.id, r.fails))
+	if r.fails == 2 {
+		s.out.Log(fmt.Sprintf("receiver %d down: 2 failures in a row", r.id))
 	}
 	rest := float64(Second) / 8 * math.Pow(2, float64(min(r.fails, 4)))
 	r.restUntil = s.now + Time(rest*(0.75+0.5*s.chance.unit()))
@@ -805,35 +802,6 @@
 	return len(r.calls) > 0 && s.now-max(r.calls[0].sent, r.answered) > s.patience(r)
 }
 
-// watch looks at a receiver that is down or suspect, by a probe, which risks no text.
-func (s *Sender) watch(r *receiver) {
-	if !r.down && !s.suspect(r) || r.probing || s.now < r.restUntil || len(r.calls)+len(r.dest.queue) == 0 {
-		return
-	}
-	if s.set["Permissions.Probes"] != "true" || s.budget(r) < 2 {
-		r.down = false // a text has to look: there is no call to spare for a probe
-		return
-	}
-	if s.mayReach(r) {
-		r.probing, r.probed = true, s.now
-		s.weigh(r)
-		s.out.Probe(r.id)
-	}
-}
-
-// Probed takes what a probe found; one that found a receiver silent puts it down.
-func (s *Sender) Probed(id ReceiverID, res Result) {
-	r := s.receivers[id]
-	if r == nil || !r.probing {
-		return
-	}
-	r.probing = false
-	s.told(r.bucket, res)
-	s.learn(r, res, r.probed)
-	silent := res.Outcome == NoAnswer || res.Outcome == NoConnection || res.Outcome == Lost
-	r.down = r.down || silent && r.answered <= r.probed
-}
-
 // Noted takes a note of another sender. None is sent: what senders see apart has not been found to help.
 func (s *Sender) Noted(int, []byte) {}
 
--- a/control/interface.go
+++ b/control/interface.go
@@ -20,7 +20,6 @@
 	Nack(text string, comeBack Time) // comeBack 0: no advice
 	Undeliverable(text string)
 	Wake(at Time, mark int64)
-	Probe(to ReceiverID)
 	Close(to ReceiverID) // this sender's idle connections there
 	Note(content []byte) // to every other sender
 	Log(line string)
@@ -57,7 +56,7 @@
 	Listing     Listing
 }
 
-// Outcome says how a submit or a probe ended.
+// Outcome says how a submit ended.
 type Outcome int
 
 // The outcomes.
@@ -72,7 +71,7 @@
 	Unsent // never left this sender
 )
 
-// Result is how one submit or probe ended and what came with it.
+// Result is how one submit ended and what came with it.
 type Result struct {
 	Outcome Outcome
 	Closed  bool      // the text has its final answer
--- a/control/state.go
+++ b/control/state.go
@@ -56,12 +56,9 @@
 	ill       float64 // share of late calls that failed
 	badSince  Time    // first failure or refusal with no success after it; 0 if none
 	badAt     Time    // the last such
-	down      bool
 	restUntil Time
-	probing   bool
-	probed    Time
 	cold      Time    // when it was last seen to come back; 0 if warm
-	weighed   []Time  // calls and probes sent there within the window of the budget
+	weighed   []Time  // calls sent there within the window of the budget
 	drawAt    Time    // when the fraction of a call in the budget is drawn anew
 	draw      float64 // the draw
 }
