--- a/control/control.go
+++ b/control/control.go
@@ -412,16 +412,12 @@
 
 // hangUp closes an idle connection that is not worth its place. A receiver takes some few times the calls
 // that it serves at once, idle ones counted: hundreds of senders that each keep one they hardly use leave
-// none for the others. It is kept where own calls fill a good part of the time; or where the next is due
-// before it would close by itself, none was refused, and one for each sender is within what is served at once.
+// none for the others. It is kept where own calls fill a good part of the time, or where one for each sender
+// is within what is served at once.
 func (s *Sender) hangUp(r *receiver) {
-	if !r.connected || len(r.calls) > 0 {
-		return
-	}
 	each, pace := float64(len(r.dest.receivers)), r.dest.pace/float64(Second)
-	due := s.usualRate(r.dest)*float64(s.span("Permissions.ConnIdleUs", 0)) >= float64(Second)
 	few := s.senders() <= max(firstWindow, s.capacity(r)*pace/each)
-	if s.flow(r.dest, 0)*pace/each < 0.25 && !(due && few && !r.crowded) {
+	if r.connected && len(r.calls) == 0 && !few && s.flow(r.dest, 0)*pace/each < 0.25 {
 		r.connected = false
 		s.out.Close(r.id)
 	}
@@ -690,7 +686,6 @@
 		b.window += 1 / b.window
 		b.strain -= smoothing * b.strain
 	case NoConnection:
-		r.crowded = true        // perhaps; then an idle connection of this sender is one of them
 		if r.answered >= sent { // it answers others: its connections are all taken
 			b.window = max(1, b.window/2)
 			return
--- a/control/state.go
+++ b/control/state.go
@@ -48,7 +48,6 @@
 	calls   []*call // out, oldest first
 
 	connected bool    // a connection may be open
-	crowded   bool    // all its connections were found taken
 	pace      float64 // of an answered call, tenths
 	answered  Time    // last sign of life
 	used      Time
