Refusals speak of the destination: the end of a told wait binds all its endpoints to the return budget

Cause: a partner that shut told 170 senders, through one endpoint, when it would open; at that moment all of them went to the other endpoint, which none had seen in trouble, 80 calls in 0.35 s. Refusals now live in the bucket.

--- a/control/control.go
+++ b/control/control.go
@@ -121,7 +121,7 @@
 	}
 	for _, d := range touched { // nothing hangs on them; an outage is remembered, as they may be listed again
 		d.receivers = slices.DeleteFunc(d.receivers, func(r *receiver) bool {
-			gone := r.listing == Removed && len(r.calls) == 0 && r.badSince == 0 && r.cold == 0
+			gone := r.listing == Removed && len(r.calls) == 0 && r.fails == 0 && r.cold == 0
 			if gone {
 				delete(s.receivers, r.id)
 			}
@@ -319,14 +319,18 @@
 	return len(r.weighed)
 }
 
-// struck: the receiver is in an outage or back from one, as far as this sender saw. Refusals are an outage
-// only if they go on, or bar it, with no delivery, for the time in which a cold destination falls; after the
-// last of them, or the end of a told wait, it is as warm as one that came back then.
+// struck: the receiver is in an outage or back from one, as far as this sender saw.
 func (s *Sender) struck(r *receiver) bool {
-	ramp := s.span("Contract.RampTimeUs", 0)
-	last := max(r.badAt, r.bucket.waitUntil)
-	return r.fails > 0 || r.cold != 0 && s.now <= r.cold+ramp ||
-		r.badSince > 0 && last-r.badSince > s.span("Contract.FallUs", 2*Second) && s.now <= last+ramp
+	return r.fails > 0 || r.cold != 0 && s.now <= r.cold+s.span("Contract.RampTimeUs", 0) || s.shut(r.bucket)
+}
+
+// shut: refusals are an outage, of all receivers that share the bucket, only if they go on, or bar it, with
+// no delivery, for the time in which a cold destination falls; after the last of them, or the end of a told
+// wait, it is as warm as one that came back then. All who were told one wait would else come back at once.
+func (s *Sender) shut(b *bucket) bool {
+	last := max(b.refusedAt, b.waitUntil)
+	return b.refusedSince > 0 && last-b.refusedSince > s.span("Contract.FallUs", 2*Second) &&
+		s.now <= last+s.span("Contract.RampTimeUs", 0)
 }
 
 // budget is how many calls this sender may have sent to a receiver within the window. Its part of the
@@ -665,8 +669,12 @@
 		b.strain += smoothing * (1 - b.strain)
 		b.window = max(1, min(b.window, float64(b.flight))/2)
 		r.answered = s.now
-		if b.limit == 0 || b.left >= 1 { // not for its limit: it is shut, or its queue is full
-			s.bad(r)
+		barred := res.Wait > s.span("Contract.FallUs", 2*Second)
+		if b.limit == 0 || b.left >= 1 || barred { // not for its limit: it is shut, or its queue is full
+			b.refusedAt = s.now
+			if b.refusedSince == 0 {
+				b.refusedSince = s.now
+			}
 		}
 	case Delivered:
 		b.known = true
@@ -675,12 +683,13 @@
 		if r.fails > 1 {
 			s.out.Log(fmt.Sprintf("receiver %d back", r.id))
 		}
-		long := s.now-r.badSince > s.span("Contract.FallUs", 2*Second)
-		warm := s.now > r.cold+s.span("Contract.RampTimeUs", 0)
-		if r.fails > 1 || warm && r.badSince > 0 && long && s.struck(r) || r.ill > 0.5 {
-			r.cold = s.now // back from an outage, or not out of it yet
+		long := r.fails > 0 && s.now-r.failedSince > s.span("Contract.FallUs", 2*Second)
+		for _, o := range r.dest.receivers { // back from an outage, or not out of it yet
+			if o.bucket == b && s.shut(b) || o == r && (r.fails > 1 || long || r.ill > 0.5) {
+				o.cold = s.now
+			}
 		}
-		r.fails, r.badSince, b.fulls = 0, 0, b.fulls/2
+		r.fails, b.refusedSince, b.fulls = 0, 0, b.fulls/2
 		r.ill -= smoothing * r.ill
 		s.lost -= smoothing / 4 * s.lost
 		b.window += 1 / b.window
@@ -760,19 +769,12 @@
 // senders is how many share what a destination takes.
 func (s *Sender) senders() float64 { return max(1, s.number("Instances", 1)) }
 
-// bad notes a call that failed or was refused.
-func (s *Sender) bad(r *receiver) {
-	r.badAt = s.now
-	if r.badSince == 0 {
-		r.badSince = s.now
-	}
-}
-
 // failed notes a call that failed; two in a row, and the receiver is looked at before it gets more texts.
 func (s *Sender) failed(r *receiver) {
-	r.fails++
+	if r.fails++; r.fails == 1 {
+		r.failedSince = s.now
+	}
 	r.ill += smoothing * (1 - r.ill)
-	s.bad(r)
 	if r.fails < 2 {
 		return // one failure says little
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -47,35 +47,36 @@
 	listing Listing
 	calls   []*call // out, oldest first
 
-	connected bool    // a connection may be open
-	pace      float64 // of an answered call, tenths
-	answered  Time    // last sign of life
-	used      Time
-	fails     int     // in a row
-	ill       float64 // share of late calls that failed
-	badSince  Time    // first failure or refusal with no success after it; 0 if none
-	badAt     Time    // the last such
-	restUntil Time
-	cold      Time    // when it was last seen to come back; 0 if warm
-	weighed   []Time  // calls sent there within the window of the budget
-	drawAt    Time    // when the fraction of a call in the budget is drawn anew
-	draw      float64 // the draw
+	connected   bool    // a connection may be open
+	pace        float64 // of an answered call, tenths
+	answered    Time    // last sign of life
+	used        Time
+	fails       int     // in a row
+	ill         float64 // share of late calls that failed
+	failedSince Time    // the first of them
+	restUntil   Time
+	cold        Time    // when it was last seen to come back; 0 if warm
+	weighed     []Time  // calls sent there within the window of the budget
+	drawAt      Time    // when the fraction of a call in the budget is drawn anew
+	draw        float64 // the draw
 }
 
 type bucket struct {
-	key       bucketKey
-	known     bool // an answer has come
-	limit     float64
-	share     float64 // as last reported
-	left      float64 // calls, by that report and what was sent since
-	fulls     int     // refusals since the last delivery
-	strain    float64 // share of late calls that were refused
-	flight    int
-	overdue   int     // of those in flight
-	window    float64 // calls that have been found bearable at once
-	waitUntil Time    // told
-	heldUntil Time    // by the allowance
-	used      int64
+	key          bucketKey
+	known        bool // an answer has come
+	limit        float64
+	share        float64 // as last reported
+	left         float64 // calls, by that report and what was sent since
+	fulls        int     // refusals since the last delivery
+	strain       float64 // share of late calls that were refused
+	flight       int
+	overdue      int     // of those in flight
+	window       float64 // calls that have been found bearable at once
+	refusedSince Time    // first refusal for another reason than the limit with no delivery after it; 0 if none
+	refusedAt    Time    // the last such
+	waitUntil    Time    // told
+	heldUntil    Time    // by the allowance
+	used         int64
 }
 
 type bucketKey struct {
