Hold after refusals counts those refused together once, and starts at the first that tells no wait

Cause: eight calls refused at once counted as eight rounds lost and added their holds up, so with few senders the back-off overshot while with hundreds it was too weak.

--- a/control/control.go
+++ b/control/control.go
@@ -659,12 +659,17 @@
 		r.restUntil = s.now + Second/8
 	case Cancelled:
 	case Full:
-		if res.Wait == 0 {
-			b.heldUntil = max(b.heldUntil, s.now+s.pause(b, r))
-		}
-		if b.fulls++; b.fulls > 1 && b.limit > 0 { // others took what was free: fewer must ask
-			more := s.chance.unit() * float64(s.freeing(b, 1)<<min(b.fulls-2, 4))
-			b.heldUntil = max(b.heldUntil, b.waitUntil, s.now) + Time(more)
+		if sent >= b.fullAt { // those refused together count once
+			b.fulls++
+			b.fullAt = s.now
+			more := Time(0)
+			if b.limit > 0 && (b.fulls > 1 || res.Wait == 0) { // others took what was free: fewer must ask
+				more = Time(s.chance.unit() * float64(s.freeing(b, 1)<<min(b.fulls-1, 4)))
+			}
+			if res.Wait == 0 {
+				more = max(more, s.pause(b, r))
+			}
+			b.heldUntil = max(b.heldUntil, b.waitUntil, s.now) + more
 		}
 		b.strain += smoothing * (1 - b.strain)
 		b.window = max(1, min(b.window, float64(b.flight))/2)
@@ -747,7 +752,7 @@
 	if gap == 0 {
 		return defaultPause
 	}
-	return min(defaultPause, gap<<min(b.fulls, 9))
+	return min(defaultPause, gap<<min(b.fulls-1, 9))
 }
 
 // holdAtNought holds a bucket that has no whole call left, until this sender's part of the limit has freed
--- a/control/state.go
+++ b/control/state.go
@@ -67,6 +67,7 @@
 	limit        float64
 	share        float64 // as last reported
 	left         float64 // calls, by that report and what was sent since
+	fullAt       Time    // when the last of them was counted
 	fulls        int     // refusals since the last delivery
 	strain       float64 // share of late calls that were refused
 	flight       int
