--- a/control/control.go
+++ b/control/control.go
@@ -333,13 +333,12 @@
 		s.now <= last+s.span("Contract.RampTimeUs", 0)
 }
 
-// budget is how many calls this sender may have sent to a receiver within the window. Its part of the
-// capacity lies halfway between an even one and its own usual traffic: the first is safe whatever comes, but
-// most senders have nothing to send; the second is what all together send as a rule.
+// budget is how many calls this sender may have sent to a receiver within the window: its even part of what
+// is borne, safe whatever the others send; where no capacity is known, as much of its own usual traffic.
 func (s *Sender) budget(r *receiver) float64 {
-	part := s.usualRate(r.dest)
-	if capacity := s.capacity(r); capacity > 0 {
-		part = (part + capacity/s.senders()) / 2
+	part := s.capacity(r) / s.senders()
+	if part == 0 {
+		part = s.usualRate(r.dest)
 	}
 	if !r.apart {
 		part /= float64(len(r.dest.receivers))
@@ -659,7 +658,7 @@
 		r.restUntil = s.now + Second/8
 	case Cancelled:
 	case Full:
-		if sent >= b.fullAt { // those refused together count once
+		if sent > b.fullAt { // those refused together count once
 			b.fulls++
 			b.fullAt = s.now
 			more := Time(0)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -197,6 +197,86 @@
 	expect(t, w, "failures noted", w.s.receivers[11].fails, 0)
 }
 
+// One call a window was always allowed: with 200 senders that alone pushed a returning receiver over.
+func TestManySendersShareTheReturnBudget(t *testing.T) {
+	sends := 0
+	for seed := range uint64(200) {
+		w := newWorld(seed, Settings{"Instances": "200"})
+		w.step(func() { w.s.Listed(false, []Entry{{Receiver: 12, Destination: 1, Listing: Removed}}) })
+		fill(w, 2, "free", 1)
+		w.advance(500)
+		w.answer(w.outs()[0], Errored, 0)
+		before := w.sends
+		w.advance(6 * Second) // three windows, in each of which the receiver bears 2 x 10 x 0.2 x 2 = 8 calls
+		sends += w.sends - before
+	}
+	if sends < 12 || sends > 36 {
+		t.Errorf("200 senders sent %d calls in windows that bear 24", sends)
+	}
+}
+
+// All were told the same moment of opening by one endpoint, and went to the other at that moment.
+func TestTheEndOfALongWaitIsAReturn(t *testing.T) {
+	sends := 0
+	for seed := range uint64(50) {
+		w := newWorld(seed, Settings{"Instances": "200"})
+		fill(w, 3, "free", 1)
+		w.advance(500)
+		w.answer(w.outs()[0], Full, 5*Second, 1, 10)
+		before := w.sends
+		w.advance(5*Second + 1000)
+		sends += w.sends - before
+	}
+	if sends > 5 {
+		t.Errorf("%d of 50 senders sent at the end of the wait", sends)
+	}
+}
+
+// Hundreds of senders each kept a connection that they hardly used, and none was left for the others.
+func TestSeldomUsedConnectionsAreClosed(t *testing.T) {
+	for senders, closed := range map[string]int{"2": 0, "200": 1} {
+		w := newWorld(1, Settings{"Instances": senders})
+		fill(w, 1, "free", 1)
+		w.advance(500)
+		w.answer(w.outs()[0], Delivered, 0, 1, 10)
+		expect(t, w, "closed among "+senders, len(w.closed), closed)
+	}
+}
+
+// Eight calls refused at once counted as eight rounds lost.
+func TestRefusedTogetherCountOnce(t *testing.T) {
+	w := newWorld(1, nil)
+	fill(w, 5, "free", 1)
+	w.advance(500)
+	w.answer(w.outs()[0], Delivered, 0, 0.4, 10)
+	w.advance(500)
+	outs := w.outs()
+	for _, x := range outs {
+		w.answer(x, Full, 500, 0, 10)
+	}
+	expect(t, w, "calls refused", len(outs), 4)
+	expect(t, w, "rounds counted", w.s.receivers[11].bucket.fulls, 1)
+}
+
+// Every batch walked the whole list: the two largest days were cut off for their CPU.
+func TestABatchWalksWhatItTouches(t *testing.T) {
+	w := newWorld(1, nil)
+	var list []Entry
+	for i := range 10000 {
+		list = append(list, Entry{Receiver: ReceiverID(100 + i), Destination: int64(100 + i/2), Kind: "one"})
+	}
+	w.step(func() { w.s.Listed(false, list) })
+	fill(w, 3, "free", 1)
+	expect(t, w, "destinations walked", len(w.s.busy), 1)
+	w.answer(w.outs()[0], Delivered, 0, 1, 10)
+	for len(w.outs()) > 0 {
+		w.answer(w.outs()[0], Delivered, 0)
+	}
+	expect(t, w, "destinations walked when all is answered", len(w.s.busy), 0)
+	w.step(func() { w.s.Listed(true, w.entries()) })
+	expect(t, w, "receivers remembered", len(w.s.receivers), 6)
+}
+
 func TestSettingsThatMakeNoSense(t *testing.T) {
 	for name, value := range map[string]string{"Specifics.MaxCalls": "0", "Contract.FallUs": "-1", "RequestClasses.count": "x"} {
 		set := Settings{}
