--- a/control/control.go
+++ b/control/control.go
@@ -92,13 +92,9 @@
 
 // Listed takes news of the list; whole: what is not in it is gone.
 func (s *Sender) Listed(whole bool, entries []Entry) {
-	var touched []*destination
 	if whole {
-		touched = s.order
-		for _, d := range s.order {
-			for _, r := range d.receivers {
-				r.listing = Removed
-			}
+		for _, r := range s.receivers {
+			r.listing = Removed
 		}
 	}
 	for _, e := range entries {
@@ -111,25 +107,35 @@
 				apart: s.perKind("Specifics.RoutesApart", e.Kind) == "true"}
 			r.bundle, _ = strconv.Atoi(s.perKind("Specifics.BundleMax", e.Kind))
 			s.receivers[e.Receiver] = r
-			r.dest.receivers = append(r.dest.receivers, r)
-			slices.SortFunc(r.dest.receivers, func(a, b *receiver) int { return int(int64(a.id) - int64(b.id)) })
+			byID := func(o *receiver, id ReceiverID) int { return int(int64(o.id) - int64(id)) }
+			at, _ := slices.BinarySearchFunc(r.dest.receivers, r.id, byID)
+			r.dest.receivers = slices.Insert(r.dest.receivers, at, r)
 		}
 		r.listing, r.rate, r.zone = e.Listing, e.Rate, e.Zone
-		if !whole {
-			touched = append(touched, r.dest)
+		if e.Listing == Removed && !whole {
+			s.forget(r.dest)
 		}
 	}
-	for _, d := range touched { // nothing hangs on them; an outage is remembered, as they may be listed again
-		d.receivers = slices.DeleteFunc(d.receivers, func(r *receiver) bool {
-			gone := r.listing == Removed && len(r.calls) == 0 && r.fails == 0 && r.cold == 0
-			if gone {
-				delete(s.receivers, r.id)
-			}
-			return gone
-		})
+	if whole {
+		for _, d := range s.order {
+			s.forget(d)
+		}
 	}
 }
 
+// forget drops the receivers that are gone and on which nothing hangs; an outage is remembered, as they may
+// be listed again.
+func (s *Sender) forget(d *destination) {
+	d.receivers = slices.DeleteFunc(d.receivers, func(r *receiver) bool {
+		warm := r.fails == 0 && (r.cold == 0 || s.now > r.cold+s.span("Contract.RampTimeUs", 0))
+		gone := r.listing == Removed && len(r.calls) == 0 && warm
+		if gone {
+			delete(s.receivers, r.id)
+		}
+		return gone
+	})
+}
+
 func (s *Sender) destination(id int64) *destination {
 	d := s.destinations[id]
 	if d == nil {
@@ -307,12 +313,7 @@
 	return float64(s.recent(r)+1) <= s.budget(r)+r.draw
 }
 
-// weigh notes a call; recent counts those within the window of the budget.
-func (s *Sender) weigh(r *receiver) {
-	s.recent(r)
-	r.weighed = append(r.weighed, s.now)
-}
-
+// recent counts the calls to a receiver within the window of the budget.
 func (s *Sender) recent(r *receiver) int {
 	from := s.now - s.span("Contract.FallUs", 2*Second)
 	r.weighed = slices.DeleteFunc(r.weighed, func(at Time) bool { return at <= from })
@@ -371,7 +372,7 @@
 	if b.left < 1 { // the hold is over: one call looks
 		b.left = 1
 	}
-	return int(min(float64(b.flight)+b.left, max(1, b.window)+float64(b.overdue)))
+	return int(min(float64(b.flight)+b.left, max(1, b.window)))
 }
 
 // Settle decides what goes now; call it once after all news of a batch. It walks the destinations that
@@ -380,14 +381,6 @@
 	for _, d := range s.busy {
 		for _, r := range d.receivers {
 			r.bucket = s.bucketOf(r)
-			r.bucket.overdue = 0
-		}
-		for _, r := range d.receivers {
-			for _, c := range r.calls { // lost ones must not keep others from going
-				if float64(s.now-c.sent) > 4*d.pace && s.now-c.sent > Second/2 {
-					r.bucket.overdue++
-				}
-			}
 		}
 		s.refuseLate(d)
 	}
@@ -429,15 +422,14 @@
 // refuseLate refuses what cannot be delivered in time: wait plus a usual call passes the validity period,
 // or the time for a repeat ends before the wait does.
 func (s *Sender) refuseLate(d *destination) {
-	var waits []Time
+	wait, listed := Time(math.MaxInt64), false // where the list names no receiver now, a later one may
 	for _, r := range d.receivers {
 		if r.listing == Up {
-			waits = append(waits, max(0, r.bucket.waitUntil-s.now, r.bucket.heldUntil-s.now))
+			wait, listed = min(wait, max(0, r.bucket.waitUntil-s.now, r.bucket.heldUntil-s.now)), true
 		}
 	}
-	wait := Time(0) // where the list names no receiver now; a later one may
-	if len(waits) > 0 {
-		wait = slices.Min(waits)
+	if !listed {
+		wait = 0
 	}
 	for _, t := range slices.Clone(d.queue) {
 		if s.now+wait+s.usual(t) > t.validUntil || !s.mayRepeat(t, nil) || s.now+wait >= s.repeatEnd(t) {
@@ -561,7 +553,8 @@
 		}
 	}
 	r.calls = append(r.calls, c)
-	s.weigh(r)
+	s.recent(r) // forgets the older ones
+	r.weighed = append(r.weighed, s.now)
 	r.used, r.connected = s.now, true
 	r.bucket.flight++
 	r.bucket.left--
@@ -661,14 +654,7 @@
 		if sent > b.fullAt { // those refused together count once
 			b.fulls++
 			b.fullAt = s.now
-			more := Time(0)
-			if b.limit > 0 && (b.fulls > 1 || res.Wait == 0) { // others took what was free: fewer must ask
-				more = Time(s.chance.unit() * float64(s.freeing(b, 1)<<min(b.fulls-1, 4)))
-			}
-			if res.Wait == 0 {
-				more = max(more, s.pause(b, r))
-			}
-			b.heldUntil = max(b.heldUntil, b.waitUntil, s.now) + more
+			b.heldUntil = max(b.heldUntil, b.waitUntil, s.now) + s.pause(r, res.Wait > 0)
 		}
 		b.strain += smoothing * (1 - b.strain)
 		b.window = max(1, min(b.window, float64(b.flight))/2)
@@ -740,18 +726,20 @@
 	}
 }
 
-// pause is how long a bucket holds after a refusal that tells no wait: until this sender's part of the limit
-// has freed a call, or a usual call ends where there is none; twice that each further time, as it may be
-// shut or others may take what frees; the design's pause at most.
-func (s *Sender) pause(b *bucket, r *receiver) Time {
-	gap := Time(r.dest.pace)
-	if b.limit > 0 {
-		gap = s.freeing(b, 1)
-	}
-	if gap == 0 {
+// pause is how long a bucket holds after a refusal, past the wait that it told, which is trusted once: a random
+// part of the time in which this sender's part of the limit frees a call, or where none is told a usual call;
+// twice that each further time, as others take what frees and refused calls may use it up.
+func (s *Sender) pause(r *receiver, told bool) Time {
+	b := r.bucket
+	switch {
+	case told && (b.fulls < 2 || b.limit == 0):
+		return 0
+	case b.limit > 0:
+		return Time(s.chance.unit() * float64(s.freeing(b, 1)<<min(b.fulls-1, 4)))
+	case r.dest.pace == 0:
 		return defaultPause
 	}
-	return min(defaultPause, gap<<min(b.fulls-1, 9))
+	return min(defaultPause, Time(r.dest.pace)<<min(b.fulls-1, 9))
 }
 
 // holdAtNought holds a bucket that has no whole call left, until this sender's part of the limit has freed
--- a/control/state.go
+++ b/control/state.go
@@ -71,7 +71,6 @@
 	fulls        int     // refusals since the last delivery
 	strain       float64 // share of late calls that were refused
 	flight       int
-	overdue      int     // of those in flight
 	window       float64 // calls that have been found bearable at once
 	refusedSince Time    // first refusal for another reason than the limit with no delivery after it; 0 if none
 	refusedAt    Time    // the last such
