--- a/control/control.go
+++ b/control/control.go
@@ -12,6 +12,7 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -84,9 +85,7 @@
 
 // Clock tells the time of the calls that follow.
 func (s *Sender) Clock(now Time) {
-	if s.began == 0 {
-		s.began = now
-	}
+	s.began = cmp.Or(s.began, now)
 	s.now = max(s.now, now)
 }
 
@@ -320,9 +319,11 @@
 	return len(r.weighed)
 }
 
-// struck: the receiver is in an outage or back from one, as far as this sender saw.
+// struck: the receiver is in an outage or back from one, as far as this sender saw. One failure says little,
+// but where the budget is a fraction of a call a second free one from each sender is too much.
 func (s *Sender) struck(r *receiver) bool {
-	return r.fails > 0 || r.cold != 0 && s.now <= r.cold+s.span("Contract.RampTimeUs", 0) || s.shut(r.bucket)
+	cold := r.cold != 0 && s.now <= r.cold+s.span("Contract.RampTimeUs", 0)
+	return r.fails > 1 || r.fails > 0 && s.budget(r) < 0.5 || cold || s.shut(r.bucket)
 }
 
 // shut: refusals are an outage, of all receivers that share the bucket, only if they go on, or bar it, with
@@ -339,7 +340,7 @@
 func (s *Sender) budget(r *receiver) float64 {
 	part := s.capacity(r) / s.senders()
 	if part == 0 {
-		part = s.usualRate(r.dest)
+		part = r.dest.arrived * float64(Second) / float64(max(1, s.now-s.began+s.longestSLA))
 	}
 	if !r.apart {
 		part /= float64(len(r.dest.receivers))
@@ -352,12 +353,6 @@
 	return s.number("Contract.FallMultiple", 1) * part * share * seconds
 }
 
-// usualRate is how many texts a second this sender is handed for a destination, over all its time; a first
-// text is no rate yet.
-func (s *Sender) usualRate(d *destination) float64 {
-	return d.arrived * float64(Second) / float64(max(1, s.now-s.began+s.span("Permissions.ConnIdleUs", Second)))
-}
-
 // room says how many calls a bucket bears at once: none while it reads nought, one until its first answer
 // or after a hold, else the allowance left, or where there is no limit what experience bears.
 func (s *Sender) room(b *bucket) int {
@@ -476,12 +471,12 @@
 // of late, and at least its part of the capacity, or where none is told what the window lets through. It is
 // nought before the first answer.
 func (s *Sender) drain(d *destination) float64 {
-	rate := 0.0
+	rate := s.flow(d, 0)
 	for _, r := range d.receivers {
 		if capacity := s.capacity(r); capacity > 0.01 {
-			rate = max(rate, capacity/s.senders(), s.flow(d, 0))
+			rate = max(rate, capacity/s.senders())
 		} else if d.pace > 0 {
-			rate = max(rate, r.bucket.window*float64(Second)/d.pace, s.flow(d, 0))
+			rate = max(rate, r.bucket.window*float64(Second)/d.pace)
 		}
 	}
 	return rate
@@ -510,12 +505,7 @@
 }
 
 // usual is how long a call for the text takes as a rule.
-func (s *Sender) usual(t *text) Time {
-	if t.dest.pace > 0 {
-		return Time(t.dest.pace)
-	}
-	return Time(t.product.pace)
-}
+func (s *Sender) usual(t *text) Time { return Time(cmp.Or(t.dest.pace, t.product.pace)) }
 
 // pick finds the receiver for the first held text of a destination that may go; nil if none may.
 func (s *Sender) pick(d *destination) *receiver {
@@ -652,8 +642,7 @@
 	case Cancelled:
 	case Full:
 		if sent > b.fullAt { // those refused together count once
-			b.fulls++
-			b.fullAt = s.now
+			b.fulls, b.fullAt = b.fulls+1, s.now
 			b.heldUntil = max(b.heldUntil, b.waitUntil, s.now) + s.pause(r, res.Wait > 0)
 		}
 		b.strain += smoothing * (1 - b.strain)
@@ -661,10 +650,7 @@
 		r.answered = s.now
 		barred := res.Wait > s.span("Contract.FallUs", 2*Second)
 		if b.limit == 0 || b.left >= 1 || barred { // not for its limit: it is shut, or its queue is full
-			b.refusedAt = s.now
-			if b.refusedSince == 0 {
-				b.refusedSince = s.now
-			}
+			b.refusedSince, b.refusedAt = cmp.Or(b.refusedSince, s.now), s.now
 		}
 	case Delivered:
 		b.known = true
@@ -726,9 +712,9 @@
 	}
 }
 
-// pause is how long a bucket holds after a refusal, past the wait that it told, which is trusted once: a random
-// part of the time in which this sender's part of the limit frees a call, or where none is told a usual call;
-// twice that each further time, as others take what frees and refused calls may use it up.
+// pause is how long a bucket holds after a refusal, past the wait that it told, which is trusted once: a
+// random part of the time in which this sender's part of the limit frees a call, or a usual call where there
+// is no limit; twice that each further time, as others take what frees and refused calls may use it up.
 func (s *Sender) pause(r *receiver, told bool) Time {
 	b := r.bucket
 	switch {
@@ -736,10 +722,8 @@
 		return 0
 	case b.limit > 0:
 		return Time(s.chance.unit() * float64(s.freeing(b, 1)<<min(b.fulls-1, 4)))
-	case r.dest.pace == 0:
-		return defaultPause
 	}
-	return min(defaultPause, Time(r.dest.pace)<<min(b.fulls-1, 9))
+	return min(defaultPause, cmp.Or(Time(r.dest.pace), defaultPause)<<min(b.fulls-1, 9))
 }
 
 // holdAtNought holds a bucket that has no whole call left, until this sender's part of the limit has freed
@@ -767,23 +751,17 @@
 		r.failedSince = s.now
 	}
 	r.ill += smoothing * (1 - r.ill)
-	if r.fails < 2 {
-		return // one failure says little
-	}
 	if r.fails == 2 {
 		s.out.Log(fmt.Sprintf("receiver %d down: 2 failures in a row", r.id))
 	}
-	rest := float64(Second) / 8 * math.Pow(2, float64(min(r.fails, 4)))
-	r.restUntil = s.now + Time(rest*(0.75+0.5*s.chance.unit()))
+	if r.fails > 1 {
+		r.restUntil = s.now + Time((0.75+0.5*s.chance.unit())*float64(Second/8<<min(r.fails, 4)))
+	}
 }
 
 // patience is how long a receiver with calls out may show no sign of life.
 func (s *Sender) patience(r *receiver) Time {
-	pace := r.pace
-	if pace == 0 {
-		pace = max(r.dest.pace, float64(Second)/2)
-	}
-	return Time(3*pace) + Second/2
+	return Time(3*cmp.Or(r.pace, max(r.dest.pace, float64(Second)/2))) + Second/2
 }
 
 // suspect: calls are out, and for longer than patience nothing has come back.
--- a/control/state.go
+++ b/control/state.go
@@ -90,8 +90,8 @@
 	receivers []*receiver
 	queue     []*text // held, in order of arrival
 	flight    int
-	busy      bool // stands in Sender.busy
-	arrived   float64
+	busy      bool    // stands in Sender.busy
+	arrived   float64 // texts handed in for it
 	pace      float64
 	through   float64 // texts that got through of late, fading
 	throughAt Time
@@ -122,7 +122,7 @@
 	out          Outlet
 	set          Settings
 	now          Time
-	began        Time // first told
+	began        Time // when it was first told the time
 	chance       pcg
 	products     map[string]*product
 	texts        map[string]*text
