Keep an idle connection where the next text is due in time and none was refused there

A handshake costs as much as a refused text in sixteen, and not all receivers are short of connections.

--- a/control/control.go
+++ b/control/control.go
@@ -408,7 +408,8 @@
 func (s *Sender) hangUp(r *receiver) {
 	each, pace := float64(len(r.dest.receivers)), r.dest.pace/float64(Second)
 	few := s.senders() <= max(firstWindow, s.capacity(r)*pace/each)
-	if r.connected && len(r.calls) == 0 && !few && s.flow(r.dest, 0)*pace/each < 0.25 {
+	due := r.dest.arrived*float64(s.span("Permissions.ConnIdleUs", 0)) > each*float64(s.now-s.began+s.longestSLA)
+	if r.connected && len(r.calls) == 0 && !few && !(due && !r.crowded) && s.flow(r.dest, 0)*pace/each < 0.25 {
 		r.connected = false
 		s.out.Close(r.id)
 	}
@@ -671,6 +672,7 @@
 		b.window += 1 / b.window
 		b.strain -= smoothing * b.strain
 	case NoConnection:
+		r.crowded = true
 		if r.answered >= sent { // it answers others: its connections are all taken
 			b.window = max(1, b.window/2)
 			return
--- a/control/state.go
+++ b/control/state.go
@@ -47,6 +47,7 @@
 	listing Listing
 	calls   []*call // out, oldest first
 
+	crowded     bool
 	connected   bool    // a connection may be open
 	pace        float64 // of an answered call, tenths
 	answered    Time    // last sign of life
