--- a/control/control.go
+++ b/control/control.go
@@ -403,13 +403,13 @@
 
 // hangUp closes an idle connection that is not worth its place. A receiver takes some few times the calls
 // that it serves at once, idle ones counted: hundreds of senders that each keep one they hardly use leave
-// none for the others. It is kept where own calls fill a good part of the time, or where one for each sender
-// is within what is served at once.
+// none for the others. It is kept where one for each sender is within what is served at once, or where none
+// was refused and the next text is due before it would close by itself.
 func (s *Sender) hangUp(r *receiver) {
-	each, pace := float64(len(r.dest.receivers)), r.dest.pace/float64(Second)
-	few := s.senders() <= max(firstWindow, s.capacity(r)*pace/each)
-	due := r.dest.arrived*float64(s.span("Permissions.ConnIdleUs", 0)) > each*float64(s.now-s.began+s.longestSLA)
-	if r.connected && len(r.calls) == 0 && !few && !(due && !r.crowded) && s.flow(r.dest, 0)*pace/each < 0.25 {
+	each, idle := float64(len(r.dest.receivers)), float64(s.span("Permissions.ConnIdleUs", 0))
+	few := s.senders() <= max(firstWindow, s.capacity(r)*r.dest.pace/float64(Second)/each)
+	due := r.dest.arrived*idle > each*float64(s.now-s.began+s.longestSLA)
+	if r.connected && len(r.calls) == 0 && !few && (r.crowded || !due) {
 		r.connected = false
 		s.out.Close(r.id)
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -47,7 +47,7 @@
 	listing Listing
 	calls   []*call // out, oldest first
 
-	crowded     bool
+	crowded     bool    // a connection was refused there
 	connected   bool    // a connection may be open
 	pace        float64 // of an answered call, tenths
 	answered    Time    // last sign of life
