--- a/control/control.go
+++ b/control/control.go
@@ -287,10 +287,7 @@
 // hisTurn is rule 5, for every send: texts of a key one at a time, in order, with the rest between them.
 func (s *Sender) hisTurn(t *text) bool {
 	k := s.keys[t.key]
-	if !t.product.inOrder || k == nil {
-		return true
-	}
-	return k.texts[0] == t && (s.now >= k.restUntil || t.submits > 0)
+	return !t.product.inOrder || k == nil || k.texts[0] == t && (s.now >= k.restUntil || t.submits > 0)
 }
 
 // mayReach is the gate of rules 3, 4 and 6 that every call passes: nothing to a receiver that
@@ -416,25 +413,37 @@
 }
 
 // refuseLate refuses what cannot be delivered in time: wait plus a usual call passes the validity period,
-// or the time for a repeat ends before the wait does.
+// or the time for a repeat ends before the wait does. At a contended destination the SLA time is the end: a
+// call spent on a late text is one that a fresh text of some other sender is refused.
 func (s *Sender) refuseLate(d *destination) {
-	wait, listed := Time(math.MaxInt64), false // where the list names no receiver now, a later one may
+	wait, contended := Time(math.MaxInt64), true
 	for _, r := range d.receivers {
 		if r.listing == Up {
-			wait, listed = min(wait, max(0, r.bucket.waitUntil-s.now, r.bucket.heldUntil-s.now)), true
+			wait = min(wait, max(0, r.bucket.waitUntil-s.now, r.bucket.heldUntil-s.now))
+			contended = contended && s.contended(r)
 		}
 	}
-	if !listed {
-		wait = 0
+	if wait == math.MaxInt64 { // the list names no receiver now; a later one may
+		wait, contended = 0, false
 	}
 	for _, t := range slices.Clone(d.queue) {
-		if s.now+wait+s.usual(t) > t.validUntil || !s.mayRepeat(t, nil) || s.now+wait >= s.repeatEnd(t) {
+		end := t.validUntil
+		if contended {
+			end = min(end, t.wantedBy)
+		}
+		if s.now+wait+s.usual(t) > end || !s.mayRepeat(t, nil) || s.now+wait >= s.repeatEnd(t) {
 			s.giveUp(t, wait)
 		}
 	}
 	s.shed(d, wait)
 }
 
+// contended: the last call was refused, and this sender's part of the limit is under a call an SLA time, so
+// that what frees goes to others as a rule.
+func (s *Sender) contended(r *receiver) bool {
+	return r.bucket.fulls > 0 && s.capacity(r)*float64(s.longestSLA) < s.senders()*float64(Second)
+}
+
 // shed bounds a queue that outgrows its destination: what would wait past the longest SLA time only makes
 // everything behind it late too. The texts that would earn least by then are refused at once, and the
 // client told when to come back, while the rest keep their order.
@@ -627,9 +636,7 @@
 }
 
 func smooth(mean *float64, v float64) {
-	if *mean == 0 {
-		*mean = v
-	}
+	*mean = cmp.Or(*mean, v)
 	*mean += smoothing * (v - *mean)
 }
 
