--- a/control/control.go
+++ b/control/control.go
@@ -106,7 +106,7 @@
 				apart: s.perKind("Specifics.RoutesApart", e.Kind) == "true"}
 			r.bundle, _ = strconv.Atoi(s.perKind("Specifics.BundleMax", e.Kind))
 			s.receivers[e.Receiver] = r
-			byID := func(o *receiver, id ReceiverID) int { return int(int64(o.id) - int64(id)) }
+			byID := func(o *receiver, id ReceiverID) int { return cmp.Compare(o.id, id) }
 			at, _ := slices.BinarySearchFunc(r.dest.receivers, r.id, byID)
 			r.dest.receivers = slices.Insert(r.dest.receivers, at, r)
 		}
@@ -195,12 +195,9 @@
 
 // hold puts a text in its destination's queue, by arrival: one that comes back stands at the head again.
 func (s *Sender) hold(t *text) {
-	q := t.dest.queue
-	i := len(q)
-	for i > 0 && q[i-1].seq > t.seq {
-		i--
-	}
-	t.dest.queue = slices.Insert(q, i, t)
+	bySeq := func(o *text, seq int64) int { return cmp.Compare(o.seq, seq) }
+	i, _ := slices.BinarySearchFunc(t.dest.queue, t.seq, bySeq)
+	t.dest.queue = slices.Insert(t.dest.queue, i, t)
 	if !t.dest.busy {
 		t.dest.busy = true
 		at, _ := slices.BinarySearchFunc(s.busy, t.dest.no, func(d *destination, no int) int { return d.no - no })
@@ -361,9 +358,7 @@
 	case b.limit == 0:
 		return int(b.window)
 	}
-	if b.left < 1 { // the hold is over: one call looks
-		b.left = 1
-	}
+	b.left = max(1, b.left) // the hold is over: one call looks
 	return int(min(float64(b.flight)+b.left, max(1, b.window)))
 }
 
@@ -529,10 +524,7 @@
 		if a.bucket != b.bucket { // routes apart: the free one with most allowance left
 			return int(math.Copysign(1, b.bucket.left-a.bucket.left))
 		}
-		if len(a.calls) != len(b.calls) {
-			return len(a.calls) - len(b.calls)
-		}
-		return int(b.used - a.used) // its connection is warm
+		return cmp.Or(len(a.calls)-len(b.calls), int(b.used-a.used)) // the latest used: its connection is warm
 	})
 	for _, t := range d.queue {
 		for _, r := range open {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -243,6 +243,17 @@
 	}
 }
 
+// Texts held past their SLA time took the calls that fresh texts of other senders were refused.
+func TestLateTextsAreRefusedWhereOthersTakeWhatFrees(t *testing.T) {
+	for senders, nacks := range map[string]int{"2": 0, "200": 1} { // a part of 20 and of 0.1 calls an SLA time
+		w := newWorld(1, Settings{"Instances": senders})
+		fill(w, 1, "free", 1)
+		w.advance(12000)
+		w.answer(w.outs()[0], Full, Second, 0, 10)
+		expect(t, w, "refused among "+senders, w.nacks, nacks)
+	}
+}
+
 // Eight calls refused at once counted as eight rounds lost.
 func TestRefusedTogetherCountOnce(t *testing.T) {
 	w := newWorld(1, nil)
