--- a/control/control.go
+++ b/control/control.go
@@ -770,7 +770,7 @@
 	return len(r.calls) > 0 && s.now-max(r.calls[0].sent, r.answered) > s.patience(r)
 }
 
-// Noted takes a note of another sender. None is sent: what senders see apart has not been found to help.
+// Noted takes a note of another sender. None is sent, so none is expected.
 func (s *Sender) Noted(int, []byte) {}
 
 // plan asks to be woken when time alone next changes what may be done.
