--- a/control/control.go
+++ b/control/control.go
@@ -227,17 +227,13 @@
 // finish closes a text; while a submit of it is out it is remembered, so that its end can be told apart.
 func (s *Sender) finish(t *text) {
 	t.over = true
-	if i := slices.Index(t.dest.queue, t); i >= 0 {
-		t.dest.queue = slices.Delete(t.dest.queue, i, i+1)
-	}
+	t.dest.queue = slices.DeleteFunc(t.dest.queue, func(o *text) bool { return o == t })
 	if t.out != nil {
 		return
 	}
 	delete(s.texts, t.id)
 	if k := s.keys[t.key]; k != nil && t.product.inOrder {
-		if i := slices.Index(k.texts, t); i >= 0 {
-			k.texts = slices.Delete(k.texts, i, i+1)
-		}
+		k.texts = slices.DeleteFunc(k.texts, func(o *text) bool { return o == t })
 		if len(k.texts) == 0 { // its rest may still run
 			over := func(_ string, k *keyLine) bool { return len(k.texts) == 0 && s.now >= k.restUntil }
 			maps.DeleteFunc(s.keys, over)
@@ -569,10 +565,15 @@
 }
 
 // timeout bounds a submit where giving up on it leaves time for another; else it may take its time. While
-// receivers that answer some calls lose others without a word, no answer is waited for long.
+// receivers that answer some calls lose others without a word, or on the last free slot, where the wait would
+// keep all others from going, no answer is waited for long.
 func (s *Sender) timeout(t *text) Time {
 	usual, end := s.usual(t), t.validUntil
-	long := Time(max(4, 15-220*s.lost) * float64(usual))
+	most := 15.0
+	if s.callsOut+1 >= s.slots {
+		most = 6
+	}
+	long := Time(max(4, most-220*s.lost) * float64(usual))
 	if t.product.repeat != "safe" {
 		end = min(end, s.repeatEnd(t), s.now+t.product.window) // no window: no repeat
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -243,6 +243,18 @@
 	}
 }
 
+// Silent receivers held every slot for their whole time-outs, and no text went anywhere else.
+func TestTheLastSlotIsNotWaitedForLong(t *testing.T) {
+	for slots, want := range map[string]Time{"12": 3 * Second / 2, "1": 6000} { // 15 and 6 usual calls of 0.1 s
+		w := newWorld(1, Settings{"Specifics.MaxCalls": slots})
+		a := w.take("a", "free", 1, "", 8*Second)
+		w.advance(1000)
+		w.answer(a, Delivered, 0, 1, 10)
+		b := w.take("b", "free", 1, "", 8*Second)
+		expect(t, w, "time-out with slots "+slots, b.outUntil-b.outAt, want)
+	}
+}
+
 // Texts held past their SLA time took the calls that fresh texts of other senders were refused.
 func TestLateTextsAreRefusedWhereOthersTakeWhatFrees(t *testing.T) {
 	for senders, nacks := range map[string]int{"2": 0, "200": 1} { // a part of 20 and of 0.1 calls an SLA time
