--- /dev/null
+++ b/cmd/emberquay/main.go
@@ -0,0 +1,66 @@
+// Command emberquay is one sender on sockets.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+
+	"emberquay/control"
+	"emberquay/internal/config"
+)
+
+var cli struct {
+	Serve   serveCmd   `cmd:"" help:"Serve clients until told to stop."`
+	Check   checkCmd   `cmd:"" help:"Read the configuration and say what it comes to."`
+	Version versionCmd `cmd:"" help:"Say which build this is."`
+}
+
+// where is the flag that the commands which read the configuration share.
+type where struct {
+	Config string `help:"The configuration file." env:"GW_CONFIG" required:"" type:"path"`
+}
+
+func (w where) read() (*config.Config, error) { return config.Read(w.Config, os.Getenv) }
+
+func main() {
+	ctx := kong.Parse(&cli, kong.Name("emberquay"), kong.Description("A delivery service for outbound texts."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
+
+type checkCmd struct{ where }
+
+func (c *checkCmd) Run() error {
+	conf, err := c.read()
+	if err != nil {
+		return err
+	}
+	if _, err := control.New(conf.Seed, conf.Settings, nil); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	l := conf.Limits
+	fmt.Printf("name=%s listen=%s discovery=%s state=%s settings=%d products=%d\n",
+		conf.Name, conf.Listen, conf.Discovery, conf.State, len(conf.Settings), len(conf.Products))
+	fmt.Printf("cores=%d memory=%d disk=%d client_conns=%d receiver_conns=%d slots=%d texts=%d\n",
+		l.Cores, l.MemoryBytes, l.DiskBytes, l.ClientConns, l.ReceiverConns, l.Slots, l.Texts)
+	return nil
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return fmt.Errorf("this build tells nothing of itself")
+	}
+	revision := "unknown"
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			revision = s.Value
+		}
+	}
+	fmt.Printf("emberquay %s revision=%s %s\n", info.Main.Version, revision, info.GoVersion)
+	return nil
+}
--- /dev/null
+++ b/cmd/emberquay/serve.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"emberquay/internal/clients"
+	"emberquay/internal/config"
+	"emberquay/internal/directory"
+	"emberquay/internal/ledger"
+	"emberquay/internal/notices"
+	"emberquay/internal/receivers"
+	"emberquay/internal/sender"
+)
+
+type serveCmd struct{ where }
+
+// Run puts the parts together and serves until SIGTERM or SIGINT.
+func (c *serveCmd) Run() error {
+	conf, err := c.read()
+	if err != nil {
+		return err
+	}
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds)
+	runtime.GOMAXPROCS(conf.Limits.Cores)
+	debug.SetMemoryLimit(conf.Limits.MemoryBytes * 6 / 10) // files, stacks and the program itself take the rest
+
+	kept, err := ledger.Open(conf.State, conf.Limits.DiskBytes)
+	if err != nil {
+		return err
+	}
+	s, err := sender.New(conf, kept, receivers.New(conf.Limits, conf.Reports))
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	// The list as last known goes in before anything that is owed is looked at.
+	tell := s.Known
+	list := directory.New(conf.Discovery, conf.Limits, func(n directory.News) { tell(n) })
+	if conf.Known != nil {
+		if err := list.Known(conf.Known); err != nil {
+			log.Printf("part=config event=bad_known err=%q", err)
+		}
+	}
+	tell = s.Listed
+	desk := notices.New(conf.Discovery, conf.Limits, s.Told)
+	s.Start(desk)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.Run(stop)
+	}()
+	go list.Run(ctx)
+	go desk.Run(ctx)
+
+	listener, err := net.Listen("tcp", conf.Listen)
+	if err != nil {
+		return err
+	}
+	front := clients.New(conf, s)
+	failed := make(chan error, 1)
+	go func() { failed <- front.Serve(listener) }()
+	log.Printf("part=serve event=ready name=%s listen=%s", conf.Name, conf.Listen)
+
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case err := <-failed:
+		return err
+	case sig := <-signals:
+		log.Printf("part=serve event=stopping signal=%s", sig)
+	}
+	windDown(conf.Limits, front, s)
+	cancel()
+	close(stop)
+	<-stopped
+	return s.CloseLedger()
+}
+
+// windDown serves what still comes, works on what is owed for as long as there is time, and leaves the
+// rest to the ledger.
+func windDown(limits config.Limits, front *clients.Server, s *sender.Sender) {
+	began := time.Now()
+	at := func(d time.Duration) <-chan time.Time { return time.After(time.Until(began.Add(d))) }
+	front.Linger()
+	<-at(limits.StopListen)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limits.StopEnd))
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		log.Printf("part=serve event=shutdown err=%q", err)
+	}
+	s.Stop()
+	select {
+	case <-s.Idle():
+	case <-at(limits.StopSubmit):
+		s.Freeze()
+		select {
+		case <-s.Idle():
+		case <-at(limits.StopEnd):
+		}
+	}
+	log.Printf("part=serve event=stopped after=%s", time.Since(began).Round(time.Millisecond))
+}
--- a/control/control.go
+++ b/control/control.go
@@ -181,7 +181,8 @@
 	}
 	s.seq++
 	t := &text{id: a.ID, seq: s.seq, product: p, dest: s.destination(a.Destination), key: a.Key,
-		validUntil: s.now + a.TimeLeft, wantedBy: s.now + p.sla - max(0, p.validity-a.TimeLeft)}
+		validUntil: s.now + a.TimeLeft, wantedBy: s.now + p.sla - max(0, p.validity-a.TimeLeft),
+		submits: a.Submits, mayHaveRun: a.RanSince > 0, ranSince: a.RanSince, ranZone: a.RanZone}
 	s.texts[t.id] = t
 	t.dest.arrived++
 	if p.inOrder && t.key != "" {
@@ -594,7 +595,9 @@
 func (s *Sender) answered(t *text, sub *submit, r Result) {
 	c := sub.call
 	t.out, t.next = nil, nil
-	s.told(c.to.bucket, r) // each text of a bundle may be told another wait, and all bind
+	if r.Outcome == Full && r.Wait > 0 { // one tenth longer, as the clock is rounded down; all of a bundle bind
+		c.to.bucket.waitUntil = max(c.to.bucket.waitUntil, s.now+r.Wait+1)
+	}
 	if !c.heard {
 		c.heard = true
 		s.learn(c.to, r, c.sent)
@@ -611,7 +614,7 @@
 		smooth(&t.dest.pace, float64(r.Took))
 		smooth(&t.product.pace, float64(r.Took))
 	}
-	if ran := r.Outcome != Full && r.Outcome != NoConnection && r.Outcome != Unsent; ran && !t.mayHaveRun {
+	if r.Outcome.MayHaveRun() && !t.mayHaveRun {
 		t.mayHaveRun, t.ranSince, t.ranZone = true, c.sent, c.to.zone
 	}
 	mayRunOn := r.Outcome == NoAnswer || r.Outcome == Lost || r.Outcome == Cancelled
@@ -628,6 +631,9 @@
 	}
 }
 
+// MayHaveRun: the outcome does not prove that the submit had no effect.
+func (o Outcome) MayHaveRun() bool { return o != Full && o != NoConnection && o != Unsent }
+
 func smooth(mean *float64, v float64) {
 	*mean = cmp.Or(*mean, v)
 	*mean += smoothing * (v - *mean)
@@ -690,13 +696,6 @@
 	}
 }
 
-// told keeps a told wait, one tenth longer as the clock is rounded down.
-func (s *Sender) told(b *bucket, res Result) {
-	if res.Outcome == Full && res.Wait > 0 {
-		b.waitUntil = max(b.waitUntil, s.now+res.Wait+1)
-	}
-}
-
 // reported takes a reported allowance: at nought the bucket holds.
 func (s *Sender) reported(b *bucket, report []float64) {
 	names := strings.Split(s.set["Report.Names"], ",")
--- a/control/interface.go
+++ b/control/interface.go
@@ -34,6 +34,11 @@
 	Key         string
 	Retry       bool // the client hands it in again
 	Returned    bool // a sender died holding it
+
+	// What this sender had done for it before it restarted.
+	Submits  int
+	RanSince Time   // when the first submit that may have run was sent; 0: none
+	RanZone  string // and the zone it went to
 }
 
 // Listing says how the list speaks of a receiver.
--- /dev/null
+++ b/internal/clients/clients.go
@@ -0,0 +1,197 @@
+// Package clients takes texts from clients, on net/http's server.
+package clients
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"emberquay/control"
+	"emberquay/internal/config"
+	"emberquay/internal/ledger"
+	"emberquay/internal/sender"
+)
+
+// The paths and headers of a hand-in.
+const (
+	textPath       = "/api"
+	readyPath      = "/up"
+	idHeader       = "X-Call-Id"
+	productHeader  = "X-Call-Class"
+	budgetHeader   = "X-Budget"
+	envelopeHeader = "X-Envelope"
+	markHeader     = "Idempotency-Key"
+	againHeader    = "X-Again"
+)
+
+// tick is the module's unit of time.
+const tick = time.Second / time.Duration(control.Second)
+
+// Taker takes texts on.
+type Taker interface {
+	Hand(t *ledger.Text, reply chan<- sender.Answer) bool
+	Withdraw(t *ledger.Text)
+}
+
+// Server is the clients' side. Each connection has a goroutine, and each hand-in a mailbox for its answer.
+type Server struct {
+	limits   config.Limits
+	products map[string]bool
+	taker    Taker
+	http     *http.Server
+	conns    *conns
+	stopping atomic.Bool
+}
+
+// New makes the server; the settings name the products.
+func New(c *config.Config, taker Taker) *Server {
+	s := &Server{limits: c.Limits, products: c.Products, taker: taker, conns: newConns(c.Limits.ClientConns)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+textPath, s.hand)
+	mux.HandleFunc("GET "+readyPath, s.ready)
+	s.http = &http.Server{
+		Handler: mux, ReadHeaderTimeout: c.Limits.ReadHeader, ReadTimeout: c.Limits.ReadHeader,
+		IdleTimeout: c.Limits.ClientIdle, MaxHeaderBytes: c.Limits.Header,
+		ConnState: s.conns.changed, ErrorLog: log.Default(),
+	}
+	return s
+}
+
+// Serve answers until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(s.conns.listen(l)); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Open counts the clients' connections.
+func (s *Server) Open() int { return s.conns.count() }
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if s.stopping.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// hand answers one hand-in: whatever was read whole gets an answer.
+func (s *Server) hand(w http.ResponseWriter, r *http.Request) {
+	t, status, err := s.text(r, time.Now())
+	if err != nil {
+		http.Error(w, err.Error(), status)
+		return
+	}
+	reply := make(chan sender.Answer, 1)
+	if !s.taker.Hand(t, reply) {
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case a := <-reply:
+		if s.answer(w, a) != nil && a.Verdict == sender.Taken {
+			s.taker.Withdraw(t) // it never heard that the text was taken on
+		}
+	case <-r.Context().Done():
+		s.taker.Withdraw(t)
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, a sender.Answer) error {
+	w.Header().Set("Content-Length", "0")
+	switch a.Verdict {
+	case sender.Taken:
+		w.WriteHeader(http.StatusAccepted)
+	case sender.Nacked:
+		if a.ComeBack > 0 {
+			w.Header().Set("Retry-After", seconds(a.ComeBack))
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusUnprocessableEntity)
+	}
+	return http.NewResponseController(w).Flush()
+}
+
+// seconds writes a wait with decimals, rounded up.
+func seconds(t control.Time) string {
+	ms := math.Ceil(float64(t) * 1000 / float64(control.Second))
+	return strconv.FormatFloat(ms/1000, 'f', 3, 64)
+}
+
+// text takes out of a hand-in what decisions need; the body and the mark stay as they came.
+func (s *Server) text(r *http.Request, came time.Time) (*ledger.Text, int, error) {
+	bad := func(header, what string) (*ledger.Text, int, error) {
+		return nil, http.StatusBadRequest, fmt.Errorf("%s: %s", header, what)
+	}
+	t := &ledger.Text{ID: r.Header.Get(idHeader), Product: r.Header.Get(productHeader),
+		Mark: r.Header.Get(markHeader)}
+	if t.ID == "" || len(t.ID) > mostID {
+		return bad(idHeader, "missing or too long")
+	}
+	if len(t.Mark) > mostID {
+		return bad(markHeader, "too long")
+	}
+	if !s.products[t.Product] {
+		return bad(productHeader, fmt.Sprintf("%q is not known", t.Product))
+	}
+	budget, err := strconv.ParseFloat(r.Header.Get(budgetHeader), 64)
+	if err != nil || !(budget >= 0 && budget <= mostBudget) {
+		return bad(budgetHeader, fmt.Sprintf("%q is no time in seconds", r.Header.Get(budgetHeader)))
+	}
+	left := control.Time(budget * float64(control.Second)) // rounded down
+	t.ValidUntil = control.Time(came.UnixNano()/int64(tick)) + left
+	dest, err := destination(r.Header.Get(envelopeHeader))
+	if err != nil {
+		return bad(envelopeHeader, err.Error())
+	}
+	t.Destination = dest
+	switch again := r.Header.Get(againHeader); again {
+	case "", "0":
+	case "1":
+		t.Retry = true
+	case "again":
+		t.Returned = true
+	default:
+		return bad(againHeader, fmt.Sprintf("%q is not known", again))
+	}
+	if r.ContentLength > s.limits.Body {
+		return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too large")
+	}
+	if r.ContentLength >= 0 { // net/http reads no more than that
+		t.Body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, t.Body)
+	} else if t.Body, err = io.ReadAll(io.LimitReader(r.Body, s.limits.Body+1)); int64(len(t.Body)) > s.limits.Body {
+		return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too large")
+	}
+	if err != nil {
+		return bad("body", "cut short")
+	}
+	return t, 0, nil
+}
+
+const (
+	mostID     = 256
+	mostBudget = 1e6 // seconds
+)
+
+// destination finds dest=N in an envelope.
+func destination(envelope string) (int64, error) {
+	for _, part := range strings.FieldsFunc(envelope, func(r rune) bool { return strings.ContainsRune(",; ", r) }) {
+		if v, ok := strings.CutPrefix(part, "dest="); ok {
+			n, err := strconv.ParseInt(v, 10, 64)
+			if err != nil {
+				return 0, fmt.Errorf("dest %q is no number", v)
+			}
+			return n, nil
+		}
+	}
+	return 0, errors.New("dest is missing")
+}
--- /dev/null
+++ b/internal/clients/conns.go
@@ -0,0 +1,100 @@
+package clients
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// conns counts the clients' connections. At the cap the one longest idle is closed for a new one; if none
+// is idle the new one waits.
+type conns struct {
+	free chan struct{} // one token for each connection that may still come
+	most int
+
+	mu   sync.Mutex
+	idle map[net.Conn]time.Time
+}
+
+func newConns(most int) *conns {
+	c := &conns{free: make(chan struct{}, most), most: most, idle: map[net.Conn]time.Time{}}
+	for range most {
+		c.free <- struct{}{}
+	}
+	return c
+}
+
+func (c *conns) count() int { return c.most - len(c.free) }
+
+// changed is the server's hook.
+func (c *conns) changed(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.idle, conn)
+	if state == http.StateIdle {
+		c.idle[conn] = time.Now()
+	}
+}
+
+// makeRoom closes the connection that has been idle longest.
+func (c *conns) makeRoom() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var oldest net.Conn
+	for conn, since := range c.idle {
+		if oldest == nil || since.Before(c.idle[oldest]) {
+			oldest = conn
+		}
+	}
+	if oldest != nil {
+		delete(c.idle, oldest)
+		oldest.Close()
+	}
+}
+
+func (c *conns) listen(l net.Listener) net.Listener { return &listener{l, c} }
+
+type listener struct {
+	net.Listener
+	conns *conns
+}
+
+// Accept takes a connection once there is room for it.
+func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-l.conns.free:
+	default:
+		log.Printf("part=clients event=full conns=%d", l.conns.most)
+		l.conns.makeRoom()
+		<-l.conns.free
+	}
+	return &counted{Conn: conn, conns: l.conns}, nil
+}
+
+// counted gives its place back once.
+type counted struct {
+	net.Conn
+	conns *conns
+	once  sync.Once
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { c.conns.free <- struct{}{} })
+	return c.Conn.Close()
+}
+
+// Linger: the process is to end. Connections close after their next answer; new ones still come.
+func (s *Server) Linger() {
+	s.stopping.Store(true)
+	s.http.SetKeepAlivesEnabled(false)
+}
+
+// Shutdown takes no new connections and waits for the answers under way.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,305 @@
+// Package config is the one place where a sender's configuration is read, checked and given defaults.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"emberquay/control"
+)
+
+// Config is all that a sender is started with.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string // where the list is told and notices go
+	State     string // the folder that lasts
+	Seed      uint64
+	Settings  control.Settings
+	Products  map[string]bool // that the settings name
+	Reports   []string        // the names of the values that an answer may report, in order
+	Known     json.RawMessage // the list as this sender had it last, in discovery's form; nil if none
+	Limits    Limits
+}
+
+// Limits are the sizes, counts and times that the parts of a sender keep to.
+type Limits struct {
+	Cores       int
+	MemoryBytes int64
+	DiskBytes   int64
+
+	ClientConns   int // open connections on the clients' side
+	ReceiverConns int // and on the receivers', those being opened too
+	Slots         int // calls out at once
+	Texts         int // held at once
+	Mailbox       int // messages waiting for one actor
+	Body          int64
+	Header        int
+
+	Answer       time.Duration // a client hears of its text within this
+	ReadHeader   time.Duration
+	ClientIdle   time.Duration
+	Dial         time.Duration
+	ReceiverIdle time.Duration
+	Drain        time.Duration // to read the rest of an answer whose outcome is known
+	ListSilence  time.Duration // with not even a heartbeat: the watch is made anew
+	Notice       time.Duration // for the platform to take notices
+	RetryLeast   time.Duration // between tries of one peer, doubled up to RetryMost
+	RetryMost    time.Duration
+
+	StopListen time.Duration // after a request to stop: no new connections from then on
+	StopSubmit time.Duration // no new submits
+	StopEnd    time.Duration // the end, whatever is still owed
+}
+
+// file is the configuration as it is written down.
+type file struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	State     string          `json:"state"`
+	Seed      string          `json:"seed"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+	Limits    struct {
+		Cores    *float64 `json:"cores"`
+		MemoryMB *float64 `json:"memory_mb"`
+		Sockets  *float64 `json:"sockets"`
+		DiskMB   *float64 `json:"disk_mb"`
+	} `json:"limits"`
+}
+
+// Read reads the file at a path; what the environment tells goes before it. A fault names its key.
+func Read(path string, env func(string) string) (*Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := Parse(raw, env)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse is Read for the text itself.
+func Parse(raw []byte, env func(string) string) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(raw, &f); err != nil {
+		var kind *json.UnmarshalTypeError
+		if errors.As(err, &kind) {
+			return nil, fmt.Errorf("%s: a %s does not belong here", kind.Field, kind.Value)
+		}
+		return nil, fmt.Errorf("not JSON: %w", err)
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, State: f.State, Known: f.Known}
+	if string(c.Known) == "null" {
+		c.Known = nil
+	}
+	for _, k := range []struct {
+		key, env string
+		at       *string
+		address  bool
+	}{
+		{"name", "GW_NAME", &c.Name, false},
+		{"listen", "GW_LISTEN", &c.Listen, true},
+		{"discovery", "GW_DISCOVERY", &c.Discovery, true},
+		{"state", "GW_STATE", &c.State, false},
+	} {
+		if v := env(k.env); v != "" {
+			*k.at = v
+		}
+		if *k.at == "" {
+			return nil, fmt.Errorf("%s: missing, and %s is not set", k.key, k.env)
+		}
+		if _, _, err := net.SplitHostPort(*k.at); k.address && err != nil {
+			return nil, fmt.Errorf("%s: %q is no host:port", k.key, *k.at)
+		}
+	}
+	if f.Seed != "" {
+		seed, err := strconv.ParseUint(f.Seed, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("seed: %q is not up to 16 hex digits", f.Seed)
+		}
+		c.Seed = seed
+	}
+	settings, err := flatten(f.Settings)
+	if err != nil {
+		return nil, err
+	}
+	c.Settings = settings
+	if err := c.names(); err != nil {
+		return nil, err
+	}
+	return c, c.limits(&f)
+}
+
+// names takes from the settings what is called by name on the wire.
+func (c *Config) names() error {
+	c.Products = map[string]bool{}
+	count, err := c.whole("RequestClasses.count", 0)
+	if err != nil || count == 0 {
+		return errors.New("settings.RequestClasses: no product is named")
+	}
+	for i := range count {
+		key := fmt.Sprintf("RequestClasses.%d.Name", i)
+		name := c.Settings[key]
+		if name == "" || c.Products[name] {
+			return fmt.Errorf("settings.%s: %q is empty or named twice", key, name)
+		}
+		c.Products[name] = true
+	}
+	if row := c.Settings["Report.Names"]; row != "" {
+		c.Reports = strings.Split(row, ",")
+	}
+	return nil
+}
+
+// limits fills Limits: from the machine's limits, the settings and defaults.
+func (c *Config) limits(f *file) error {
+	number := func(key string, v *float64, otherwise, least float64) (float64, error) {
+		switch {
+		case v == nil:
+			return otherwise, nil
+		case *v < least:
+			return 0, fmt.Errorf("limits.%s: %v is under %v", key, *v, least)
+		}
+		return *v, nil
+	}
+	cores, err1 := number("cores", f.Limits.Cores, 1, 0.01)
+	memory, err2 := number("memory_mb", f.Limits.MemoryMB, 192, 32)
+	sockets, err3 := number("sockets", f.Limits.Sockets, 1024, 64)
+	disk, err4 := number("disk_mb", f.Limits.DiskMB, 3, 0.1)
+	if err := errors.Join(err1, err2, err3, err4); err != nil {
+		return err
+	}
+	slots, err1 := c.whole("Specifics.MaxCalls", 64)
+	texts, err2 := c.whole("Permissions.MaxOpen", 1024)
+	idle, err3 := c.micros("Permissions.ConnIdleUs", 30*time.Second)
+	dial, err4 := c.micros("Permissions.DialTimeoutUs", time.Second)
+	if err := errors.Join(err1, err2, err3, err4); err != nil {
+		return err
+	}
+	c.Limits = Limits{
+		Cores: max(1, int(cores+0.999)), MemoryBytes: int64(memory * 1e6), DiskBytes: int64(disk * 1e6),
+		ClientConns: int(sockets) / 2, ReceiverConns: int(sockets) * 3 / 8, Slots: slots, Texts: texts,
+		Mailbox: 1024, Body: 64 << 10, Header: 16 << 10,
+		Answer: 300 * time.Millisecond, ReadHeader: 10 * time.Second, ClientIdle: 2 * time.Minute,
+		Dial: dial, ReceiverIdle: idle * 4 / 5, // a request that crosses the receiver's own close is lost
+		Drain: 100 * time.Millisecond, ListSilence: 7 * time.Second, Notice: 2 * time.Second,
+		RetryLeast: 50 * time.Millisecond, RetryMost: time.Second,
+		StopListen: 600 * time.Millisecond, StopSubmit: 2200 * time.Millisecond, StopEnd: 3200 * time.Millisecond,
+	}
+	return nil
+}
+
+func (c *Config) whole(key string, otherwise int) (int, error) {
+	v, ok := c.Settings[key]
+	if !ok {
+		return otherwise, nil
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || n < 1 || n > 1e6 {
+		return 0, fmt.Errorf("settings.%s: %q is no count from 1 to 1000000", key, v)
+	}
+	return int(n), nil
+}
+
+func (c *Config) micros(key string, otherwise time.Duration) (time.Duration, error) {
+	v, ok := c.Settings[key]
+	if !ok {
+		return otherwise, nil
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || n <= 0 || n > 1e12 {
+		return 0, fmt.Errorf("settings.%s: %q is no time above nought", key, v)
+	}
+	return time.Duration(n * float64(time.Microsecond)), nil
+}
+
+// flatten turns nested settings into the wire's plain map: paths joined by dots, plain lists by commas,
+// lists of objects counted and numbered.
+func flatten(raw json.RawMessage) (control.Settings, error) {
+	if len(raw) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.UseNumber() // numbers stay as they are written
+	var tree map[string]any
+	if err := dec.Decode(&tree); err != nil || tree == nil {
+		return nil, errors.New("settings: no object")
+	}
+	set := control.Settings{}
+	return set, walk(set, "", tree)
+}
+
+func walk(set control.Settings, path string, v any) error {
+	switch v := v.(type) {
+	case map[string]any:
+		for name, inner := range v {
+			at := name
+			if path != "" {
+				at = path + "." + name
+			}
+			if err := walk(set, at, inner); err != nil {
+				return err
+			}
+		}
+	case []any:
+		return list(set, path, v)
+	default:
+		plain, err := scalar(path, v)
+		set[path] = plain
+		return err
+	}
+	return nil
+}
+
+func list(set control.Settings, path string, all []any) error {
+	var row []byte
+	for i, v := range all {
+		if _, object := v.(map[string]any); object {
+			set[path+".count"] = strconv.Itoa(len(all))
+			if err := walk(set, fmt.Sprintf("%s.%d", path, i), v); err != nil {
+				return err
+			}
+			continue
+		}
+		plain, err := scalar(fmt.Sprintf("%s.%d", path, i), v)
+		if err != nil {
+			return err
+		}
+		if i > 0 {
+			row = append(row, ',')
+		}
+		row = append(row, plain...)
+	}
+	if _, objects := set[path+".count"]; !objects {
+		set[path] = string(row)
+	}
+	return nil
+}
+
+func scalar(path string, v any) (string, error) {
+	switch v := v.(type) {
+	case nil:
+		return "", nil
+	case string:
+		return string(bytes.Map(func(r rune) rune {
+			if r == ' ' || r == ',' {
+				return '_'
+			}
+			return r
+		}, []byte(v))), nil
+	case bool, json.Number:
+		return fmt.Sprint(v), nil
+	}
+	return "", fmt.Errorf("settings.%s: a list in a list", path)
+}
--- /dev/null
+++ b/internal/directory/watch.go
@@ -0,0 +1,188 @@
+package directory
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"time"
+
+	"emberquay/internal/config"
+)
+
+const listPath = "/discovery/hosts"
+
+// Directory is the actor of the list. Its mailbox takes the lines of the watch; what they say is told in
+// order, by one goroutine.
+type Directory struct {
+	base    string
+	limits  config.Limits
+	client  *http.Client
+	numbers numbers
+	version int64
+	whole   bool // the whole list is wanted: there is none yet, or a change was missed
+	tell    func(News)
+}
+
+// New makes the actor; news goes to tell.
+func New(addr string, limits config.Limits, tell func(News)) *Directory {
+	return &Directory{base: "http://" + addr + listPath, limits: limits, numbers: numbers{}, whole: true, tell: tell,
+		client: &http.Client{
+			Transport:     &http.Transport{DisableCompression: true},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}}
+}
+
+// Known tells the list as this sender had it last, before Run.
+func (d *Directory) Known(raw []byte) error {
+	l, err := parse(raw)
+	if err != nil {
+		return err
+	}
+	l.Full = true
+	d.version, d.whole = l.Version, false
+	d.tell(d.numbers.news(l))
+	return nil
+}
+
+// Run follows the list until the context ends. A watch that ends or falls silent is made anew.
+func (d *Directory) Run(ctx context.Context) {
+	pause := d.limits.RetryLeast
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := d.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if time.Since(began) > d.limits.RetryMost {
+			pause = d.limits.RetryLeast
+		}
+		log.Printf("part=directory event=watch_ended version=%d err=%q", d.version, err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, d.limits.RetryMost)
+	}
+}
+
+// follow keeps one watch, with the whole list before it where that is wanted.
+func (d *Directory) follow(parent context.Context) error {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	mail := make(chan line, d.limits.Mailbox/16)
+	go d.lines(ctx, mail, d.whole, d.version)
+	silence := time.NewTimer(d.limits.ListSilence)
+	defer silence.Stop()
+	for {
+		select {
+		case <-silence.C:
+			return errors.New("silent")
+		case l, more := <-mail:
+			if !more {
+				return io.EOF
+			}
+			if l.err != nil {
+				return l.err
+			}
+			silence.Reset(d.limits.ListSilence)
+			if err := d.take(l.text); err != nil {
+				d.whole = true // a change is lost with it
+				return err
+			}
+		}
+	}
+}
+
+// take tells what one line says; an empty one only that the watch lives.
+func (d *Directory) take(text []byte) error {
+	if len(bytes.TrimSpace(text)) == 0 {
+		return nil
+	}
+	l, err := parse(text)
+	if err != nil {
+		return err
+	}
+	if !l.Full && (d.whole || l.Version < d.version) { // changes to a list that is not this one
+		return fmt.Errorf("a change to version %d after version %d", l.Version, d.version)
+	}
+	d.version = l.Version
+	if l.Full {
+		d.whole = false
+	}
+	d.tell(d.numbers.news(l))
+	return nil
+}
+
+// line is one of the watch, or why it ended.
+type line struct {
+	text []byte
+	err  error
+}
+
+// lines fills the mailbox from the platform: the whole list if wanted, then the changes after it.
+func (d *Directory) lines(ctx context.Context, mail chan<- line, whole bool, version int64) {
+	defer close(mail)
+	post := func(l line) bool {
+		select {
+		case mail <- l:
+			return l.err == nil
+		case <-ctx.Done():
+			return false
+		}
+	}
+	if whole {
+		body, err := d.get(ctx, d.base)
+		if err != nil {
+			post(line{err: err})
+			return
+		}
+		text, err := io.ReadAll(io.LimitReader(body, mostList))
+		body.Close()
+		if l, bad := parse(text); err == nil && bad == nil {
+			version = l.Version
+		}
+		if !post(line{text, err}) {
+			return
+		}
+	}
+	body, err := d.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", d.base, version))
+	if err != nil {
+		post(line{err: err})
+		return
+	}
+	defer body.Close()
+	in := bufio.NewScanner(body)
+	in.Buffer(make([]byte, 0, 4096), mostList)
+	for in.Scan() {
+		if !post(line{text: bytes.Clone(in.Bytes())}) {
+			return
+		}
+	}
+	if err := in.Err(); err != nil {
+		post(line{err: err})
+	}
+}
+
+// mostList bounds what is read as one list.
+const mostList = 4 << 20
+
+func (d *Directory) get(ctx context.Context, url string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("the platform answered %s", resp.Status)
+	}
+	return resp.Body, nil
+}
--- /dev/null
+++ b/internal/notices/notices.go
@@ -0,0 +1,136 @@
+// Package notices tells the platform how texts ended that were taken on and not delivered.
+package notices
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"time"
+
+	"emberquay/control"
+	"emberquay/internal/config"
+	"emberquay/internal/ledger"
+)
+
+const noticePath = "/v2/finals"
+
+// Desk is the actor that sends notices, several at once where they have gathered, each until it is taken.
+type Desk struct {
+	url    string
+	limits config.Limits
+	mail   chan *ledger.Notice
+	told   func(ids []string) // they have arrived
+	client *http.Client
+}
+
+// New makes the actor; told hears of what has arrived. Owed notices fit in the mailbox beside the texts held.
+func New(addr string, limits config.Limits, told func([]string)) *Desk {
+	return &Desk{url: "http://" + addr + noticePath, limits: limits, told: told,
+		mail: make(chan *ledger.Notice, 2*limits.Texts+limits.Mailbox),
+		client: &http.Client{
+			Transport:     &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1},
+			Timeout:       limits.Notice,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}}
+}
+
+// Post hands over a notice without waiting; false if there is no room.
+func (d *Desk) Post(n *ledger.Notice) bool {
+	select {
+	case d.mail <- n:
+		return true
+	default:
+		return false
+	}
+}
+
+// wire is one notice as it is written.
+type wire struct {
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+	RetryMs int64  `json:"retry_in_ms,omitempty"`
+}
+
+// Run sends what is posted until the context ends.
+func (d *Desk) Run(ctx context.Context) {
+	var due []*ledger.Notice
+	pause := d.limits.RetryLeast
+	for {
+		if len(due) == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case n := <-d.mail:
+				due = append(due, n)
+			}
+		}
+		for more := true; more && len(due) < d.limits.Mailbox; {
+			select {
+			case n := <-d.mail:
+				due = append(due, n)
+			default:
+				more = false
+			}
+		}
+		// After a fault one goes alone, and to the back if it fails: none may hold up the others for ever.
+		batch := len(due)
+		if pause > d.limits.RetryLeast {
+			batch = 1
+		}
+		if err := d.send(ctx, due[:batch]); err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			log.Printf("part=notices event=not_taken count=%d err=%q", batch, err)
+			due = append(due[batch:], due[:batch]...)
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(pause):
+			}
+			pause = min(2*pause, d.limits.RetryMost)
+			continue
+		}
+		pause = d.limits.RetryLeast
+		ids := make([]string, batch)
+		for i, n := range due[:batch] {
+			ids[i] = n.ID
+		}
+		due = append(due[:0], due[batch:]...)
+		d.told(ids)
+	}
+}
+
+func (d *Desk) send(ctx context.Context, batch []*ledger.Notice) error {
+	var body bytes.Buffer
+	lines := json.NewEncoder(&body)
+	lines.SetEscapeHTML(false)
+	for _, n := range batch {
+		w := wire{Message: n.ID, Outcome: "given_up"}
+		if n.Nack {
+			const perMs = control.Second / 1000
+			w.Outcome, w.RetryMs = "handed_back", int64((n.Delay+perMs-1)/perMs)
+		}
+		if err := lines.Encode(w); err != nil {
+			return err
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url, &body)
+	if err != nil {
+		return err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(resp.Body, d.limits.Body))
+	if resp.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("the platform answered %s", resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/receivers/call.go
@@ -0,0 +1,215 @@
+package receivers
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"emberquay/control"
+)
+
+// The paths and headers of a call.
+const (
+	callPath     = "/events"
+	idHeader     = "X-Call-Id"
+	markHeader   = "Idempotency-Key"
+	budgetHeader = "X-Budget"
+	waitHeader   = "X-Retry-In-Ms"
+	noSlotHeader = "X-No-Slot"
+	reportHeader = "X-Load-Report"
+)
+
+// tick is the module's unit of time.
+const tick = time.Second / time.Duration(control.Second)
+
+// Call is one submit of a text.
+type Call struct {
+	Text string
+	Mark string // by which the receiver knows a repeat; may be empty
+	Body []byte
+	Wait time.Duration // for the answer
+	Done func(control.Result)
+
+	addr   string
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+}
+
+// NewCall makes a call that Cancel can call off from the start.
+func NewCall(text, mark string, body []byte, wait time.Duration, done func(control.Result)) *Call {
+	c := &Call{Text: text, Mark: mark, Body: body, Wait: wait, Done: done}
+	c.ctx, c.cancel = context.WithCancelCause(context.Background())
+	return c
+}
+
+var (
+	errCancelled = errors.New("called off")
+	errTooLong   = errors.New("no answer in time")
+	errTooMany   = errors.New("too many connections")
+)
+
+// Cancel gives the call up; its connection is closed.
+func (c *Call) Cancel() { c.cancel(errCancelled) }
+
+// onceBody is read once: it hides from http.Transport that the body could be had again. A request with an
+// idempotency key is else sent a second time by the transport itself when its connection breaks, and the
+// receiver counts that as a second submit. An empty body must be one too, as http.NoBody is always had again.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// call makes the call and tells its result once.
+func (p *peer) call(c *Call) {
+	began := time.Now()
+	timer := time.AfterFunc(c.Wait, func() { c.cancel(errTooLong) })
+	defer timer.Stop()
+	defer c.cancel(nil)
+	var connected, wrote, cut atomic.Bool
+	ctx := httptrace.WithClientTrace(c.ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		WroteRequest: func(w httptrace.WroteRequestInfo) {
+			if w.Err == nil {
+				wrote.Store(true)
+			} else {
+				cut.Store(true)
+			}
+		},
+	})
+	req := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: c.addr, Path: callPath},
+		Host: c.addr, Header: http.Header{idHeader: {c.Text}, budgetHeader: {seconds(c.Wait)}},
+		Body: onceBody{bytes.NewReader(c.Body)}, ContentLength: int64(len(c.Body)),
+	}
+	if c.Mark != "" {
+		req.Header[markHeader] = []string{c.Mark}
+	}
+	var r control.Result
+	resp, err := p.transport.RoundTrip(req.WithContext(ctx)) // and no redirects
+	took := time.Since(began)
+	if err != nil {
+		r.Outcome = failure(context.Cause(c.ctx), connected.Load(), wrote.Load(), cut.Load())
+		if errors.Is(err, errTooMany) {
+			r.Outcome = control.Unsent
+		}
+		if !errors.Is(err, errTooLong) && !errors.Is(err, errCancelled) {
+			log.Printf("part=receivers event=call_failed addr=%s outcome=%d err=%q", c.addr, r.Outcome, err)
+		}
+	} else {
+		r = p.read(resp)
+		// The rest is read first, so that the connection is free for whoever is let go by the result.
+		drain := time.AfterFunc(p.fleet.limits.Drain, func() { c.cancel(nil) })
+		if n, _ := io.CopyN(io.Discard, resp.Body, p.fleet.limits.Body+1); n > p.fleet.limits.Body {
+			log.Printf("part=receivers event=long_answer addr=%s", c.addr)
+		}
+		drain.Stop()
+		resp.Body.Close()
+	}
+	r.Took = control.Time(took / tick)
+	c.Done(r)
+}
+
+// failure says what an answer that never came means. Only a request that was surely not written whole is
+// sure not to have run.
+func failure(cause error, connected, wrote, cut bool) control.Outcome {
+	gaveUp := errors.Is(cause, errTooLong) || errors.Is(cause, errCancelled)
+	switch {
+	case !connected, cut && !wrote:
+		return control.NoConnection
+	case !wrote && !gaveUp: // the transport ends its writing before it tells of a broken connection
+		return control.NoConnection
+	case errors.Is(cause, errTooLong):
+		return control.NoAnswer
+	case errors.Is(cause, errCancelled):
+		return control.Cancelled
+	}
+	return control.Lost
+}
+
+// read takes from an answer what the module needs.
+func (p *peer) read(resp *http.Response) control.Result {
+	r := control.Result{Report: p.report(resp.Header.Get(reportHeader))}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		r.Outcome, r.Closed = control.Delivered, true
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		r.Outcome = control.Full
+		if resp.Header.Get(noSlotHeader) == "1" {
+			r.Outcome = control.Unsent
+		}
+		if v := resp.Header.Get(waitHeader); v != "" && r.Outcome == control.Full {
+			ms, err := strconv.ParseFloat(v, 64)
+			if err != nil || !(ms >= 0) || ms > 1e9 {
+				log.Printf("part=receivers event=bad_wait addr=%s value=%q", resp.Request.URL.Host, v)
+				break
+			}
+			r.Wait = control.Time(math.Ceil(ms * float64(time.Millisecond/tick)))
+		}
+	case http.StatusGatewayTimeout:
+		r.Outcome = control.Unsent
+	case http.StatusGone:
+		r.Outcome, r.Closed = control.Unsent, true
+	default:
+		r.Outcome = control.Errored
+		if resp.StatusCode != http.StatusInternalServerError {
+			log.Printf("part=receivers event=odd_answer addr=%s status=%d", resp.Request.URL.Host, resp.StatusCode)
+		}
+	}
+	return r
+}
+
+// report reads "name=value,..." into the order of the settings; what is left out is NaN.
+func (p *peer) report(text string) []float64 {
+	if text == "" {
+		return nil
+	}
+	row := make([]float64, len(p.fleet.names))
+	for i := range row {
+		row[i] = math.NaN()
+	}
+	for _, pair := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(v >= 0) || math.IsInf(v, 0) {
+			log.Printf("part=receivers event=bad_report value=%q", text)
+			return nil
+		}
+		for i, n := range p.fleet.names {
+			if n == name {
+				row[i] = v
+			}
+		}
+	}
+	return row
+}
+
+// seconds writes a time as the protocol does, rounded down.
+func seconds(d time.Duration) string {
+	return strconv.FormatFloat(math.Floor(max(0, d).Seconds()*1e4)/1e4, 'f', 4, 64)
+}
+
+// dial opens a connection within the limits.
+func (p *peer) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if p.fleet.open.Add(1) > int64(p.fleet.limits.ReceiverConns) {
+		p.fleet.open.Add(-1)
+		return nil, fmt.Errorf("%w: %d", errTooMany, p.fleet.limits.ReceiverConns)
+	}
+	d := net.Dialer{Timeout: p.fleet.limits.Dial, KeepAlive: -1}
+	c, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		p.fleet.open.Add(-1)
+		return nil, err
+	}
+	return &conn{Conn: c, fleet: p.fleet}, nil
+}
--- /dev/null
+++ b/internal/receivers/receivers.go
@@ -0,0 +1,119 @@
+// Package receivers speaks with the destinations' endpoints: one actor for each, and one call for each
+// submit, over http.Transport.
+package receivers
+
+import (
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"emberquay/control"
+	"emberquay/internal/config"
+)
+
+// Fleet holds the receivers that the list names. One goroutine uses it, the module's actor.
+type Fleet struct {
+	limits config.Limits
+	names  []string // of the values of a report, in order
+	peers  map[control.ReceiverID]*peer
+	open   atomic.Int64 // connections, all receivers together
+}
+
+// New makes a fleet that knows no receiver. Names are those of the values that a report may hold.
+func New(limits config.Limits, names []string) *Fleet {
+	return &Fleet{limits: limits, names: names, peers: map[control.ReceiverID]*peer{}}
+}
+
+// Listed tells where a receiver is.
+func (f *Fleet) Listed(id control.ReceiverID, addr string) {
+	p := f.peers[id]
+	if p == nil {
+		p = f.newPeer(addr)
+		f.peers[id] = p
+	}
+	if p.addr != addr {
+		p.addr = addr
+		p.post(p.transport.CloseIdleConnections)
+	}
+}
+
+// Gone: the list does not name the receiver any more. Calls that are out end by themselves.
+func (f *Fleet) Gone(id control.ReceiverID) {
+	if p := f.peers[id]; p != nil {
+		delete(f.peers, id)
+		close(p.mail)
+	}
+}
+
+// Submit hands a call to a receiver's actor; false if the receiver is unknown or its mailbox is full.
+func (f *Fleet) Submit(to control.ReceiverID, c *Call) bool {
+	p := f.peers[to]
+	if p == nil {
+		return false
+	}
+	c.addr = p.addr
+	return p.post(func() { go p.call(c) })
+}
+
+// Close closes the idle connections to a receiver.
+func (f *Fleet) Close(to control.ReceiverID) {
+	if p := f.peers[to]; p != nil {
+		p.post(p.transport.CloseIdleConnections)
+	}
+}
+
+// Open counts the connections to all receivers.
+func (f *Fleet) Open() int { return int(f.open.Load()) }
+
+// peer is one receiver. Its actor takes what is posted in order; each call then has a goroutine, which the
+// module's slots bound.
+type peer struct {
+	fleet     *Fleet
+	addr      string // read and written by the fleet's goroutine alone
+	mail      chan func()
+	transport *http.Transport
+}
+
+func (f *Fleet) newPeer(addr string) *peer {
+	p := &peer{fleet: f, addr: addr, mail: make(chan func(), 2*f.limits.Slots+8)}
+	p.transport = &http.Transport{
+		DialContext:            p.dial,
+		DisableCompression:     true, // the bytes stay as they came
+		MaxIdleConnsPerHost:    f.limits.Slots,
+		IdleConnTimeout:        f.limits.ReceiverIdle,
+		MaxResponseHeaderBytes: int64(f.limits.Header),
+	}
+	go func() {
+		for do := range p.mail {
+			do()
+		}
+		p.transport.CloseIdleConnections()
+	}()
+	return p
+}
+
+// post never waits: the module's actor must not hang on one receiver.
+func (p *peer) post(do func()) bool {
+	select {
+	case p.mail <- do:
+		return true
+	default:
+		log.Printf("part=receivers event=mailbox_full addr=%s", p.addr)
+		return false
+	}
+}
+
+// conn counts as open until it is closed.
+type conn struct {
+	net.Conn
+	fleet  *Fleet
+	closed atomic.Bool
+}
+
+func (c *conn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.fleet.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/sender/outlet.go
@@ -0,0 +1,106 @@
+package sender
+
+import (
+	"log"
+	"time"
+
+	"emberquay/control"
+	"emberquay/internal/ledger"
+	"emberquay/internal/receivers"
+)
+
+// The outlet: what the module wants done, as messages.
+
+// Submit keeps that a submit goes out and hands its call to the receiver.
+func (s *Sender) Submit(id string, to control.ReceiverID, timeout control.Time) {
+	h := s.texts[id]
+	if h == nil {
+		log.Printf("part=sender event=unknown_text text=%s", id)
+		return
+	}
+	no := h.no
+	h.no++
+	now := s.now()
+	wait := max(0, h.ValidUntil-now)
+	if timeout > 0 {
+		wait = min(wait, timeout)
+	}
+	// A submit that the ledger does not know of could be made once more after a restart.
+	if err := s.ledger.Submitted(id, now, s.listed[to].Zone); err != nil {
+		log.Printf("part=sender event=not_submitted text=%s err=%q", id, err)
+		s.unsent(id, no)
+		return
+	}
+	done := func(r control.Result) {
+		s.Tell(func() {
+			s.out--
+			s.answered(id, no, r)
+		})
+	}
+	h.call = receivers.NewCall(id, h.Mark, h.Body, time.Duration(wait)*tick, done)
+	if !s.fleet.Submit(to, h.call) {
+		s.unsent(id, no)
+		return
+	}
+	s.out++
+}
+
+// unsent tells the module, after the call it makes just now, that a submit never left.
+func (s *Sender) unsent(id string, no int) {
+	s.later = append(s.later, func() { s.answered(id, no, control.Result{Outcome: control.Unsent}) })
+}
+
+// Cancel gives up the call that is out.
+func (s *Sender) Cancel(id string, no int) {
+	if h := s.texts[id]; h != nil && h.call != nil && h.no == no+1 {
+		h.call.Cancel()
+	}
+}
+
+// Nack ends a text: the client may hand it in again.
+func (s *Sender) Nack(id string, comeBack control.Time) {
+	s.end(&ledger.Notice{ID: id, Nack: true, Delay: comeBack}, Answer{Nacked, comeBack})
+}
+
+// Undeliverable ends a text for good.
+func (s *Sender) Undeliverable(id string) { s.end(&ledger.Notice{ID: id}, Answer{Verdict: Failed}) }
+
+// end tells the client where it still waits, else the platform.
+func (s *Sender) end(n *ledger.Notice, a Answer) {
+	h := s.texts[n.ID]
+	switch {
+	case h == nil:
+	case h.reply != nil:
+		h.reply <- a
+		h.reply = nil
+		s.forget(n.ID)
+	default:
+		delete(s.texts, n.ID)
+		s.noted(n.ID, s.ledger.Untold(n))
+		s.post(n)
+	}
+}
+
+func (s *Sender) post(n *ledger.Notice) {
+	s.owed++
+	if !s.desk.Post(n) { // it stays in the ledger
+		log.Printf("part=sender event=notice_left text=%s", n.ID)
+	}
+}
+
+// Wake sets the timer, if nothing earlier is waited for. The module needs no more than one wake.
+func (s *Sender) Wake(at control.Time, _ int64) {
+	if s.wakeAt == 0 || at < s.wakeAt {
+		s.wakeAt = at
+		s.timer.Reset(time.Duration(max(0, at-s.now())) * tick)
+	}
+}
+
+// Close closes the idle connections to a receiver.
+func (s *Sender) Close(to control.ReceiverID) { s.fleet.Close(to) }
+
+// Note has no way to other senders here; the module sends none.
+func (s *Sender) Note([]byte) {}
+
+// Log writes a line of the module.
+func (s *Sender) Log(line string) { log.Printf("part=module said=%q", line) }
--- /dev/null
+++ b/internal/sender/sender.go
@@ -0,0 +1,300 @@
+// Package sender is the module's actor. Whatever happens becomes a call on the module, made by one
+// goroutine; what the module wants done becomes messages to the receivers, the platform and the clients.
+// It decides nothing about texts itself.
+package sender
+
+import (
+	"log"
+	"time"
+
+	"emberquay/control"
+	"emberquay/internal/config"
+	"emberquay/internal/directory"
+	"emberquay/internal/ledger"
+	"emberquay/internal/receivers"
+)
+
+// tick is the module's unit of time.
+const tick = time.Second / time.Duration(control.Second)
+
+// Verdict is what a client hears of the text that it hands in.
+type Verdict int
+
+// The verdicts.
+const (
+	Taken  Verdict = iota
+	Nacked         // handing it in again is harmless
+	Failed
+)
+
+// Answer is a verdict and, with a nack, advice when to come back; 0: none.
+type Answer struct {
+	Verdict  Verdict
+	ComeBack control.Time
+}
+
+// Desk takes notices to the platform.
+type Desk interface{ Post(*ledger.Notice) bool }
+
+// Sender runs one instance of the module.
+type Sender struct {
+	limits config.Limits
+	began  time.Time // with a monotonic reading, so that the module's time never steps
+	mail   chan func()
+	timer  *time.Timer
+	wakeAt control.Time // 0: no wake is asked for
+
+	module *control.Sender
+	ledger *ledger.Ledger
+	fleet  *receivers.Fleet
+	desk   Desk
+
+	texts    map[string]*held
+	listed   map[control.ReceiverID]control.Entry
+	fresh    []*held  // their clients have yet to hear
+	later    []func() // calls on the module that came up during one
+	out      int      // calls
+	owed     int      // notices
+	stopping bool
+	frozen   bool // nothing new goes out
+	idle     chan struct{}
+}
+
+// held is a text that has no end yet.
+type held struct {
+	*ledger.Text
+	no    int             // of the next submit, as the module counts
+	call  *receivers.Call // out; nil if none
+	reply chan<- Answer   // the client waits; nil once it has heard
+}
+
+// New makes the actor, takes over what the ledger owes and tells the module. Run then lets it act.
+func New(c *config.Config, l *ledger.Ledger, f *receivers.Fleet) (*Sender, error) {
+	s := &Sender{
+		limits: c.Limits, began: time.Now(), mail: make(chan func(), c.Limits.Mailbox),
+		timer: time.NewTimer(time.Hour), ledger: l, fleet: f,
+		texts: map[string]*held{}, listed: map[control.ReceiverID]control.Entry{}, idle: make(chan struct{}),
+	}
+	var err error
+	if s.module, err = control.New(c.Seed, c.Settings, s); err != nil {
+		return nil, err
+	}
+	s.module.Clock(s.now())
+	return s, nil
+}
+
+// now is the clock in whole tenths of a millisecond, rounded down.
+func (s *Sender) now() control.Time {
+	return control.Time(s.began.UnixNano()/int64(tick)) + control.Time(time.Since(s.began)/tick)
+}
+
+// Start takes over what is owed from before, once the list as last known has been told. Notices that are
+// due go to the desk.
+func (s *Sender) Start(desk Desk) {
+	s.desk = desk
+	texts, due := s.ledger.Owed()
+	for _, t := range texts {
+		s.texts[t.ID] = &held{Text: t, no: t.Submits}
+		s.take(t)
+	}
+	for _, n := range due {
+		s.post(n)
+	}
+	if len(texts)+len(due) > 0 {
+		log.Printf("part=sender event=owed texts=%d notices=%d", len(texts), len(due))
+	}
+}
+
+// Run makes calls on the module until stop is closed.
+func (s *Sender) Run(stop <-chan struct{}) {
+	s.settle()
+	for {
+		select {
+		case <-stop:
+			return
+		case do := <-s.mail:
+			s.step(do)
+			for more := len(s.mail); more > 0; more-- { // what has gathered settles together
+				s.step(<-s.mail)
+			}
+		case <-s.timer.C:
+			s.wakeAt = 0
+		}
+		s.settle()
+	}
+}
+
+func (s *Sender) step(do func()) {
+	s.module.Clock(s.now())
+	do()
+}
+
+// settle lets the module release what may go, and answers the clients that wait.
+func (s *Sender) settle() {
+	for again := true; again; again = len(s.later) > 0 {
+		s.module.Clock(s.now())
+		todo := s.later
+		s.later = nil
+		for _, do := range todo {
+			do()
+		}
+		if !s.frozen {
+			s.module.Settle()
+		}
+	}
+	for _, h := range s.fresh {
+		if h.reply != nil {
+			h.reply <- Answer{Verdict: Taken}
+			h.reply = nil
+		}
+	}
+	s.fresh = s.fresh[:0]
+	if s.stopping && s.out == 0 && (s.frozen || len(s.texts)+s.owed == 0) {
+		s.stopping = false
+		close(s.idle)
+	}
+}
+
+// Tell posts a call on the module; it waits while the mailbox is full.
+func (s *Sender) Tell(do func()) { s.mail <- do }
+
+// Hand posts a text that a client hands in; the answer comes on reply, which must not block. It gives up
+// after the time for an answer.
+func (s *Sender) Hand(t *ledger.Text, reply chan<- Answer) bool {
+	do := func() { s.hand(t, reply) }
+	select {
+	case s.mail <- do:
+		return true
+	default:
+	}
+	timer := time.NewTimer(s.limits.Answer / 2)
+	defer timer.Stop()
+	select {
+	case s.mail <- do:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+func (s *Sender) hand(t *ledger.Text, reply chan<- Answer) {
+	if s.texts[t.ID] != nil { // it came twice: it is taken on already
+		reply <- Answer{Verdict: Taken}
+		return
+	}
+	if len(s.texts) >= s.limits.Texts || s.owed >= s.limits.Texts {
+		reply <- Answer{Verdict: Nacked}
+		return
+	}
+	if err := s.ledger.Taken(t); err != nil {
+		log.Printf("part=sender event=not_kept text=%s err=%q", t.ID, err)
+		reply <- Answer{Verdict: Nacked}
+		return
+	}
+	h := &held{Text: t, reply: reply}
+	s.texts[t.ID] = h
+	s.fresh = append(s.fresh, h)
+	s.take(t)
+}
+
+// take tells the module of a text and of all that was done for it.
+func (s *Sender) take(t *ledger.Text) {
+	s.module.Take(control.Arrival{
+		ID: t.ID, Product: t.Product, Destination: t.Destination, TimeLeft: t.ValidUntil - s.now(),
+		Retry: t.Retry, Returned: t.Returned, Submits: t.Submits, RanSince: t.RanSince, RanZone: t.RanZone,
+	})
+}
+
+// Withdraw posts that a client went without an answer.
+func (s *Sender) Withdraw(t *ledger.Text) {
+	s.Tell(func() {
+		if h := s.texts[t.ID]; h != nil && h.Text == t {
+			s.module.Withdrawn(t.ID)
+			s.forget(t.ID)
+		}
+	})
+}
+
+// forget: nothing more is owed for a text.
+func (s *Sender) forget(id string) {
+	delete(s.texts, id)
+	s.noted(id, s.ledger.Ended(id))
+}
+
+// noted logs what the ledger could not keep. At worst a text is looked at again after a restart.
+func (s *Sender) noted(id string, err error) {
+	if err != nil {
+		log.Printf("part=sender event=not_noted text=%s err=%q", id, err)
+	}
+}
+
+// Listed posts news of the list.
+func (s *Sender) Listed(news directory.News) { s.Tell(func() { s.hear(news) }) }
+
+// Known tells the list as it was last known, before Run.
+func (s *Sender) Known(news directory.News) { s.hear(news) }
+
+func (s *Sender) hear(news directory.News) {
+	named := map[control.ReceiverID]bool{}
+	entries := make([]control.Entry, 0, len(news.Hosts))
+	for _, h := range news.Hosts {
+		entries = append(entries, h.Entry)
+		if h.Listing == control.Removed {
+			s.drop(h.Receiver)
+			continue
+		}
+		named[h.Receiver] = true
+		s.listed[h.Receiver] = h.Entry
+		s.fleet.Listed(h.Receiver, h.Addr)
+	}
+	if news.Whole {
+		for id := range s.listed {
+			if !named[id] {
+				s.drop(id)
+			}
+		}
+	}
+	s.module.Listed(news.Whole, entries)
+}
+
+func (s *Sender) drop(id control.ReceiverID) {
+	delete(s.listed, id)
+	s.fleet.Gone(id)
+}
+
+// Told posts that notices have arrived.
+func (s *Sender) Told(ids []string) {
+	s.Tell(func() {
+		for _, id := range ids {
+			s.owed--
+			s.noted(id, s.ledger.Ended(id))
+		}
+	})
+}
+
+// answered hands the result of a submit to the module.
+func (s *Sender) answered(id string, no int, r control.Result) {
+	if h := s.texts[id]; h != nil && h.call != nil && h.no == no+1 {
+		h.call = nil
+		if r.Closed {
+			s.forget(id)
+		} else {
+			s.noted(id, s.ledger.Answered(id, r.Outcome.MayHaveRun()))
+		}
+	}
+	s.module.Ended(id, no, r)
+}
+
+// Stop posts that the process is to end: what is owed is worked on, and Idle tells once nothing is left.
+func (s *Sender) Stop() { s.Tell(func() { s.stopping = true }) }
+
+// Freeze posts that nothing new goes out; Idle then tells once no call is out.
+func (s *Sender) Freeze() { s.Tell(func() { s.frozen = true }) }
+
+// Idle is closed once a sender that stops has nothing left to do.
+func (s *Sender) Idle() <-chan struct{} { return s.idle }
+
+// CloseLedger ends the use of the ledger, after Run.
+func (s *Sender) CloseLedger() error {
+	return s.ledger.Close()
+}
