--- /dev/null
+++ b/cmd/emberquay/main_test.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test binary be the program itself, so that it can be killed.
+func TestMain(m *testing.M) {
+	if os.Getenv("EMBERQUAY_AS_PROGRAM") == "1" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+const configuration = `{"name":"n1","seed":"1","known":{"version":1,"full":true,"servers":[
+ {"id":"s-1","addr":%q,"zone":"a","kind":"one","cell":3,"state":"active","weight":100}]},
+ "settings":{"Contract":{"ColdFrom":0.2,"FallMultiple":2,"FallUs":500000,"RampTimeUs":500000},"Instances":1,
+  "Kinds":["one"],"Permissions":{"TryLimit":12,"MayCancel":true,"RetryAfter":true,"MaxRetryAfterUs":3000000},
+  "Specifics":{"MaxCalls":8},"RequestClasses":[{"Name":"free","Repeat":"safe","ObjectiveUs":500000,
+  "HardLimitUs":9000000,"RepeatWindowUs":0,"Value":1,"LateShare":0.3}]}}`
+
+// program is one sender as the platform runs it, between stand-ins of a receiver and of the platform.
+type program struct {
+	t       *testing.T
+	env     []string
+	listen  string
+	config  string
+	cmd     *exec.Cmd
+	log     bytes.Buffer
+	silent  atomic.Bool // the receiver says nothing
+	calls   atomic.Int64
+	notices atomic.Int64
+}
+
+func newProgram(t *testing.T) *program {
+	t.Helper()
+	p := &program{t: t}
+	receiver := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body) // else the server does not see that the caller goes
+		p.calls.Add(1)
+		if p.silent.Load() {
+			<-r.Context().Done()
+		}
+	}))
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet { // a watch on which nothing happens
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+			return
+		}
+		lines := json.NewDecoder(r.Body)
+		for lines.Decode(&map[string]any{}) == nil {
+			p.notices.Add(1)
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	t.Cleanup(receiver.Close)
+	t.Cleanup(platform.Close)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.listen = l.Addr().String()
+	l.Close()
+	dir := t.TempDir()
+	p.config = filepath.Join(dir, "config.json")
+	text := fmt.Sprintf(configuration, receiver.Listener.Addr())
+	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.env = append(os.Environ(), "EMBERQUAY_AS_PROGRAM=1", "GW_LISTEN="+p.listen, "GW_STATE="+dir,
+		"GW_DISCOVERY="+platform.Listener.Addr().String(), "GW_CONFIG="+p.config)
+	t.Cleanup(func() {
+		if p.cmd != nil {
+			p.end(syscall.SIGKILL)
+		}
+		if t.Failed() {
+			t.Log(p.log.String())
+		}
+	})
+	return p
+}
+
+func (p *program) start() {
+	p.t.Helper()
+	p.cmd = exec.Command(os.Args[0], "serve")
+	p.cmd.Env, p.cmd.Stdout, p.cmd.Stderr = p.env, &p.log, &p.log
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.until("not ready", func() bool {
+		r, err := http.Get("http://" + p.listen + "/up")
+		if err == nil {
+			r.Body.Close()
+		}
+		return err == nil && r.StatusCode == http.StatusOK
+	})
+}
+
+// end sends a signal and waits for the process.
+func (p *program) end(s syscall.Signal) error {
+	p.cmd.Process.Signal(s)
+	err := p.cmd.Wait()
+	p.cmd = nil
+	return err
+}
+
+func (p *program) until(what string, is func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(8 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatal(what)
+		}
+	}
+}
+
+func (p *program) hand(id string, budget float64) int {
+	p.t.Helper()
+	req, _ := http.NewRequest(http.MethodPost, "http://"+p.listen+"/api", strings.NewReader("body"))
+	req.Header = http.Header{"X-Call-Id": {id}, "X-Call-Class": {"free"}, "X-Envelope": {"dest=3"},
+		"X-Budget": {fmt.Sprintf("%.3f", budget)}}
+	req.Close = true // a connection that is kept may be closed by the program just then
+	r, err := http.DefaultClient.Do(req)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	r.Body.Close()
+	return r.StatusCode
+}
+
+func TestKilledAndStartedAgain(t *testing.T) {
+	p := newProgram(t)
+	p.silent.Store(true)
+	p.start()
+	if s := p.hand("a", 9); s != http.StatusAccepted {
+		t.Fatal(s)
+	}
+	p.until("no call", func() bool { return p.calls.Load() == 1 })
+	p.end(syscall.SIGKILL)
+	p.silent.Store(false)
+	p.start()
+	p.until("not delivered after the restart", func() bool { return p.calls.Load() == 2 })
+	p.silent.Store(true)
+	p.hand("b", 0.4)
+	p.until("no notice", func() bool { return p.notices.Load() == 1 })
+}
+
+// After SIGTERM what is out is waited for, what still comes is served, and the process ends by itself.
+func TestAskedToStop(t *testing.T) {
+	p := newProgram(t)
+	p.start()
+	p.hand("a", 9)
+	p.until("no call", func() bool { return p.calls.Load() == 1 })
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	if s := p.hand("b", 9); s != http.StatusAccepted {
+		t.Error(s)
+	}
+	began := time.Now()
+	if err := p.end(syscall.SIGTERM); err != nil || time.Since(began) > 3500*time.Millisecond {
+		t.Errorf("%v after %s", err, time.Since(began))
+	}
+	if n := p.calls.Load(); n != 2 {
+		t.Errorf("%d calls", n)
+	}
+}
+
+// What cannot be delivered before the end is left to the next start.
+func TestStoppedWithCallsOut(t *testing.T) {
+	p := newProgram(t)
+	p.silent.Store(true)
+	p.start()
+	p.hand("a", 9)
+	p.until("no call", func() bool { return p.calls.Load() == 1 })
+	if err := p.end(syscall.SIGTERM); err != nil {
+		t.Error(err)
+	}
+	p.silent.Store(false)
+	before := p.calls.Load()
+	p.start()
+	p.until("not delivered by the next", func() bool { return p.calls.Load() > before })
+}
+
+func TestCheckNamesTheKey(t *testing.T) {
+	p := newProgram(t)
+	for change, want := range map[string]string{`"MaxCalls":0`: "settings.Specifics.MaxCalls", `"MaxCalls":8`: "slots=8"} {
+		raw, _ := os.ReadFile(p.config)
+		text := strings.Replace(string(raw), `"MaxCalls":8`, change, 1)
+		os.WriteFile(p.config+".other", []byte(text), 0o600)
+		cmd := exec.Command(os.Args[0], "check", "--config", p.config+".other")
+		cmd.Env = p.env
+		out, err := cmd.CombinedOutput()
+		if !strings.Contains(string(out), want) || (err == nil) != (want == "slots=8") {
+			t.Errorf("%s: %v %s", change, err, out)
+		}
+	}
+}
--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -34,8 +34,8 @@
 	debug.SetMemoryLimit(conf.Limits.MemoryBytes * 6 / 10) // files, stacks and the program itself take the rest
 
 	kept, err := ledger.Open(conf.State, conf.Limits.DiskBytes)
-	if err != nil {
-		return err
+	if err != nil { // texts are refused, the process lives
+		log.Printf("part=ledger event=unread err=%q", err)
 	}
 	s, err := sender.New(conf, kept, receivers.New(conf.Limits, conf.Reports))
 	if err != nil {
@@ -94,11 +94,13 @@
 	at := func(d time.Duration) <-chan time.Time { return time.After(time.Until(began.Add(d))) }
 	front.Linger()
 	<-at(limits.StopListen)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limits.StopEnd))
-	defer cancel()
-	if err := front.Shutdown(ctx); err != nil {
-		log.Printf("part=serve event=shutdown err=%q", err)
-	}
+	// A connection on which nothing came yet holds the shutdown up; work on what is owed must not wait for it.
+	closed := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), began.Add(limits.StopEnd))
+		defer cancel()
+		closed <- front.Shutdown(ctx)
+	}()
 	s.Stop()
 	select {
 	case <-s.Idle():
@@ -109,5 +111,8 @@
 		case <-at(limits.StopEnd):
 		}
 	}
+	if err := <-closed; err != nil {
+		log.Printf("part=serve event=shutdown err=%q", err)
+	}
 	log.Printf("part=serve event=stopped after=%s", time.Since(began).Round(time.Millisecond))
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -300,6 +300,41 @@
 	expect(t, w, "receivers remembered", len(w.s.receivers), 6)
 }
 
+// A sender that restarts still owes what it had taken: what may have run and how often it was sent binds it.
+func TestWhatARestartLeaves(t *testing.T) {
+	for _, c := range []struct {
+		product       string
+		submits       int
+		ago           Time // since the first submit that may have run; 0: none may have
+		sends         int
+		nacks, failed int
+	}{
+		{"free", 0, 0, 1, 0, 0},
+		{"free", 5, 9 * Second, 1, 0, 0},
+		{"free", 6, 1, 0, 1, 0}, // all its submits are used up
+		{"marked", 1, Second, 1, 0, 0},
+		{"marked", 1, 3 * Second, 0, 1, 0}, // its repeat is not known any more
+		{"once", 2, 0, 1, 0, 0},
+		{"once", 1, 1, 0, 0, 1},
+		{"queued", 1, 4 * Second, 0, 0, 1},
+	} {
+		w := newWorld(1, nil)
+		a := Arrival{ID: "a", Product: c.product, Destination: 1, TimeLeft: 3 * Second, Submits: c.submits}
+		x := &sent{id: "a", product: c.product, dest: 1, until: w.now + a.TimeLeft, submits: c.submits}
+		if c.ago > 0 {
+			a.RanSince, a.RanZone = w.now-c.ago, "z1"
+			x.ran, x.ranSince = true, a.RanSince
+		}
+		w.texts["a"], w.order = x, []string{"a"}
+		w.step(func() { w.s.Take(a) })
+		expect(t, w, fmt.Sprint(c), fmt.Sprint(w.sends, w.nacks, w.failed), fmt.Sprint(c.sends, c.nacks, c.failed))
+		if w.sends > 0 {
+			w.answer(x, Delivered, 0) // the submits go on being counted from there
+			expect(t, w, "texts held", len(w.s.texts), 0)
+		}
+	}
+}
+
 func TestSettingsThatMakeNoSense(t *testing.T) {
 	for name, value := range map[string]string{"Specifics.MaxCalls": "0", "Contract.FallUs": "-1", "RequestClasses.count": "x"} {
 		set := Settings{}
--- a/control/interface.go
+++ b/control/interface.go
@@ -76,6 +76,10 @@
 	Unsent // never left this sender
 )
 
+func (o Outcome) String() string {
+	return [...]string{"delivered", "errored", "full", "no_answer", "no_connection", "lost", "cancelled", "unsent"}[o]
+}
+
 // Result is how one submit ended and what came with it.
 type Result struct {
 	Outcome Outcome
--- /dev/null
+++ b/internal/clients/clients_test.go
@@ -0,0 +1,198 @@
+package clients
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"emberquay/control"
+	"emberquay/internal/config"
+	"emberquay/internal/ledger"
+	"emberquay/internal/sender"
+)
+
+// taker answers what it is told to, or nothing.
+type taker struct {
+	answer    *sender.Answer
+	texts     chan *ledger.Text
+	withdrawn chan string
+	busy      bool
+}
+
+func (k *taker) Hand(t *ledger.Text, reply chan<- sender.Answer) bool {
+	k.texts <- t
+	if k.answer != nil {
+		reply <- *k.answer
+	}
+	return !k.busy
+}
+
+func (k *taker) Withdraw(t *ledger.Text) { k.withdrawn <- t.ID }
+
+func serve(t *testing.T, most int, answer *sender.Answer) (*Server, *taker, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := &taker{answer: answer, texts: make(chan *ledger.Text, 99), withdrawn: make(chan string, 9)}
+	s := New(&config.Config{Products: map[string]bool{"order": true}, Limits: config.Limits{
+		ClientConns: most, Body: 64 << 10, Header: 16 << 10, ReadHeader: time.Second, ClientIdle: time.Minute}}, k)
+	go s.Serve(l)
+	t.Cleanup(func() { s.http.Close() })
+	return s, k, l.Addr().String()
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	return c
+}
+
+const heads = "X-Call-Id: a1\r\nX-Call-Class: order\r\nX-Budget: 1.25\r\nX-Envelope: dest=7\r\nIdempotency-Key: k\r\n"
+
+// ask writes one request and reads its answer.
+func ask(t *testing.T, c net.Conn, heads, body string) *http.Response {
+	t.Helper()
+	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: app.svc\r\n%sContent-Length: %d\r\n\r\n%s", heads, len(body), body)
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, r.Body)
+	return r
+}
+
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		answer sender.Answer
+		status int
+		after  string
+	}{
+		{sender.Answer{Verdict: sender.Taken}, 202, ""},
+		{sender.Answer{Verdict: sender.Nacked}, 503, ""},
+		{sender.Answer{Verdict: sender.Nacked, ComeBack: 5001}, 503, "0.501"},
+		{sender.Answer{Verdict: sender.Failed}, 422, ""},
+	} {
+		_, k, addr := serve(t, 9, &c.answer)
+		conn := dial(t, addr)
+		for range 2 { // the connection stays
+			r := ask(t, conn, heads+"X-Again: 1\r\n", "b\x00y")
+			if r.StatusCode != c.status || r.Header.Get("Retry-After") != c.after {
+				t.Errorf("%v: %v", c.answer, r)
+			}
+		}
+		x := <-k.texts
+		left := x.ValidUntil - control.Time(time.Now().UnixNano()/int64(tick))
+		if x.ID != "a1" || x.Product != "order" || x.Destination != 7 || x.Mark != "k" || !x.Retry || x.Returned ||
+			string(x.Body) != "b\x00y" || left > 12500 || left < 10000 {
+			t.Errorf("%+v, %d left", x, left)
+		}
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	_, k, addr := serve(t, 99, &sender.Answer{})
+	for old, new := range map[string]string{
+		"X-Call-Id: a1":        "X-Other: a1",
+		"Class: order":         "Class: unheard-of",
+		"X-Budget: 1.25":       "X-Budget: soon",
+		"X-Budget: 1.2":        "X-Budget: -1",
+		"X-Budget: 1.":         "X-Budget: NaN",
+		"X-Budget: 1":          "X-Budget: 1e99",
+		"dest=7":               "dest=",
+		"X-Envelope: dest=7":   "X-Envelope: 7",
+		"Idempotency-Key: k":   "Idempotency-Key: " + strings.Repeat("k", 300),
+		"Idempotency-Key: k\r": "X-Again: maybe\r",
+	} {
+		if r := ask(t, dial(t, addr), strings.Replace(heads, old, new, 1), "x"); r.StatusCode != 400 {
+			t.Errorf("%s: %d", new, r.StatusCode)
+		}
+	}
+	if r := ask(t, dial(t, addr), heads, strings.Repeat("x", 64<<10+1)); r.StatusCode != 413 {
+		t.Error(r)
+	}
+	if r := ask(t, dial(t, addr), heads+"X-Long: "+strings.Repeat("x", 32<<10)+"\r\n", ""); r.StatusCode != 431 {
+		t.Error(r)
+	}
+	if len(k.texts) > 0 {
+		t.Errorf("%d bad texts were handed on", len(k.texts))
+	}
+	if r := ask(t, dial(t, addr), heads, strings.Repeat("x", 64<<10)); r.StatusCode != 202 {
+		t.Error(r)
+	}
+}
+
+func TestBusy(t *testing.T) {
+	_, k, addr := serve(t, 9, nil)
+	k.busy = true
+	if r := ask(t, dial(t, addr), heads, ""); r.StatusCode != 503 {
+		t.Error(r)
+	}
+}
+
+// A client that went without an answer may hand the text in again under another id.
+func TestClientGone(t *testing.T) {
+	_, k, addr := serve(t, 9, nil)
+	c := dial(t, addr)
+	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: a\r\n%sContent-Length: 1\r\n\r\nx", heads)
+	<-k.texts
+	c.Close()
+	select {
+	case id := <-k.withdrawn:
+		if id != "a1" {
+			t.Error(id)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("not withdrawn")
+	}
+}
+
+// At the cap an idle connection makes room; with none idle a new one waits.
+func TestConnectionCap(t *testing.T) {
+	s, k, addr := serve(t, 2, &sender.Answer{})
+	first, second := dial(t, addr), dial(t, addr)
+	ask(t, first, heads, "")
+	ask(t, second, heads, "")
+	if r := ask(t, dial(t, addr), heads, ""); r.StatusCode != 202 || s.Open() != 2 {
+		t.Error(r, s.Open())
+	}
+	if _, err := first.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the longest idle one stays: %v", err)
+	}
+	if len(k.texts) != 3 {
+		t.Errorf("%d texts", len(k.texts))
+	}
+}
+
+// From the request to stop until the listener closes, what still comes is served, each on a last connection.
+func TestLinger(t *testing.T) {
+	s, _, addr := serve(t, 9, &sender.Answer{})
+	idle := dial(t, addr)
+	ask(t, idle, heads, "")
+	s.Linger()
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("an idle connection stays: %v", err)
+	}
+	if r := ask(t, dial(t, addr), heads, ""); r.StatusCode != 202 || !r.Close {
+		t.Error(r)
+	}
+	if err := s.Shutdown(context.Background()); err != nil {
+		t.Error(err)
+	}
+	if c, err := net.Dial("tcp", addr); err == nil {
+		c.Close()
+		t.Error("still listening")
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,66 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:8443","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
+ "state":"/tmp/state","limits":{"cores":0.5,"memory_mb":128,"sockets":512,"disk_mb":2},
+ "known":{"version":41,"full":true,"servers":[]},
+ "settings":{"Kinds":["a","b"],"Orgs":[],"Instances":2,"Report":{"Names":["x0","x1"]},
+  "Contract":{"FallMultiple":2.0},"Permissions":{"MaxOpen":435,"ConnIdleUs":5000000,"RetryAfter":true},
+  "Specifics":{"Notes":"full: wait, if told","MaxCalls":51},
+  "RequestClasses":[{"Name":"p","Group":null},{"Name":"q"}]}}`
+
+func none(string) string { return "" }
+
+func TestConfiguration(t *testing.T) {
+	c, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for key, want := range map[string]string{
+		"Kinds": "a,b", "Orgs": "", "Instances": "2", "Report.Names": "x0,x1", "Contract.FallMultiple": "2.0",
+		"Permissions.RetryAfter": "true", "Specifics.Notes": "full:_wait__if_told",
+		"RequestClasses.count": "2", "RequestClasses.0.Name": "p", "RequestClasses.1.Name": "q",
+	} {
+		if got, ok := c.Settings[key]; !ok || got != want {
+			t.Errorf("%s is %q, want %q", key, got, want)
+		}
+	}
+	l := c.Limits
+	if c.Seed != 0x8c1f30d27a5be964 || l.Cores != 1 || l.Texts != 435 || l.Slots != 51 || l.MemoryBytes != 128e6 ||
+		l.ReceiverIdle >= 5*time.Second || l.ClientConns+l.ReceiverConns >= 512 {
+		t.Errorf("%+v", c)
+	}
+	c, err = Parse([]byte(good), func(name string) string {
+		return map[string]string{"GW_LISTEN": "127.0.0.9:1"}[name]
+	})
+	if err != nil || c.Listen != "127.0.0.9:1" || c.Name != "n3" {
+		t.Errorf("%+v %v", c, err)
+	}
+}
+
+func TestFaultsNameTheKey(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"name":"n3"`, `"name":""`, "name: missing"},
+		{`"127.0.0.1:8443"`, `"8443"`, "listen:"},
+		{`"8c1f30d27a5be964"`, `"xyz"`, "seed:"},
+		{`"cores":0.5`, `"cores":"1"`, "limits.cores"},
+		{`"memory_mb":128`, `"memory_mb":-1`, "limits.memory_mb"},
+		{`"MaxOpen":435`, `"MaxOpen":"many"`, "settings.Permissions.MaxOpen"},
+		{`"MaxCalls":51`, `"MaxCalls":0`, "settings.Specifics.MaxCalls"},
+		{`"ConnIdleUs":5000000`, `"ConnIdleUs":-5`, "settings.Permissions.ConnIdleUs"},
+		{`{"Name":"q"}`, `{"Name":"p"}`, "settings.RequestClasses.1.Name"},
+		{`["a","b"]`, `[["a"]]`, "settings.Kinds.0"},
+		{`"settings":{`, `"settings":7,"x":{`, "settings: no object"},
+		{`{"name"`, `"name"`, "not JSON"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)), none)
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.new, err, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,141 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"emberquay/control"
+	"emberquay/internal/config"
+)
+
+const server = `{"id":"s-%d","addr":"10.1.0.%d:8443","zone":"a","kind":"m2","cell":3,"state":%q,"weight":1.5,"started_ms":0}`
+
+// told writes a list of one server.
+func told(version int, full bool, n int, state string) string {
+	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[`+server+`]}`, version, full, n, n, state) + "\n"
+}
+
+// follow runs a directory against a stand-in of the platform that answers each request in turn with lines;
+// "hold" keeps a watch open. It gives what is told and what was asked.
+func follow(t *testing.T, known string, answers ...string) (<-chan News, <-chan string) {
+	t.Helper()
+	asked := make(chan string, 99)
+	next := make(chan string, len(answers))
+	for _, a := range answers {
+		next <- a
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RequestURI()
+		a := "hold"
+		if len(next) > 0 {
+			a = <-next
+		}
+		lines, hold := strings.CutSuffix(a, "hold")
+		io.WriteString(w, lines)
+		w.(http.Flusher).Flush()
+		if hold {
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(s.Close)
+	news := make(chan News, 99)
+	d := New(s.Listener.Addr().String(), config.Limits{Mailbox: 64, ListSilence: 150 * time.Millisecond,
+		RetryLeast: time.Millisecond, RetryMost: 10 * time.Millisecond}, func(n News) { news <- n })
+	if known != "" {
+		if err := d.Known([]byte(known)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan bool)
+	go func() { d.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return news, asked
+}
+
+// expect reads one from a channel, or fails.
+func expect[T any](t *testing.T, from <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(3 * time.Second):
+		t.Fatal("nothing came")
+	}
+	panic("unreachable")
+}
+
+func wants(t *testing.T, asked <-chan string, want ...string) {
+	t.Helper()
+	for _, w := range want {
+		if got := expect(t, asked); got != listPath+w {
+			t.Errorf("asked %s, want %s", got, w)
+		}
+	}
+}
+
+func TestWatchGoesOnAfterItEnds(t *testing.T) {
+	news, asked := follow(t, told(41, true, 1, "active"), "\n"+told(42, false, 2, "active")+"\n", told(43, false, 1, "left")+"hold")
+	want := []control.Entry{
+		{Receiver: 1, Rate: 1.5, Destination: 3, Kind: "m2", Zone: "a"},
+		{Receiver: 2, Rate: 1.5, Destination: 3, Kind: "m2", Zone: "a"},
+		{Receiver: 1, Rate: 1.5, Destination: 3, Kind: "m2", Zone: "a", Listing: control.Removed},
+	}
+	for i, w := range want {
+		if n := expect(t, news); n.Whole != (i == 0) || len(n.Hosts) != 1 || n.Hosts[0].Entry != w {
+			t.Errorf("%+v, want %+v", n, w)
+		}
+	}
+	wants(t, asked, "?stream=1&index=41", "?stream=1&index=42")
+}
+
+func TestWholeListFirstWhereNoneIsKnown(t *testing.T) {
+	news, asked := follow(t, "", told(7, true, 1, "leaving"), "hold")
+	if n := expect(t, news); !n.Whole || n.Hosts[0].Listing != control.Draining || n.Hosts[0].Addr != "10.1.0.1:8443" {
+		t.Errorf("%+v", n)
+	}
+	wants(t, asked, "", "?stream=1&index=7")
+}
+
+// A change that is lost, or made to another list, must not leave the sender with a list that never was.
+func TestWholeListAfterAGap(t *testing.T) {
+	for _, odd := range []string{told(3, false, 1, "active"), "{not json}\n", told(42, false, 1, "resting")} {
+		news, asked := follow(t, told(41, true, 1, "active"), odd, told(4, true, 2, "active"), "hold")
+		expect(t, news)
+		if n := expect(t, news); !n.Whole || n.Hosts[0].Receiver != 2 && n.Hosts[0].Receiver != 1 {
+			t.Errorf("%+v", n)
+		}
+		wants(t, asked, "?stream=1&index=41", "", "?stream=1&index=4")
+	}
+}
+
+// A machine that was cut off says nothing: only the missing heartbeat tells.
+func TestSilentWatchIsMadeAnew(t *testing.T) {
+	news, asked := follow(t, told(41, true, 1, "active"), "hold", told(42, false, 2, "active")+"hold")
+	expect(t, news)
+	began := time.Now()
+	if n := expect(t, news); n.Hosts[0].Receiver != 2 || time.Since(began) < 100*time.Millisecond {
+		t.Errorf("%+v after %s", n, time.Since(began))
+	}
+	wants(t, asked, "?stream=1&index=41", "?stream=1&index=41")
+}
+
+func TestBadLists(t *testing.T) {
+	one := fmt.Sprintf(server, 1, 1, "active")
+	for _, c := range [][2]string{{`"s-1"`, `""`}, {"10.1.0.1:8443", "nowhere"}, {"1.5", "-1"}, {`"cell":3`, `"cell":"x"`}} {
+		if _, err := parse([]byte(`{"servers":[` + strings.Replace(one, c[0], c[1], 1) + `]}`)); err == nil {
+			t.Errorf("%v was taken", c)
+		}
+	}
+	l, err := parse([]byte(`{"version":1,"servers":[` + one + `]}`))
+	if err != nil || !slices.ContainsFunc(l.Servers, func(h host) bool { return h.ID == "s-1" }) {
+		t.Error(l, err)
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -27,6 +27,8 @@
 // ErrFull says that a text finds no room.
 var ErrFull = errors.New("the lasting folder is full")
 
+var errUnread = errors.New("the lasting folder could not be read")
+
 // Text is a text as it was taken on, and how far it has come.
 type Text struct {
 	ID          string       `json:"id"`
@@ -97,22 +99,31 @@
 }
 
 // Open reads what the folder holds, which may be nothing, and keeps on from there. The folder never holds
-// more than limit bytes, counted in whole blocks.
+// more than limit bytes, counted in whole blocks. After an error the ledger takes nothing, so that texts are
+// refused while the folder cannot be read, and what it may hold is not written over.
 func Open(dir string, limit int64) (*Ledger, error) {
 	l := &Ledger{dir: dir, room: limit/block/2*block - block,
 		texts: map[string]*Text{}, notices: map[string]*Notice{}}
+	if err := l.open(); err != nil {
+		l.file = nil
+		return l, fmt.Errorf("the lasting folder: %w", err)
+	}
+	return l, nil
+}
+
+func (l *Ledger) open() error {
 	// A new file that was not finished counts for nothing: the old one is whole.
 	if err := os.Remove(l.path(".new")); err != nil && !errors.Is(err, os.ErrNotExist) {
 		log.Printf("part=ledger event=leftover err=%q", err)
 	}
 	f, err := os.OpenFile(l.path(""), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
-		return nil, fmt.Errorf("the lasting folder: %w", err)
+		return err
 	}
 	l.file = f
 	raw, err := io.ReadAll(f)
 	if err != nil {
-		return nil, fmt.Errorf("the lasting folder: %w", err)
+		return err
 	}
 	for {
 		n := l.replay(raw[l.size:])
@@ -130,7 +141,7 @@
 			l.broken = true
 		}
 	}
-	return l, nil
+	return nil
 }
 
 func (l *Ledger) path(suffix string) string { return filepath.Join(l.dir, fileName+suffix) }
@@ -337,6 +348,9 @@
 
 // write appends a record whole or not at all.
 func (l *Ledger) write(r []byte) error {
+	if l.file == nil {
+		return errUnread
+	}
 	if l.broken || l.size+int64(len(r)) > l.room {
 		if err := l.compact(); err != nil {
 			return err
@@ -400,4 +414,9 @@
 }
 
 // Close ends the use of the file.
-func (l *Ledger) Close() error { return l.file.Close() }
+func (l *Ledger) Close() error {
+	if l.file == nil {
+		return nil
+	}
+	return l.file.Close()
+}
--- /dev/null
+++ b/internal/notices/notices_test.go
@@ -0,0 +1,95 @@
+package notices
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"emberquay/internal/config"
+	"emberquay/internal/ledger"
+)
+
+func desk(t *testing.T, texts int, platform http.HandlerFunc) (*Desk, <-chan []string) {
+	t.Helper()
+	s := httptest.NewServer(platform)
+	t.Cleanup(s.Close)
+	told := make(chan []string, 99)
+	return New(s.Listener.Addr().String(), config.Limits{Texts: texts, Mailbox: 4, Body: 1024, Notice: time.Second,
+		RetryLeast: time.Millisecond, RetryMost: 5 * time.Millisecond}, func(ids []string) { told <- ids }), told
+}
+
+func run(t *testing.T, d *Desk) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan bool)
+	go func() { d.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+func TestNoticesAreWrittenAsTheProtocolSays(t *testing.T) {
+	bodies := make(chan string, 9)
+	d, told := desk(t, 4, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		bodies <- r.Method + r.URL.Path + " " + string(b)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	d.Post(&ledger.Notice{ID: "a<1"})
+	d.Post(&ledger.Notice{ID: "b", Nack: true})
+	d.Post(&ledger.Notice{ID: "c", Nack: true, Delay: 4991})
+	run(t, d)
+	want := `POST/v2/finals {"message":"a<1","outcome":"given_up"}` + "\n" + `{"message":"b","outcome":"handed_back"}` +
+		"\n" + `{"message":"c","outcome":"handed_back","retry_in_ms":500}` + "\n"
+	if got := <-bodies; got != want {
+		t.Errorf("%s", got)
+	}
+	if got := <-told; !slices.Equal(got, []string{"a<1", "b", "c"}) {
+		t.Error(got)
+	}
+}
+
+// The platform may be down, or choke on one notice: all others arrive, and that one is tried on.
+func TestNoticesAreRetried(t *testing.T) {
+	n := 0
+	d, told := desk(t, 4, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		n++
+		switch {
+		case n <= 2:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case n < 20 && slices.Contains([]byte(string(b)), '!'):
+			w.WriteHeader(http.StatusBadRequest)
+		default:
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+	for _, id := range []string{"!", "b", "c"} {
+		d.Post(&ledger.Notice{ID: id})
+	}
+	run(t, d)
+	var all []string
+	for len(all) < 3 {
+		select {
+		case ids := <-told:
+			all = append(all, ids...)
+		case <-time.After(5 * time.Second):
+			t.Fatal("not told: ", all)
+		}
+	}
+	if slices.Sort(all); !slices.Equal(all, []string{"!", "b", "c"}) {
+		t.Error(all)
+	}
+}
+
+func TestDeskIsBounded(t *testing.T) {
+	d, _ := desk(t, 1, nil)
+	n := 0
+	for d.Post(&ledger.Notice{ID: "a"}) && n < 1000 {
+		n++
+	}
+	if n != 6 {
+		t.Error(n)
+	}
+}
--- a/internal/receivers/call.go
+++ b/internal/receivers/call.go
@@ -104,7 +104,7 @@
 			r.Outcome = control.Unsent
 		}
 		if !errors.Is(err, errTooLong) && !errors.Is(err, errCancelled) {
-			log.Printf("part=receivers event=call_failed addr=%s outcome=%d err=%q", c.addr, r.Outcome, err)
+			log.Printf("part=receivers event=call_failed addr=%s outcome=%s err=%q", c.addr, r.Outcome, err)
 		}
 	} else {
 		r = p.read(resp)
--- /dev/null
+++ b/internal/receivers/call_test.go
@@ -0,0 +1,267 @@
+package receivers
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"emberquay/control"
+	"emberquay/internal/config"
+)
+
+var limits = config.Limits{ReceiverConns: 8, Slots: 4, Body: 64 << 10, Header: 16 << 10,
+	Dial: time.Second, ReceiverIdle: time.Second, Drain: 50 * time.Millisecond}
+
+// standIn is a receiver that answers each request as told; an empty answer breaks the connection.
+func standIn(t *testing.T, answer func(r *http.Request, body []byte) string) (string, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	var came atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(r.Body)
+					came.Add(1)
+					a := answer(r, body)
+					if a == "" {
+						return
+					}
+					io.WriteString(c, "HTTP/1.1 "+a+"Content-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), &came
+}
+
+// submit makes one call and waits for its result.
+func submit(t *testing.T, f *Fleet, body []byte, wait time.Duration) control.Result {
+	t.Helper()
+	done := make(chan control.Result, 2)
+	if !f.Submit(1, NewCall("t1", "mark", body, wait, func(r control.Result) { done <- r })) {
+		t.Fatal("not submitted")
+	}
+	select {
+	case r := <-done:
+		return r
+	case <-time.After(10 * time.Second):
+		t.Fatal("no result")
+	}
+	panic("unreachable")
+}
+
+func fleet(addr string) *Fleet {
+	f := New(limits, []string{"x0", "x1"})
+	f.Listed(1, addr)
+	return f
+}
+
+func TestAnswers(t *testing.T) {
+	for answer, want := range map[string]control.Result{
+		"200 OK\r\nX-Load-Report: x1=25,x0=0.4\r\n":      {Outcome: control.Delivered, Closed: true, Report: []float64{0.4, 25}},
+		"200 OK\r\nX-Load-Report: x1=25\r\n":             {Outcome: control.Delivered, Closed: true, Report: []float64{math.NaN(), 25}},
+		"200 OK\r\nX-Load-Report: x0=oops\r\n":           {Outcome: control.Delivered, Closed: true},
+		"500 No\r\n":                                     {Outcome: control.Errored},
+		"429 No\r\nX-Retry-In-Ms: 12.34\r\n":             {Outcome: control.Full, Wait: 124},
+		"429 No\r\nX-Retry-In-Ms: soon\r\n":              {Outcome: control.Full},
+		"503 No\r\n":                                     {Outcome: control.Full},
+		"503 No\r\nX-No-Slot: 1\r\n":                     {Outcome: control.Unsent},
+		"504 No\r\n":                                     {Outcome: control.Unsent},
+		"410 Gone\r\n":                                   {Outcome: control.Unsent, Closed: true},
+		"302 Found\r\nLocation: /elsewhere\r\n":          {Outcome: control.Errored},
+		"200 OK\r\nX-Load-Report: x0=1,x1=2,other=3\r\n": {Outcome: control.Delivered, Closed: true, Report: []float64{1, 2}},
+	} {
+		addr, came := standIn(t, func(*http.Request, []byte) string { return answer })
+		got := submit(t, fleet(addr), []byte("x"), time.Second)
+		got.Took = 0
+		if fmt.Sprint(got) != fmt.Sprint(want) || came.Load() != 1 {
+			t.Errorf("%q: %v after %d requests, want %v", answer, got, came.Load(), want)
+		}
+	}
+}
+
+// http.Transport sends a request again by itself when a connection that was used before breaks, if it has an
+// idempotency key and a body that can be had again. The receiver would count a second submit.
+func TestNothingIsSentTwice(t *testing.T) {
+	for _, body := range [][]byte{nil, []byte("body")} {
+		var n atomic.Int64
+		addr, came := standIn(t, func(*http.Request, []byte) string {
+			if n.Add(1) == 1 {
+				return "200 OK\r\n"
+			}
+			return ""
+		})
+		f := fleet(addr)
+		if r := submit(t, f, body, time.Second); r.Outcome != control.Delivered {
+			t.Fatal(r)
+		}
+		if r := submit(t, f, body, time.Second); r.Outcome != control.Lost || came.Load() != 2 {
+			t.Errorf("%v after %d requests", r, came.Load())
+		}
+	}
+}
+
+// A connection that the receiver closed while it was idle: nothing of the call was written.
+func TestClosedWhileIdle(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, _ := l.Accept()
+		http.ReadRequest(bufio.NewReader(c))
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		c.Close()
+		l.Close()
+	}()
+	f := fleet(l.Addr().String())
+	submit(t, f, nil, time.Second)
+	for f.Open() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if r := submit(t, f, nil, time.Second); r.Outcome != control.NoConnection {
+		t.Error(r)
+	}
+}
+
+func TestGivingUp(t *testing.T) {
+	closed, read := make(chan error, 2), make(chan bool, 2)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { // reads for ever and says nothing
+				c.Read(make([]byte, 1))
+				read <- true
+				_, err := io.Copy(io.Discard, c)
+				closed <- err
+			}()
+		}
+	}()
+	f := fleet(l.Addr().String())
+	if r := submit(t, f, []byte("x"), 50*time.Millisecond); r.Outcome != control.NoAnswer || r.Took < 500 {
+		t.Error(r)
+	}
+	done := make(chan control.Result, 1)
+	c := NewCall("t1", "", nil, time.Minute, func(r control.Result) { done <- r })
+	f.Submit(1, c)
+	<-read
+	<-read
+	c.Cancel()
+	if r := <-done; r.Outcome != control.Cancelled {
+		t.Error(r)
+	}
+	for range 2 { // a call that was given up holds its slot until its connection ends
+		select {
+		case <-closed:
+		case <-time.After(time.Second):
+			t.Fatal("the connection stays open")
+		}
+	}
+}
+
+func TestNoConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	if r := submit(t, fleet(l.Addr().String()), []byte("x"), time.Second); r.Outcome != control.NoConnection {
+		t.Error(r)
+	}
+}
+
+// A body that breaks off on the way was not read whole, so the call cannot have run.
+func TestNotWrittenWhole(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, _ := l.Accept()
+		c.Read(make([]byte, 1))
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}()
+	body := make([]byte, 32<<20) // more than the sockets hold
+	if r := submit(t, fleet(l.Addr().String()), body, 5*time.Second); r.Outcome != control.NoConnection {
+		t.Error(r)
+	}
+}
+
+func TestBytesStayAsTheyCame(t *testing.T) {
+	want := []byte("a\x00b\r\n\xff")
+	var got []byte
+	var head http.Header
+	addr, _ := standIn(t, func(r *http.Request, body []byte) string {
+		got, head = slices.Clone(body), r.Header
+		return "200 OK\r\n"
+	})
+	submit(t, fleet(addr), want, 1500*time.Millisecond)
+	if !bytes.Equal(got, want) || head.Get("X-Call-Id") != "t1" || head.Get("Idempotency-Key") != "mark" ||
+		head.Get("X-Budget") != "1.5000" || head.Get("Accept-Encoding") != "" {
+		t.Errorf("%q %v", got, head)
+	}
+}
+
+// Connections are counted, with those in use, and closed when the module or the cap says so.
+func TestConnections(t *testing.T) {
+	release := make(chan bool)
+	addr, _ := standIn(t, func(*http.Request, []byte) string { <-release; return "200 OK\r\n" })
+	f := fleet(addr)
+	f.limits.ReceiverConns = 2
+	done := make(chan control.Result, 3)
+	for range 2 {
+		f.Submit(1, NewCall("t", "", nil, time.Minute, func(r control.Result) { done <- r }))
+	}
+	for f.Open() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if r := submit(t, f, nil, time.Second); r.Outcome != control.Unsent {
+		t.Error(r)
+	}
+	close(release)
+	<-done
+	<-done
+	f.Close(1)
+	for end := time.Now().Add(time.Second); f.Open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections stay open", f.Open())
+		}
+	}
+	if f.Gone(1); f.Submit(1, NewCall("t", "", nil, time.Second, nil)) {
+		t.Error("a call to a receiver that is gone")
+	}
+}
--- /dev/null
+++ b/internal/sender/sender_test.go
@@ -0,0 +1,439 @@
+package sender
+
+import (
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"emberquay/control"
+	"emberquay/internal/config"
+	"emberquay/internal/directory"
+	"emberquay/internal/ledger"
+	"emberquay/internal/receivers"
+)
+
+var settings = control.Settings{
+	"Contract.ColdFrom": "0.2", "Contract.FallMultiple": "2.0", "Contract.FallUs": "100000", "Instances": "1",
+	"Contract.RampTimeUs": "200000", "Kinds": "one", "Permissions.MayCancel": "true", "Permissions.TryLimit": "4",
+	"Permissions.RetryAfter": "true", "Permissions.MaxRetryAfterUs": "3000000", "RequestClasses.count": "3",
+	"RequestClasses.0.Name": "free", "RequestClasses.0.Repeat": "safe",
+	"RequestClasses.1.Name": "marked", "RequestClasses.1.Repeat": "keyed", "RequestClasses.1.Group": "all",
+	"RequestClasses.2.Name": "once", "RequestClasses.2.Repeat": "unsafe", "Specifics.MaxCalls": "8",
+}
+
+func init() {
+	for i := range 3 {
+		at := fmt.Sprintf("RequestClasses.%d.", i)
+		settings[at+"ObjectiveUs"], settings[at+"HardLimitUs"] = "100000", "2000000"
+		settings[at+"RepeatWindowUs"], settings[at+"Value"] = "1000000", "1"
+	}
+}
+
+// rig is a sender with a stand-in receiver of destination 3 and a desk that keeps what is posted.
+type rig struct {
+	t    *testing.T
+	dir  string
+	disk int64
+	addr string
+	*Sender
+	stop, stopped chan struct{}
+
+	mu      sync.Mutex
+	calls   map[string]int
+	answer  func(id string, w http.ResponseWriter, r *http.Request)
+	notices chan *ledger.Notice
+}
+
+func newRig(t *testing.T, answer func(id string, w http.ResponseWriter, r *http.Request)) *rig {
+	g := &rig{t: t, dir: t.TempDir(), disk: 3e6, calls: map[string]int{}, answer: answer,
+		notices: make(chan *ledger.Notice, 999)}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body) // else the server does not see that the caller goes
+		id := r.Header.Get("X-Call-Id")
+		g.mu.Lock()
+		g.calls[id]++
+		g.mu.Unlock()
+		g.answer(id, w, r)
+	}))
+	t.Cleanup(s.Close)
+	t.Cleanup(func() { g.kill() })
+	g.addr = s.Listener.Addr().String()
+	return g
+}
+
+func (g *rig) Post(n *ledger.Notice) bool {
+	g.notices <- n
+	return true
+}
+
+// start starts a sender on what the folder holds, as after a restart.
+func (g *rig) start() {
+	g.t.Helper()
+	conf := &config.Config{Settings: settings, Limits: config.Limits{Slots: 8, Texts: 50, Mailbox: 64, Body: 64 << 10,
+		Header: 16 << 10, ReceiverConns: 64, Dial: time.Second, ReceiverIdle: time.Second, Answer: 300 * time.Millisecond,
+		Drain: 50 * time.Millisecond}}
+	l, err := ledger.Open(g.dir, g.disk)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	if g.Sender, err = New(conf, l, receivers.New(conf.Limits, nil)); err != nil {
+		g.t.Fatal(err)
+	}
+	g.Known(directory.News{Whole: true, Hosts: []directory.Host{{Addr: g.addr,
+		Entry: control.Entry{Receiver: 1, Rate: 1000, Destination: 3, Kind: "one"}}}})
+	g.Start(g)
+	g.stop, g.stopped = make(chan struct{}), make(chan struct{})
+	go func(s *Sender, stop, stopped chan struct{}) {
+		defer close(stopped)
+		s.Run(stop)
+	}(g.Sender, g.stop, g.stopped)
+}
+
+// kill ends the sender as SIGKILL does: what is in the file stays, and connections break.
+func (g *rig) kill() {
+	if g.Sender == nil {
+		return
+	}
+	close(g.stop)
+	<-g.stopped
+	for _, h := range g.texts {
+		if h.call != nil {
+			h.call.Cancel()
+		}
+	}
+	go func(s *Sender) { // results that still come are for nobody
+		for do := range s.mail {
+			_ = do
+		}
+	}(g.Sender)
+	g.CloseLedger()
+	g.Sender = nil
+}
+
+func (g *rig) hand(id, product string, left time.Duration) Verdict {
+	g.t.Helper()
+	reply := make(chan Answer, 1)
+	x := &ledger.Text{ID: id, Product: product, Destination: 3, Mark: id, Body: []byte(id),
+		ValidUntil: g.now() + control.Time(left/tick)}
+	if !g.Hand(x, reply) {
+		g.t.Fatal("the mailbox is full")
+	}
+	select {
+	case a := <-reply:
+		return a.Verdict
+	case <-time.After(3 * time.Second):
+		g.t.Fatal("no answer")
+	}
+	panic("unreachable")
+}
+
+func (g *rig) notice() *ledger.Notice {
+	g.t.Helper()
+	select {
+	case n := <-g.notices:
+		return n
+	case <-time.After(5 * time.Second):
+		g.t.Fatal("no notice")
+	}
+	panic("unreachable")
+}
+
+func (g *rig) called(id string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.calls[id]
+}
+
+// until waits for what must come true.
+func (g *rig) until(what string, is func() bool) {
+	g.t.Helper()
+	for end := time.Now().Add(5 * time.Second); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			g.t.Fatal(what)
+		}
+	}
+}
+
+// holds asks the actor how many texts it holds.
+func (g *rig) holds() int {
+	n := make(chan int)
+	g.Tell(func() { n <- len(g.texts) })
+	return <-n
+}
+
+func ok(_ string, w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+
+// silent answers nothing until the caller goes.
+func silent(_ string, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func TestDelivered(t *testing.T) {
+	g := newRig(t, ok)
+	g.start()
+	if v := g.hand("a", "once", time.Second); v != Taken {
+		t.Fatal(v)
+	}
+	g.until("it stays held", func() bool { return g.holds() == 0 })
+	g.kill()
+	g.start()
+	if g.holds() != 0 || g.called("a") != 1 || len(g.notices) > 0 {
+		t.Errorf("%d held, %d calls, %d notices", g.holds(), g.called("a"), len(g.notices))
+	}
+}
+
+func TestNackAtOnceIsTheAnswer(t *testing.T) {
+	g := newRig(t, ok)
+	g.start()
+	if v := g.hand("a", "once", 0); v != Nacked {
+		t.Error(v)
+	}
+	if g.holds() != 0 || len(g.notices) > 0 || g.called("a") > 0 {
+		t.Error("more came of it")
+	}
+}
+
+func TestLaterEndsAreNotices(t *testing.T) {
+	for product, nack := range map[string]bool{"free": true, "marked": true, "once": false} {
+		g := newRig(t, silent)
+		g.start()
+		if v := g.hand("a", product, 200*time.Millisecond); v != Taken {
+			t.Fatal(v)
+		}
+		if n := g.notice(); n.ID != "a" || n.Nack != nack {
+			t.Errorf("%s: %+v", product, n)
+		}
+		// The notice is owed until it has arrived, over restarts too.
+		g.kill()
+		g.start()
+		if n := g.notice(); n.ID != "a" || n.Nack != nack {
+			t.Errorf("%s: %+v", product, n)
+		}
+		g.Told([]string{"a"})
+		g.holds()
+		g.kill()
+		g.start()
+		if len(g.notices) > 0 {
+			t.Errorf("%s: told, and told again", product)
+		}
+		g.kill()
+	}
+}
+
+// What was out when the process died may have run: only what may be repeated goes again, and the tries of
+// before the restart count.
+func TestRestartWithSubmitOut(t *testing.T) {
+	for product, calls := range map[string]int{"free": 4, "marked": 4, "once": 1} {
+		g := newRig(t, silent)
+		g.start()
+		g.hand("a", product, 2*time.Second)
+		for n := 1; n <= 6; n++ {
+			g.until("no call", func() bool { return g.called("a") >= min(n, calls) })
+			g.kill()
+			g.start()
+		}
+		if n := g.notice(); n.Nack != (product != "once") || g.called("a") != calls {
+			t.Errorf("%s: %+v after %d calls, want %d", product, n, g.called("a"), calls)
+		}
+		g.kill()
+	}
+}
+
+// A repeat is known only within the window of the first submit that may have run, whoever restarts.
+func TestRestartKeepsTheWindow(t *testing.T) {
+	g := newRig(t, silent)
+	g.start()
+	g.hand("a", "marked", 2*time.Second)
+	g.until("no call", func() bool { return g.called("a") == 1 })
+	g.kill()
+	time.Sleep(1050 * time.Millisecond)
+	g.start()
+	if n := g.notice(); !n.Nack || g.called("a") != 1 {
+		t.Errorf("%+v after %d calls", n, g.called("a"))
+	}
+}
+
+func TestOrderOutlastsARestart(t *testing.T) {
+	var mu sync.Mutex
+	var order []string
+	g := newRig(t, func(id string, w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		order = append(order, id)
+		mu.Unlock()
+		w.WriteHeader(http.StatusOK)
+	})
+	g.start()
+	g.Listed(directory.News{Whole: true}) // none is listed, so all are held
+	for i := range 9 {
+		g.hand(fmt.Sprint(i), "once", 2*time.Second)
+	}
+	g.kill()
+	g.start()
+	g.until("not delivered", func() bool { return g.holds() == 0 })
+	mu.Lock()
+	defer mu.Unlock()
+	if order[0] != "0" || len(order) != 9 { // the first goes alone; later ones share the window
+		t.Error(order)
+	}
+}
+
+func TestCapsRefuse(t *testing.T) {
+	g := newRig(t, silent)
+	g.start()
+	taken := 0
+	for i := range 60 {
+		if g.hand(fmt.Sprint(i), "free", 2*time.Second) == Taken {
+			taken++
+		}
+	}
+	if taken != 50 {
+		t.Errorf("%d taken", taken)
+	}
+	if v := g.hand("0", "free", time.Second); v != Taken {
+		t.Error("a text that is held and comes again is taken on already:", v)
+	}
+}
+
+// A folder without room must refuse, and no submit may go out that a restart would not know of.
+func TestFullFolder(t *testing.T) {
+	g := newRig(t, silent)
+	g.disk = 4 << 10
+	g.start()
+	var taken int
+	for i := range 30 {
+		if g.hand(fmt.Sprint(i), "free", 2*time.Second) == Taken {
+			taken++
+		}
+	}
+	if taken == 0 || taken == 30 {
+		t.Errorf("%d taken", taken)
+	}
+	g.ledger.Close()
+	os.RemoveAll(g.dir)
+	for i := range 3 {
+		if v := g.hand(fmt.Sprint("x", i), "free", time.Second); v != Nacked {
+			t.Error(v)
+		}
+	}
+}
+
+func TestWithdrawn(t *testing.T) {
+	gone := make(chan bool, 1)
+	g := newRig(t, func(_ string, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); gone <- true })
+	g.start()
+	x := &ledger.Text{ID: "a", Product: "free", Destination: 3, Body: []byte("b"), ValidUntil: g.now() + 20000}
+	reply := make(chan Answer, 1)
+	g.Hand(x, reply)
+	g.until("no call", func() bool { return g.called("a") == 1 })
+	g.Withdraw(x)
+	select {
+	case <-gone:
+	case <-time.After(time.Second):
+		t.Error("the call goes on")
+	}
+	if g.holds() != 0 || len(g.notices) > 0 {
+		t.Error("it is still owed something")
+	}
+}
+
+func TestStopping(t *testing.T) {
+	release := make(chan bool)
+	g := newRig(t, func(_ string, w http.ResponseWriter, _ *http.Request) { <-release; w.WriteHeader(http.StatusOK) })
+	g.start()
+	for i := range 12 { // more than there are slots
+		g.hand(fmt.Sprint(i), "free", 2*time.Second)
+	}
+	g.Stop()
+	g.holds()
+	select {
+	case <-g.Idle():
+		t.Fatal("idle with calls out")
+	default:
+	}
+	g.Freeze()
+	g.holds()
+	close(release)
+	select {
+	case <-g.Idle():
+	case <-time.After(time.Second):
+		t.Fatal("not idle")
+	}
+	if n := g.holds(); n == 0 {
+		t.Error("calls went out after the freeze")
+	}
+}
+
+// Receivers do anything, and the sender dies again and again: every text ends once, once-only ones run once.
+func TestRestartsAtRandom(t *testing.T) {
+	var mu sync.Mutex
+	chance := rand.New(rand.NewSource(7))
+	draw := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return chance.Intn(n)
+	}
+	ran, delivered := map[string]int{}, map[string]bool{}
+	g := newRig(t, func(id string, w http.ResponseWriter, r *http.Request) {
+		time.Sleep(time.Duration(draw(8)) * time.Millisecond)
+		mu.Lock()
+		x := chance.Intn(8)
+		if x < 6 {
+			ran[id]++
+		}
+		mu.Unlock()
+		switch x {
+		case 0:
+			<-r.Context().Done()
+		case 1:
+			panic(http.ErrAbortHandler)
+		case 2:
+			w.WriteHeader(http.StatusInternalServerError)
+		case 6:
+			w.Header().Set("X-Retry-In-Ms", "3")
+			w.WriteHeader(http.StatusTooManyRequests)
+		case 7:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			w.WriteHeader(http.StatusOK)
+			mu.Lock()
+			delivered[id] = true
+			mu.Unlock()
+		}
+	})
+	products := []string{"free", "marked", "once"}
+	taken := map[string]string{}
+	for round := range 12 {
+		g.start()
+		for i := range 5 {
+			id, p := fmt.Sprint(round, "-", i), products[draw(3)]
+			if g.hand(id, p, 1500*time.Millisecond) == Taken {
+				taken[id] = p
+			}
+			time.Sleep(time.Duration(draw(10)) * time.Millisecond)
+		}
+		g.kill()
+	}
+	g.start()
+	g.until("texts stay held", func() bool { return g.holds() == 0 })
+	told := map[string]bool{}
+	for len(g.notices) > 0 {
+		told[(<-g.notices).ID] = true
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for id, p := range taken {
+		if !delivered[id] && !told[id] {
+			t.Errorf("%s %s has no end", p, id)
+		}
+		if p == "once" && ran[id] > 1 {
+			t.Errorf("%s ran %d times", id, ran[id])
+		}
+	}
+	if len(taken) < 10 || len(delivered) < 3 {
+		t.Errorf("%d taken, %d delivered", len(taken), len(delivered))
+	}
+}
