--- a/cmd/emberquay/main.go
+++ b/cmd/emberquay/main.go
@@ -10,6 +10,7 @@
 
 	"emberquay/control"
 	"emberquay/internal/config"
+	"emberquay/internal/directory"
 )
 
 var cli struct {
@@ -40,6 +41,11 @@
 	if _, err := control.New(conf.Seed, conf.Settings, nil); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	if conf.Known != nil {
+		if err := directory.New(conf.Discovery, conf.Limits, func(directory.News) {}).Known(conf.Known); err != nil {
+			return fmt.Errorf("known: %w", err)
+		}
+	}
 	l := conf.Limits
 	fmt.Printf("name=%s listen=%s discovery=%s state=%s settings=%d products=%d\n",
 		conf.Name, conf.Listen, conf.Discovery, conf.State, len(conf.Settings), len(conf.Products))
--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -114,5 +114,7 @@
 	if err := <-closed; err != nil {
 		log.Printf("part=serve event=shutdown err=%q", err)
 	}
-	log.Printf("part=serve event=stopped after=%s", time.Since(began).Round(time.Millisecond))
+	c, _ := s.Status()
+	log.Printf("part=serve event=stopped after=%s taken=%d refused=%d delivered=%d nacked=%d undeliverable=%d held=%d owed=%d",
+		time.Since(began).Round(time.Millisecond), c.Taken, c.Refused, c.Delivered, c.Nacked, c.Undeliverable, c.Held, c.Owed)
 }
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -2,6 +2,7 @@
 package clients
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"emberquay/control"
 	"emberquay/internal/config"
@@ -24,6 +26,7 @@
 const (
 	textPath       = "/api"
 	readyPath      = "/up"
+	statusPath     = "/status" // not the protocol's: for whoever is on call
 	idHeader       = "X-Call-Id"
 	productHeader  = "X-Call-Class"
 	budgetHeader   = "X-Budget"
@@ -39,6 +42,7 @@
 type Taker interface {
 	Hand(t *ledger.Text, reply chan<- sender.Answer) bool
 	Withdraw(t *ledger.Text)
+	Status() (sender.Counts, bool)
 }
 
 // Server is the clients' side. Each connection has a goroutine, and each hand-in a mailbox for its answer.
@@ -57,6 +61,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+textPath, s.hand)
 	mux.HandleFunc("GET "+readyPath, s.ready)
+	mux.HandleFunc("GET "+statusPath, s.status)
 	s.http = &http.Server{
 		Handler: mux, ReadHeaderTimeout: c.Limits.ReadHeader, ReadTimeout: c.Limits.ReadHeader,
 		IdleTimeout: c.Limits.ClientIdle, MaxHeaderBytes: c.Limits.Header,
@@ -82,6 +87,20 @@
 	}
 }
 
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	counts, ok := s.taker.Status()
+	if !ok {
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(struct {
+		sender.Counts
+		Clients int  `json:"client_conns"`
+		Stops   bool `json:"stopping"`
+	}{counts, s.Open(), s.stopping.Load()})
+}
+
 // hand answers one hand-in: whatever was read whole gets an answer.
 func (s *Server) hand(w http.ResponseWriter, r *http.Request) {
 	t, status, err := s.text(r, time.Now())
@@ -133,11 +152,12 @@
 	}
 	t := &ledger.Text{ID: r.Header.Get(idHeader), Product: r.Header.Get(productHeader),
 		Mark: r.Header.Get(markHeader)}
-	if t.ID == "" || len(t.ID) > mostID {
-		return bad(idHeader, "missing or too long")
+	// Both are written down as text; bytes that are none would not come back the same.
+	if t.ID == "" || len(t.ID) > mostID || !utf8.ValidString(t.ID) {
+		return bad(idHeader, "missing, too long or no text")
 	}
-	if len(t.Mark) > mostID {
-		return bad(markHeader, "too long")
+	if len(t.Mark) > mostID || !utf8.ValidString(t.Mark) {
+		return bad(markHeader, "too long or no text")
 	}
 	if !s.products[t.Product] {
 		return bad(productHeader, fmt.Sprintf("%q is not known", t.Product))
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -15,8 +15,9 @@
 	free chan struct{} // one token for each connection that may still come
 	most int
 
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
+	mu      sync.Mutex
+	idle    map[net.Conn]time.Time
+	waiting bool // a new one waits, and none was idle
 }
 
 func newConns(most int) *conns {
@@ -34,7 +35,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.idle, conn)
-	if state == http.StateIdle {
+	switch {
+	case state != http.StateIdle:
+	case c.waiting: // the new one may have come just before this one was idle
+		c.waiting = false
+		conn.Close()
+	default:
 		c.idle[conn] = time.Now()
 	}
 }
@@ -49,7 +55,7 @@
 			oldest = conn
 		}
 	}
-	if oldest != nil {
+	if c.waiting = oldest == nil; !c.waiting {
 		delete(c.idle, oldest)
 		oldest.Close()
 	}
@@ -74,6 +80,9 @@
 		log.Printf("part=clients event=full conns=%d", l.conns.most)
 		l.conns.makeRoom()
 		<-l.conns.free
+		l.conns.mu.Lock()
+		l.conns.waiting = false
+		l.conns.mu.Unlock()
 	}
 	return &counted{Conn: conn, conns: l.conns}, nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -59,6 +59,12 @@
 	StopEnd    time.Duration // the end, whatever is still owed
 }
 
+// What one text may bring: the protocol's bound for the body, and ours for the headers.
+const (
+	body   = 64 << 10
+	header = 16 << 10
+)
+
 // file is the configuration as it is written down.
 type file struct {
 	Name      string          `json:"name"`
@@ -189,17 +195,23 @@
 	}
 	c.Limits = Limits{
 		Cores: max(1, int(cores+0.999)), MemoryBytes: int64(memory * 1e6), DiskBytes: int64(disk * 1e6),
-		ClientConns: int(sockets) / 2, ReceiverConns: int(sockets) * 3 / 8, Slots: slots, Texts: texts,
-		Mailbox: 1024, Body: 64 << 10, Header: 16 << 10,
+		ClientConns: clientConns(int(sockets), int64(memory*1e6)), ReceiverConns: int(sockets) * 3 / 8, Slots: slots, Texts: texts,
+		Mailbox: 1024, Body: body, Header: header,
 		Answer: 300 * time.Millisecond, ReadHeader: 10 * time.Second, ClientIdle: 2 * time.Minute,
 		Dial: dial, ReceiverIdle: idle * 4 / 5, // a request that crosses the receiver's own close is lost
-		Drain: 100 * time.Millisecond, ListSilence: 7 * time.Second, Notice: 2 * time.Second,
+		Drain: 100 * time.Millisecond, ListSilence: 4500 * time.Millisecond, Notice: 500 * time.Millisecond,
 		RetryLeast: 50 * time.Millisecond, RetryMost: time.Second,
-		StopListen: 600 * time.Millisecond, StopSubmit: 2200 * time.Millisecond, StopEnd: 3200 * time.Millisecond,
+		StopListen: 600 * time.Millisecond, StopSubmit: 2600 * time.Millisecond, StopEnd: 3400 * time.Millisecond,
 	}
 	return nil
 }
 
+// clientConns leaves sockets for the receivers, the list and files, and memory for the rest of the program
+// when every client sends the longest headers and body at once.
+func clientConns(sockets int, memory int64) int {
+	return max(8, min(sockets/2, int(memory/4/(body+header))))
+}
+
 func (c *Config) whole(key string, otherwise int) (int, error) {
 	v, ok := c.Settings[key]
 	if !ok {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -263,8 +263,8 @@
 	if err != nil {
 		return err
 	}
-	// A quarter is left to what those that are held still need written.
-	if l.live+int64(len(r))+growth > l.room/4*3 {
+	// A tenth is left to what those that are held still need written between two compactions.
+	if l.live+int64(len(r))+growth > l.room/10*9 {
 		return ErrFull
 	}
 	if err := l.write(r); err != nil {
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -77,11 +77,12 @@
 			}
 		}
 		// After a fault one goes alone, and to the back if it fails: none may hold up the others for ever.
-		batch := len(due)
+		most := len(due)
 		if pause > d.limits.RetryLeast {
-			batch = 1
+			most = 1
 		}
-		if err := d.send(ctx, due[:batch]); err != nil {
+		body, batch := d.write(due[:most])
+		if err := d.send(ctx, body); err != nil {
 			if ctx.Err() != nil {
 				return
 			}
@@ -105,21 +106,28 @@
 	}
 }
 
-func (d *Desk) send(ctx context.Context, batch []*ledger.Notice) error {
+// write writes as many notices as one body may hold, and says how many.
+func (d *Desk) write(due []*ledger.Notice) ([]byte, int) {
 	var body bytes.Buffer
 	lines := json.NewEncoder(&body)
 	lines.SetEscapeHTML(false)
-	for _, n := range batch {
+	for i, n := range due {
 		w := wire{Message: n.ID, Outcome: "given_up"}
 		if n.Nack {
 			const perMs = control.Second / 1000
 			w.Outcome, w.RetryMs = "handed_back", int64((n.Delay+perMs-1)/perMs)
 		}
-		if err := lines.Encode(w); err != nil {
-			return err
+		whole := body.Len()
+		lines.Encode(w) // strings and a number always encode, and a buffer takes them
+		if i > 0 && int64(body.Len()) > d.limits.Body {
+			return body.Bytes()[:whole], i
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url, &body)
+	return body.Bytes(), len(due)
+}
+
+func (d *Desk) send(ctx context.Context, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -1,6 +1,7 @@
 package notices
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -83,6 +84,23 @@
 	}
 }
 
+// The platform takes no more than one body holds.
+func TestManyNoticesGoInSeveralBodies(t *testing.T) {
+	d, _ := desk(t, 4, nil)
+	var due []*ledger.Notice
+	for range 50 {
+		due = append(due, &ledger.Notice{ID: "0123456789"})
+	}
+	total := 0
+	for total < 50 {
+		body, n := d.write(due[total:])
+		if n == 0 || len(body) > 1024 || bytes.Count(body, []byte("\n")) != n {
+			t.Fatalf("%d in %d bytes", n, len(body))
+		}
+		total += n
+	}
+}
+
 func TestDeskIsBounded(t *testing.T) {
 	d, _ := desk(t, 1, nil)
 	n := 0
--- a/internal/sender/outlet.go
+++ b/internal/sender/outlet.go
@@ -33,7 +33,7 @@
 	}
 	done := func(r control.Result) {
 		s.Tell(func() {
-			s.out--
+			s.counts.Out--
 			s.answered(id, no, r)
 		})
 	}
@@ -42,7 +42,8 @@
 		s.unsent(id, no)
 		return
 	}
-	s.out++
+	s.counts.Out++
+	s.counts.Submits++
 }
 
 // unsent tells the module, after the call it makes just now, that a submit never left.
@@ -73,8 +74,14 @@
 	case h.reply != nil:
 		h.reply <- a
 		h.reply = nil
+		s.counts.Refused++
 		s.forget(n.ID)
 	default:
+		if n.Nack {
+			s.counts.Nacked++
+		} else {
+			s.counts.Undeliverable++
+		}
 		delete(s.texts, n.ID)
 		s.noted(n.ID, s.ledger.Untold(n))
 		s.post(n)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -53,13 +53,29 @@
 	listed   map[control.ReceiverID]control.Entry
 	fresh    []*held  // their clients have yet to hear
 	later    []func() // calls on the module that came up during one
-	out      int      // calls
 	owed     int      // notices
+	counts   Counts
 	stopping bool
 	frozen   bool // nothing new goes out
 	idle     chan struct{}
 }
 
+// Counts is what a sender has done since its start, and what it has in hand.
+type Counts struct {
+	Taken         int `json:"taken"`
+	Refused       int `json:"refused"` // at once
+	Delivered     int `json:"delivered"`
+	Nacked        int `json:"nacked"` // later
+	Undeliverable int `json:"undeliverable"`
+	Submits       int `json:"submits"`
+
+	Held      int `json:"held"`
+	Out       int `json:"out"`  // submits
+	Owed      int `json:"owed"` // notices
+	Receivers int `json:"receivers"`
+	Open      int `json:"receiver_conns"`
+}
+
 // held is a text that has no end yet.
 type held struct {
 	*ledger.Text
@@ -146,10 +162,11 @@
 		if h.reply != nil {
 			h.reply <- Answer{Verdict: Taken}
 			h.reply = nil
+			s.counts.Taken++
 		}
 	}
 	s.fresh = s.fresh[:0]
-	if s.stopping && s.out == 0 && (s.frozen || len(s.texts)+s.owed == 0) {
+	if s.stopping && s.counts.Out == 0 && (s.frozen || len(s.texts)+s.owed == 0) {
 		s.stopping = false
 		close(s.idle)
 	}
@@ -182,12 +199,15 @@
 		reply <- Answer{Verdict: Taken}
 		return
 	}
-	if len(s.texts) >= s.limits.Texts || s.owed >= s.limits.Texts {
-		reply <- Answer{Verdict: Nacked}
-		return
+	full := len(s.texts) >= s.limits.Texts || s.owed >= s.limits.Texts
+	if !full {
+		if err := s.ledger.Taken(t); err != nil {
+			log.Printf("part=sender event=not_kept text=%s err=%q", t.ID, err)
+			full = true
+		}
 	}
-	if err := s.ledger.Taken(t); err != nil {
-		log.Printf("part=sender event=not_kept text=%s err=%q", t.ID, err)
+	if full {
+		s.counts.Refused++
 		reply <- Answer{Verdict: Nacked}
 		return
 	}
@@ -276,6 +296,9 @@
 func (s *Sender) answered(id string, no int, r control.Result) {
 	if h := s.texts[id]; h != nil && h.call != nil && h.no == no+1 {
 		h.call = nil
+		if r.Outcome == control.Delivered {
+			s.counts.Delivered++
+		}
 		if r.Closed {
 			s.forget(id)
 		} else {
@@ -294,6 +317,21 @@
 // Idle is closed once a sender that stops has nothing left to do.
 func (s *Sender) Idle() <-chan struct{} { return s.idle }
 
+// Status asks for the counts; false if the actor has no time.
+func (s *Sender) Status() (Counts, bool) {
+	counts := make(chan Counts, 1)
+	select {
+	case s.mail <- func() {
+		c := s.counts
+		c.Held, c.Owed, c.Receivers, c.Open = len(s.texts), s.owed, len(s.listed), s.fleet.Open()
+		counts <- c
+	}:
+		return <-counts, true
+	default:
+		return Counts{}, false
+	}
+}
+
 // CloseLedger ends the use of the ledger, after Run.
 func (s *Sender) CloseLedger() error {
 	return s.ledger.Close()
