--- a/cmd/emberquay/main_test.go
+++ b/cmd/emberquay/main_test.go
@@ -196,6 +196,44 @@
 	p.until("not delivered by the next", func() bool { return p.calls.Load() > before })
 }
 
+// The largest bodies, more than the folder holds, all at once: each is answered and memory stays bounded.
+func TestLargeBodiesAtOnce(t *testing.T) {
+	p := newProgram(t)
+	p.silent.Store(true)
+	p.start()
+	body := strings.Repeat("x", 64<<10)
+	answers := make(chan int, 300)
+	for i := range cap(answers) {
+		go func() {
+			req, _ := http.NewRequest(http.MethodPost, "http://"+p.listen+"/api", strings.NewReader(body))
+			req.Header = http.Header{"X-Call-Id": {fmt.Sprint(i)}, "X-Call-Class": {"free"}, "X-Envelope": {"dest=3"},
+				"X-Budget": {"9"}}
+			status := 0
+			if r, err := http.DefaultClient.Do(req); err == nil {
+				status = r.StatusCode
+				r.Body.Close()
+			}
+			answers <- status
+		}()
+	}
+	got := map[int]int{}
+	for range cap(answers) {
+		got[<-answers]++
+	}
+	if got[202] == 0 || got[503] == 0 || got[202]+got[503] != cap(answers) {
+		t.Errorf("answers: %v", got)
+	}
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		t.Skip("no /proc here")
+	}
+	_, peak, _ := strings.Cut(string(raw), "VmHWM:")
+	var kb int
+	if fmt.Sscan(peak, &kb); kb == 0 || kb > 150<<10 {
+		t.Errorf("%d KiB of memory at most", kb)
+	}
+}
+
 func TestCheckNamesTheKey(t *testing.T) {
 	p := newProgram(t)
 	for change, want := range map[string]string{`"MaxCalls":0`: "settings.Specifics.MaxCalls", `"MaxCalls":8`: "slots=8"} {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -198,7 +198,7 @@
 		ClientConns: clientConns(int(sockets), int64(memory*1e6)), ReceiverConns: int(sockets) * 3 / 8, Slots: slots, Texts: texts,
 		Mailbox: 1024, Body: body, Header: header,
 		Answer: 300 * time.Millisecond, ReadHeader: 10 * time.Second, ClientIdle: 2 * time.Minute,
-		Dial: dial, ReceiverIdle: idle * 4 / 5, // a request that crosses the receiver's own close is lost
+		Dial: dial, ReceiverIdle: idle * 19 / 20, // a request that crosses the receiver's own close is lost
 		Drain: 100 * time.Millisecond, ListSilence: 4500 * time.Millisecond, Notice: 500 * time.Millisecond,
 		RetryLeast: 50 * time.Millisecond, RetryMost: time.Second,
 		StopListen: 600 * time.Millisecond, StopSubmit: 2600 * time.Millisecond, StopEnd: 3400 * time.Millisecond,
