--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -19,25 +19,20 @@
 	"emberquay/control"
 	"emberquay/internal/config"
 	"emberquay/internal/ledger"
+	"emberquay/internal/protocol"
 	"emberquay/internal/sender"
 )
 
-// The paths and headers of a hand-in.
+// The paths of a hand-in and the headers that only it has.
 const (
 	textPath       = "/api"
 	readyPath      = "/up"
 	statusPath     = "/status" // not the protocol's: for whoever is on call
-	idHeader       = "X-Call-Id"
 	productHeader  = "X-Call-Class"
-	budgetHeader   = "X-Budget"
 	envelopeHeader = "X-Envelope"
-	markHeader     = "Idempotency-Key"
 	againHeader    = "X-Again"
 )
 
-// tick is the module's unit of time.
-const tick = time.Second / time.Duration(control.Second)
-
 // Taker takes texts on.
 type Taker interface {
 	Hand(t *ledger.Text, reply chan<- sender.Answer) bool
@@ -150,24 +145,24 @@
 	bad := func(header, what string) (*ledger.Text, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf("%s: %s", header, what)
 	}
-	t := &ledger.Text{ID: r.Header.Get(idHeader), Product: r.Header.Get(productHeader),
-		Mark: r.Header.Get(markHeader)}
+	t := &ledger.Text{ID: r.Header.Get(protocol.ID), Product: r.Header.Get(productHeader),
+		Mark: r.Header.Get(protocol.Mark)}
 	// Both are written down as text; bytes that are none would not come back the same.
 	if t.ID == "" || len(t.ID) > mostID || !utf8.ValidString(t.ID) {
-		return bad(idHeader, "missing, too long or no text")
+		return bad(protocol.ID, "missing, too long or no text")
 	}
 	if len(t.Mark) > mostID || !utf8.ValidString(t.Mark) {
-		return bad(markHeader, "too long or no text")
+		return bad(protocol.Mark, "too long or no text")
 	}
 	if !s.products[t.Product] {
 		return bad(productHeader, fmt.Sprintf("%q is not known", t.Product))
 	}
-	budget, err := strconv.ParseFloat(r.Header.Get(budgetHeader), 64)
+	budget, err := strconv.ParseFloat(r.Header.Get(protocol.Budget), 64)
 	if err != nil || !(budget >= 0 && budget <= mostBudget) {
-		return bad(budgetHeader, fmt.Sprintf("%q is no time in seconds", r.Header.Get(budgetHeader)))
+		return bad(protocol.Budget, fmt.Sprintf("%q is no time in seconds", r.Header.Get(protocol.Budget)))
 	}
 	left := control.Time(budget * float64(control.Second)) // rounded down
-	t.ValidUntil = control.Time(came.UnixNano()/int64(tick)) + left
+	t.ValidUntil = protocol.At(came) + left
 	dest, err := destination(r.Header.Get(envelopeHeader))
 	if err != nil {
 		return bad(envelopeHeader, err.Error())
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -5,15 +5,17 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
-	"emberquay/control"
 	"emberquay/internal/config"
 	"emberquay/internal/ledger"
+	"emberquay/internal/protocol"
 	"emberquay/internal/sender"
 )
 
@@ -98,7 +100,7 @@
 			}
 		}
 		x := <-k.texts
-		left := x.ValidUntil - control.Time(time.Now().UnixNano()/int64(tick))
+		left := x.ValidUntil - protocol.At(time.Now())
 		if x.ID != "a1" || x.Product != "order" || x.Destination != 7 || x.Mark != "k" || !x.Retry || x.Returned ||
 			string(x.Body) != "b\x00y" || left > 12500 || left < 10000 {
 			t.Errorf("%+v, %d left", x, left)
@@ -139,6 +141,35 @@
 	}
 }
 
+// Whatever the headers hold, a hand-in is refused plainly or is a text that makes sense.
+func TestOddHeaders(t *testing.T) {
+	s, _, _ := serve(t, 1, nil)
+	odd := []string{"", " ", "0", "1", "-1", "1e9", "1e308", "Inf", "NaN", "0x1p4", "dest=", "dest=9223372036854775808", "dest=-1",
+		"dest=1,dest=x", "a=b; dest=3", "order", "again", "\xff", strings.Repeat("9", 400)}
+	chance := rand.New(rand.NewSource(3))
+	taken := 0
+	for range 5000 {
+		r := httptest.NewRequest("POST", "/api", strings.NewReader("body"))
+		for _, h := range []string{protocol.ID, productHeader, protocol.Budget, envelopeHeader, protocol.Mark, againHeader} {
+			if chance.Intn(3) > 0 {
+				r.Header.Set(h, odd[chance.Intn(len(odd))])
+			}
+		}
+		x, status, err := s.text(r, time.Unix(1e9, 0))
+		switch {
+		case err != nil && status != 400:
+			t.Fatalf("%v: %d %v", r.Header, status, err)
+		case err == nil && (x.ID == "" || x.Product != "order" || x.ValidUntil < 1e13 || x.ValidUntil > 1e13+1e10):
+			t.Fatalf("%v: %+v", r.Header, x)
+		case err == nil:
+			taken++
+		}
+	}
+	if taken == 0 {
+		t.Error("none was taken")
+	}
+}
+
 func TestStatus(t *testing.T) {
 	_, _, addr := serve(t, 9, nil)
 	r, err := http.Get("http://" + addr + "/status")
--- /dev/null
+++ b/internal/protocol/protocol.go
@@ -0,0 +1,27 @@
+// Package protocol holds what more than one peer's side needs of the protocol on sockets.
+package protocol
+
+import (
+	"time"
+
+	"emberquay/control"
+)
+
+// The headers that clients send and receivers get.
+const (
+	ID     = "X-Call-Id"
+	Mark   = "Idempotency-Key" // by which a repeat is known
+	Budget = "X-Budget"        // seconds, with decimals
+)
+
+// Tick is the module's unit of time.
+const Tick = time.Second / time.Duration(control.Second)
+
+// Ticks counts the whole ticks of a span, rounded down.
+func Ticks(d time.Duration) control.Time { return control.Time(d / Tick) }
+
+// Span is the time that so many ticks take.
+func Span(t control.Time) time.Duration { return time.Duration(t) * Tick }
+
+// At is an instant in whole ticks, rounded down.
+func At(t time.Time) control.Time { return control.Time(t.UnixNano() / int64(Tick)) }
--- a/internal/receivers/call.go
+++ b/internal/receivers/call.go
@@ -18,22 +18,17 @@
 	"time"
 
 	"emberquay/control"
+	"emberquay/internal/protocol"
 )
 
-// The paths and headers of a call.
+// The path of a call and the headers that only its answers have.
 const (
 	callPath     = "/events"
-	idHeader     = "X-Call-Id"
-	markHeader   = "Idempotency-Key"
-	budgetHeader = "X-Budget"
 	waitHeader   = "X-Retry-In-Ms"
 	noSlotHeader = "X-No-Slot"
 	reportHeader = "X-Load-Report"
 )
 
-// tick is the module's unit of time.
-const tick = time.Second / time.Duration(control.Second)
-
 // Call is one submit of a text.
 type Call struct {
 	Text string
@@ -89,11 +84,11 @@
 	})
 	req := &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: c.addr, Path: callPath},
-		Host: c.addr, Header: http.Header{idHeader: {c.Text}, budgetHeader: {seconds(c.Wait)}},
+		Host: c.addr, Header: http.Header{protocol.ID: {c.Text}, protocol.Budget: {seconds(c.Wait)}},
 		Body: onceBody{bytes.NewReader(c.Body)}, ContentLength: int64(len(c.Body)),
 	}
 	if c.Mark != "" {
-		req.Header[markHeader] = []string{c.Mark}
+		req.Header[protocol.Mark] = []string{c.Mark}
 	}
 	var r control.Result
 	resp, err := p.transport.RoundTrip(req.WithContext(ctx)) // and no redirects
@@ -116,7 +111,7 @@
 		drain.Stop()
 		resp.Body.Close()
 	}
-	r.Took = control.Time(took / tick)
+	r.Took = protocol.Ticks(took)
 	c.Done(r)
 }
 
@@ -154,7 +149,7 @@
 				log.Printf("part=receivers event=bad_wait addr=%s value=%q", resp.Request.URL.Host, v)
 				break
 			}
-			r.Wait = control.Time(math.Ceil(ms * float64(time.Millisecond/tick)))
+			r.Wait = control.Time(math.Ceil(ms * float64(time.Millisecond/protocol.Tick)))
 		}
 	case http.StatusGatewayTimeout:
 		r.Outcome = control.Unsent
--- a/internal/sender/outlet.go
+++ b/internal/sender/outlet.go
@@ -2,10 +2,10 @@
 
 import (
 	"log"
-	"time"
 
 	"emberquay/control"
 	"emberquay/internal/ledger"
+	"emberquay/internal/protocol"
 	"emberquay/internal/receivers"
 )
 
@@ -37,7 +37,7 @@
 			s.answered(id, no, r)
 		})
 	}
-	h.call = receivers.NewCall(id, h.Mark, h.Body, time.Duration(wait)*tick, done)
+	h.call = receivers.NewCall(id, h.Mark, h.Body, protocol.Span(wait), done)
 	if !s.fleet.Submit(to, h.call) {
 		s.unsent(id, no)
 		return
@@ -99,7 +99,7 @@
 func (s *Sender) Wake(at control.Time, _ int64) {
 	if s.wakeAt == 0 || at < s.wakeAt {
 		s.wakeAt = at
-		s.timer.Reset(time.Duration(max(0, at-s.now())) * tick)
+		s.timer.Reset(protocol.Span(max(0, at-s.now())))
 	}
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -11,12 +11,10 @@
 	"emberquay/internal/config"
 	"emberquay/internal/directory"
 	"emberquay/internal/ledger"
+	"emberquay/internal/protocol"
 	"emberquay/internal/receivers"
 )
 
-// tick is the module's unit of time.
-const tick = time.Second / time.Duration(control.Second)
-
 // Verdict is what a client hears of the text that it hands in.
 type Verdict int
 
@@ -101,7 +99,7 @@
 
 // now is the clock in whole tenths of a millisecond, rounded down.
 func (s *Sender) now() control.Time {
-	return control.Time(s.began.UnixNano()/int64(tick)) + control.Time(time.Since(s.began)/tick)
+	return protocol.At(s.began) + protocol.Ticks(time.Since(s.began))
 }
 
 // Start takes over what is owed from before, once the list as last known has been told. Notices that are
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -15,6 +15,7 @@
 	"emberquay/internal/config"
 	"emberquay/internal/directory"
 	"emberquay/internal/ledger"
+	"emberquay/internal/protocol"
 	"emberquay/internal/receivers"
 )
 
@@ -120,7 +121,7 @@
 	g.t.Helper()
 	reply := make(chan Answer, 1)
 	x := &ledger.Text{ID: id, Product: product, Destination: 3, Mark: id, Body: []byte(id),
-		ValidUntil: g.now() + control.Time(left/tick)}
+		ValidUntil: g.now() + protocol.Ticks(left)}
 	if !g.Hand(x, reply) {
 		g.t.Fatal("the mailbox is full")
 	}
