At the cap of receiver connections those idle elsewhere are closed for a call that needs one

Ruled out: slots (51, never all taken), refused connections (0). At fault: dial in internal/receivers/call.go gave up at the cap.

--- a/internal/receivers/call.go
+++ b/internal/receivers/call.go
@@ -196,8 +196,7 @@
 
 // dial opens a connection within the limits.
 func (p *peer) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	if p.fleet.open.Add(1) > int64(p.fleet.limits.ReceiverConns) {
-		p.fleet.open.Add(-1)
+	if !p.fleet.take(p) {
 		return nil, fmt.Errorf("%w: %d", errTooMany, p.fleet.limits.ReceiverConns)
 	}
 	d := net.Dialer{Timeout: p.fleet.limits.Dial, KeepAlive: -1}
--- a/internal/receivers/call_test.go
+++ b/internal/receivers/call_test.go
@@ -265,3 +265,18 @@
 		t.Error("a call to a receiver that is gone")
 	}
 }
+
+// Idle connections to one receiver must not use up the cap that another needs.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	a, _ := standIn(t, func(*http.Request, []byte) string { return "200 OK\r\n" })
+	b, _ := standIn(t, func(*http.Request, []byte) string { return "200 OK\r\n" })
+	f := fleet(a)
+	f.limits.ReceiverConns = 1
+	f.Listed(2, b)
+	submit(t, f, nil, time.Second)
+	done := make(chan control.Result, 1)
+	f.Submit(2, NewCall("t2", "", nil, time.Second, func(r control.Result) { done <- r }))
+	if r := <-done; r.Outcome != control.Delivered || f.Open() != 1 {
+		t.Errorf("%v with %d connections", r, f.Open())
+	}
+}
--- a/internal/receivers/receivers.go
+++ b/internal/receivers/receivers.go
@@ -3,9 +3,13 @@
 package receivers
 
 import (
+	"cmp"
 	"log"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 
 	"emberquay/control"
@@ -16,8 +20,11 @@
 type Fleet struct {
 	limits config.Limits
 	names  []string // of the values of a report, in order
-	peers  map[control.ReceiverID]*peer
+	calls  atomic.Int64
 	open   atomic.Int64 // connections, all receivers together
+
+	mu    sync.Mutex // only the module's actor writes; a call that makes room reads
+	peers map[control.ReceiverID]*peer
 }
 
 // New makes a fleet that knows no receiver. Names are those of the values that a report may hold.
@@ -30,7 +37,9 @@
 	p := f.peers[id]
 	if p == nil {
 		p = f.newPeer(addr)
+		f.mu.Lock()
 		f.peers[id] = p
+		f.mu.Unlock()
 	}
 	if p.addr != addr {
 		p.addr = addr
@@ -41,7 +50,9 @@
 // Gone: the list does not name the receiver any more. Calls that are out end by themselves.
 func (f *Fleet) Gone(id control.ReceiverID) {
 	if p := f.peers[id]; p != nil {
+		f.mu.Lock()
 		delete(f.peers, id)
+		f.mu.Unlock()
 		close(p.mail)
 	}
 }
@@ -52,10 +63,37 @@
 	if p == nil {
 		return false
 	}
+	p.used.Store(f.calls.Add(1))
 	c.addr = p.addr
 	return p.post(func() { go p.call(c) })
 }
 
+// take counts one more connection to a receiver. At the cap idle ones are closed first, of the receivers that
+// were called longest ago: what is idle elsewhere must not keep a call from going, and each one closed is
+// opened again.
+func (f *Fleet) take(p *peer) bool {
+	if f.open.Add(1) <= int64(f.limits.ReceiverConns) {
+		return true
+	}
+	f.mu.Lock()
+	others := slices.Collect(maps.Values(f.peers))
+	f.mu.Unlock()
+	slices.SortFunc(others, func(a, b *peer) int { return cmp.Compare(a.used.Load(), b.used.Load()) })
+	for _, o := range others {
+		if f.Open() <= f.limits.ReceiverConns {
+			return true
+		}
+		if o != p {
+			o.transport.CloseIdleConnections()
+		}
+	}
+	if f.Open() <= f.limits.ReceiverConns {
+		return true
+	}
+	f.open.Add(-1)
+	return false
+}
+
 // Close closes the idle connections to a receiver.
 func (f *Fleet) Close(to control.ReceiverID) {
 	if p := f.peers[to]; p != nil {
@@ -70,7 +108,8 @@
 // module's slots bound.
 type peer struct {
 	fleet     *Fleet
-	addr      string // read and written by the fleet's goroutine alone
+	addr      string       // the fleet's goroutine's alone
+	used      atomic.Int64 // the number of the last call
 	mail      chan func()
 	transport *http.Transport
 }
