Five eighths of the sockets go to receivers; an answer tells a client that its place is wanted

With a quarter for clients the test of 300 bodies at once had 31 clients without an answer: ruled out a lost request (the server had read none of them); their next request crossed the close of a connection that was closed on becoming idle. The protocol lets a client send again then, but at fault is conns.changed, which closes without a word. Now the answer before it says Connection: close.

--- a/cmd/emberquay/main_test.go
+++ b/cmd/emberquay/main_test.go
@@ -208,6 +208,7 @@
 			req, _ := http.NewRequest(http.MethodPost, "http://"+p.listen+"/api", strings.NewReader(body))
 			req.Header = http.Header{"X-Call-Id": {fmt.Sprint(i)}, "X-Call-Class": {"free"}, "X-Envelope": {"dest=3"},
 				"X-Budget": {"9"}}
+			req.Close = true
 			status := 0
 			if r, err := http.DefaultClient.Do(req); err == nil {
 				status = r.StatusCode
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -120,6 +120,9 @@
 
 func (s *Server) answer(w http.ResponseWriter, a sender.Answer) error {
 	w.Header().Set("Content-Length", "0")
+	if s.conns.wanted() {
+		w.Header().Set("Connection", "close")
+	}
 	switch a.Verdict {
 	case sender.Taken:
 		w.WriteHeader(http.StatusAccepted)
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// wanted says whether a new connection waits for this one's place; it is asked before an answer, so that the
+// client is told and no request of its crosses the close.
+func (c *conns) wanted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wanted := c.waiting
+	c.waiting = false
+	return wanted
+}
+
 // makeRoom closes the connection that has been idle longest.
 func (c *conns) makeRoom() {
 	c.mu.Lock()
@@ -80,9 +90,7 @@
 		log.Printf("part=clients event=full conns=%d", l.conns.most)
 		l.conns.makeRoom()
 		<-l.conns.free
-		l.conns.mu.Lock()
-		l.conns.waiting = false
-		l.conns.mu.Unlock()
+		l.conns.wanted() // not any more
 	}
 	return &counted{Conn: conn, conns: l.conns}, nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -180,9 +180,9 @@
 		return *v, nil
 	}
 	cores, err1 := number("cores", f.Limits.Cores, 1, 0.01)
-	memory, err2 := number("memory_mb", f.Limits.MemoryMB, 192, 32)
+	memory, err2 := number("memory_mb", f.Limits.MemoryMB, 192, 16)
 	sockets, err3 := number("sockets", f.Limits.Sockets, 1024, 64)
-	disk, err4 := number("disk_mb", f.Limits.DiskMB, 3, 0.1)
+	disk, err4 := number("disk_mb", f.Limits.DiskMB, 3, 0.01)
 	if err := errors.Join(err1, err2, err3, err4); err != nil {
 		return err
 	}
@@ -195,7 +195,7 @@
 	}
 	c.Limits = Limits{
 		Cores: max(1, int(cores+0.999)), MemoryBytes: int64(memory * 1e6), DiskBytes: int64(disk * 1e6),
-		ClientConns: clientConns(int(sockets), int64(memory*1e6)), ReceiverConns: int(sockets) * 3 / 8, Slots: slots, Texts: texts,
+		ClientConns: clientConns(int(sockets), int64(memory*1e6)), ReceiverConns: int(sockets) * 5 / 8, Slots: slots, Texts: texts,
 		Mailbox: 1024, Body: body, Header: header,
 		Answer: 300 * time.Millisecond, ReadHeader: 10 * time.Second, ClientIdle: 2 * time.Minute,
 		Dial: dial, ReceiverIdle: idle * 19 / 20, // a request that crosses the receiver's own close is lost
@@ -206,10 +206,10 @@
 	return nil
 }
 
-// clientConns leaves sockets for the receivers, the list and files, and memory for the rest of the program
-// when every client sends the longest headers and body at once.
+// clientConns leaves sockets for the receivers, which hold connections for longer, and for the list, notices
+// and files; and memory for the rest of the program when every client sends the longest headers and body.
 func clientConns(sockets int, memory int64) int {
-	return max(8, min(sockets/2, int(memory/4/(body+header))))
+	return max(8, min(sockets/4, int(memory/4/(body+header))))
 }
 
 func (c *Config) whole(key string, otherwise int) (int, error) {
