--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -112,6 +112,9 @@
 }
 
 func (l *Ledger) open() error {
+	if err := os.MkdirAll(l.dir, 0o700); err != nil {
+		return err
+	}
 	// A new file that was not finished counts for nothing: the old one is whole.
 	if err := os.Remove(l.path(".new")); err != nil && !errors.Is(err, os.ErrNotExist) {
 		log.Printf("part=ledger event=leftover err=%q", err)
