A nack at once is in the ledger before the client hears it

Seen while reading: end in internal/sender/outlet.go answered the client before it wrote the end, so a process killed in between would have sent, at its next start, a text that its client had back. Ruled out for the other ends: notices are written before they are posted, a delivery is known to the receiver. Two lines change places; the test stops the sender between them.

--- a/internal/sender/outlet.go
+++ b/internal/sender/outlet.go
@@ -72,10 +72,11 @@
 	switch {
 	case h == nil:
 	case h.reply != nil:
-		h.reply <- a
-		h.reply = nil
+		// Written before it is said: a process killed in between would else send what its client had back.
 		s.counts.Refused++
 		s.forget(n.ID)
+		h.reply <- a
+		h.reply = nil
 	default:
 		if n.Nack {
 			s.counts.Nacked++
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -198,6 +199,29 @@
 	}
 }
 
+// A process killed just after a nack must not send the text at its next start: the client has it back.
+func TestNackIsWrittenBeforeItIsSaid(t *testing.T) {
+	g := newRig(t, ok)
+	g.start()
+	reply := make(chan Answer) // the actor stands still until the answer is taken
+	g.Hand(&ledger.Text{ID: "a", Product: "free", Destination: 3, ValidUntil: g.now()}, reply)
+	g.until("the end is not written", func() bool {
+		raw, _ := os.ReadFile(filepath.Join(g.dir, "ledger"))
+		other := t.TempDir()
+		os.WriteFile(filepath.Join(other, "ledger"), raw, 0o600)
+		l, err := ledger.Open(other, 3e6)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		owed, _ := l.Owed()
+		return len(raw) > 0 && len(owed) == 0
+	})
+	if a := <-reply; a.Verdict != Nacked {
+		t.Error(a)
+	}
+}
+
 func TestLaterEndsAreNotices(t *testing.T) {
 	for product, nack := range map[string]bool{"free": true, "marked": true, "once": false} {
 		g := newRig(t, silent)
