--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -204,6 +204,7 @@
 	g := newRig(t, ok)
 	g.start()
 	reply := make(chan Answer) // the actor stands still until the answer is taken
+	defer func() { go func() { <-reply }() }()
 	g.Hand(&ledger.Text{ID: "a", Product: "free", Destination: 3, ValidUntil: g.now()}, reply)
 	g.until("the end is not written", func() bool {
 		raw, _ := os.ReadFile(filepath.Join(g.dir, "ledger"))
