--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -135,6 +135,7 @@
 		}
 		l.size += n
 	}
+	log.Printf("part=ledger event=opened bytes=%d texts=%d notices=%d", len(raw), len(l.texts), len(l.notices))
 	for _, t := range l.texts { // what was out when the process ended may have run
 		t.tentative = false
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -114,9 +114,6 @@
 	for _, n := range due {
 		s.post(n)
 	}
-	if len(texts)+len(due) > 0 {
-		log.Printf("part=sender event=owed texts=%d notices=%d", len(texts), len(due))
-	}
 }
 
 // Run makes calls on the module until stop is closed.
