--- a/control/control.go
+++ b/control/control.go
@@ -22,10 +22,11 @@
 )
 
 const (
-	defaultPause = Second // of a bucket that reads nought or refuses, where no wait is told: the design's
-	bucketCap    = 1024   // buckets remembered, as many as the document keeps bearer queues
-	firstWindow  = 8.0    // calls at once where nothing else bounds them, until experience does
-	smoothing    = 0.2    // weight of the newest of a series: about the last ten count
+	defaultPause = Second      // of a bucket that reads nought or refuses, where no wait is told: the design's
+	bucketCap    = 1024        // buckets remembered, as many as the document keeps bearer queues
+	firstWindow  = 8.0         // calls at once where nothing else bounds them, until experience does
+	smoothing    = 0.2         // weight of the newest of a series: about the last ten count
+	goneFor      = 60 * Second // what is listed no more is remembered so long, if it may matter again
 )
 
 // New makes an instance. Settings that make no sense are an error that names them.
@@ -62,27 +63,6 @@
 	return s, nil
 }
 
-func (s *Sender) number(name string, otherwise float64) float64 {
-	if n, err := strconv.ParseFloat(s.set[name], 64); err == nil {
-		return n
-	}
-	return otherwise
-}
-
-// span reads a time, rounded down: spans bound what may still be done.
-func (s *Sender) span(name string, otherwise Time) Time {
-	return Time(s.number(name, float64(otherwise)*100) / 100)
-}
-
-// perKind reads the value of a setting that holds one for each kind.
-func (s *Sender) perKind(name, kind string) string {
-	values := strings.Split(s.set[name], ",")
-	if i := slices.Index(strings.Split(s.set["Kinds"], ","), kind); i >= 0 && i < len(values) {
-		return values[i]
-	}
-	return ""
-}
-
 // Clock tells the time of the calls that follow.
 func (s *Sender) Clock(now Time) {
 	s.began = cmp.Or(s.began, now)
@@ -111,38 +91,48 @@
 			r.dest.receivers = slices.Insert(r.dest.receivers, at, r)
 		}
 		r.listing, r.rate, r.zone = e.Listing, e.Rate, e.Zone
-		if e.Listing == Removed && !whole {
-			s.forget(r.dest)
+		if e.Listing == Removed {
+			s.gone = append(s.gone, r)
 		}
 	}
 	if whole {
-		for _, d := range s.order {
-			s.forget(d)
-		}
+		s.gone = slices.Collect(maps.Values(s.receivers))
 	}
+	s.forget()
 }
 
-// forget drops the receivers that are gone and on which nothing hangs; an outage is remembered, as they may
-// be listed again.
-func (s *Sender) forget(d *destination) {
-	d.receivers = slices.DeleteFunc(d.receivers, func(r *receiver) bool {
-		warm := r.fails == 0 && (r.cold == 0 || s.now > r.cold+s.span("Contract.RampTimeUs", 0))
-		gone := r.listing == Removed && len(r.calls) == 0 && warm
-		if gone {
-			delete(s.receivers, r.id)
+// forget drops the receivers that are gone, so that nothing outlives them in a sender that runs for long: at
+// once, or after a time where an outage is to be remembered, as they may be listed again, or where the
+// destination has no other, as its next one may be a moment late. Texts and calls keep theirs.
+func (s *Sender) forget() {
+	s.gone = slices.DeleteFunc(s.gone, func(r *receiver) bool {
+		d, last := r.dest, len(r.dest.receivers) == 1
+		b, ramp, end := s.bucketOf(r), s.span("Contract.RampTimeUs", 0), s.now-goneFor
+		warm := r.fails == 0 && (r.cold == 0 || s.now > r.cold+ramp) && s.now >= b.waitUntil && !s.shut(b)
+		switch {
+		case r.listing != Removed || s.receivers[r.id] != r:
+			return true
+		case len(r.calls) > 0 || last && d.busy || (last || !warm) && max(r.used, r.answered, b.waitUntil) > end:
+			return false
+		}
+		delete(s.receivers, r.id)
+		d.receivers = slices.DeleteFunc(d.receivers, func(o *receiver) bool { return o == r })
+		if r.apart || last {
+			delete(s.buckets, b.key)
 		}
-		return gone
+		if last {
+			delete(s.destinations, d.id)
+		}
+		return true
 	})
 }
 
 func (s *Sender) destination(id int64) *destination {
-	d := s.destinations[id]
-	if d == nil {
-		d = &destination{id: id, no: len(s.order)}
-		s.destinations[id] = d
-		s.order = append(s.order, d)
+	if s.destinations[id] == nil {
+		s.mentions++
+		s.destinations[id] = &destination{id: id, no: s.mentions}
 	}
-	return d
+	return s.destinations[id]
 }
 
 // bucketOf gives a receiver's bucket: its destination's, or its own where routes are apart. Past the cap
@@ -172,8 +162,13 @@
 	return b
 }
 
-// Take takes a text in; from here on it is owed one final answer.
+// Take takes a text in; from here on it is owed one final answer. Where the list names other destinations but
+// not its own, it is refused before anything is kept of it, unless it may have run already.
 func (s *Sender) Take(a Arrival) {
+	if s.destinations[a.Destination] == nil && len(s.receivers) > 0 && a.RanSince == 0 {
+		s.out.Nack(a.ID, 0)
+		return
+	}
 	p := s.products[a.Product]
 	if p == nil { // not in the settings: nothing allows a repeat
 		p = &product{name: a.Product, pace: float64(Second) / 10}
@@ -385,6 +380,9 @@
 		for _, r := range d.receivers {
 			s.hangUp(r)
 		}
+		if !d.busy && len(d.receivers) == 0 { // never listed
+			delete(s.destinations, d.id)
+		}
 		return !d.busy
 	})
 	s.plan()
--- /dev/null
+++ b/control/settings.go
@@ -0,0 +1,30 @@
+package control
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// How the settings are read; what is read is picked where it is needed.
+
+func (s *Sender) number(name string, otherwise float64) float64 {
+	if n, err := strconv.ParseFloat(s.set[name], 64); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+// span reads a time, rounded down: spans bound what may still be done.
+func (s *Sender) span(name string, otherwise Time) Time {
+	return Time(s.number(name, float64(otherwise)*100) / 100)
+}
+
+// perKind reads the value of a setting that holds one for each kind.
+func (s *Sender) perKind(name, kind string) string {
+	values := strings.Split(s.set[name], ",")
+	if i := slices.Index(strings.Split(s.set["Kinds"], ","), kind); i >= 0 && i < len(values) {
+		return values[i]
+	}
+	return ""
+}
--- a/control/state.go
+++ b/control/state.go
@@ -131,7 +131,8 @@
 	receivers    map[ReceiverID]*receiver
 	buckets      map[bucketKey]*bucket
 	destinations map[int64]*destination
-	order        []*destination // by first mention
+	gone         []*receiver    // not listed and not forgotten
+	mentions     int            // of destinations, first ones
 	busy         []*destination // those with texts or calls, by first mention
 	slots        int
 	longestSLA   Time
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -2,6 +2,7 @@
 package clients
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -52,15 +53,19 @@
 
 // New makes the server; the settings name the products.
 func New(c *config.Config, taker Taker) *Server {
-	s := &Server{limits: c.Limits, products: c.Products, taker: taker, conns: newConns(c.Limits.ClientConns)}
+	s := &Server{limits: c.Limits, products: c.Products, taker: taker, conns: newConns(c.Limits)}
 	mux := http.NewServeMux()
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		s.refuse(w, r, http.StatusNotFound, errors.New("nothing is done for this"))
+	})
 	mux.HandleFunc("POST "+textPath, s.hand)
 	mux.HandleFunc("GET "+readyPath, s.ready)
 	mux.HandleFunc("GET "+statusPath, s.status)
 	s.http = &http.Server{
-		Handler: mux, ReadHeaderTimeout: c.Limits.ReadHeader, ReadTimeout: c.Limits.ReadHeader,
+		Handler: s.unpaired(mux), ReadHeaderTimeout: c.Limits.ReadHeader, ReadTimeout: c.Limits.ReadHeader,
 		IdleTimeout: c.Limits.ClientIdle, MaxHeaderBytes: c.Limits.Header,
 		ConnState: s.conns.changed, ErrorLog: log.Default(),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 	return s
 }
@@ -96,13 +101,42 @@
 	}{counts, s.Open(), s.stopping.Load()})
 }
 
+// connKey is under what a request's context holds its connection.
+type connKey struct{}
+
+func connOf(r *http.Request) *conn { return r.Context().Value(connKey{}).(*conn) }
+
+// unpaired refuses what had a length beside pieces, and lets no request follow one in pieces: what a body
+// conceals must not become a request.
+func (s *Server) unpaired(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if connOf(r).paired.Load() {
+			s.refuse(w, r, http.StatusBadRequest, errors.New("Content-Length beside Transfer-Encoding"))
+			return
+		}
+		if len(r.TransferEncoding) > 0 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// refuse answers what cannot be used, at once, and ends the connection: what else comes on it is not looked
+// at.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, why error) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, why.Error(), status)
+	connOf(r).reached(refused)
+}
+
 // hand answers one hand-in: whatever was read whole gets an answer.
 func (s *Server) hand(w http.ResponseWriter, r *http.Request) {
 	t, status, err := s.text(r, time.Now())
 	if err != nil {
-		http.Error(w, err.Error(), status)
+		s.refuse(w, r, status, err)
 		return
 	}
+	connOf(r).reached(working)
 	reply := make(chan sender.Answer, 1)
 	if !s.taker.Hand(t, reply) {
 		http.Error(w, "busy", http.StatusServiceUnavailable)
@@ -145,6 +179,9 @@
 
 // text takes out of a hand-in what decisions need; the body and the mark stay as they came.
 func (s *Server) text(r *http.Request, came time.Time) (*ledger.Text, int, error) {
+	if r.ContentLength > s.limits.Body { // before anything is spent on it
+		return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too large")
+	}
 	bad := func(header, what string) (*ledger.Text, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf("%s: %s", header, what)
 	}
@@ -180,9 +217,6 @@
 	default:
 		return bad(againHeader, fmt.Sprintf("%q is not known", again))
 	}
-	if r.ContentLength > s.limits.Body {
-		return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too large")
-	}
 	if r.ContentLength >= 0 { // net/http reads no more than that
 		t.Body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(r.Body, t.Body)
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -49,7 +51,8 @@
 	}
 	k := &taker{answer: answer, texts: make(chan *ledger.Text, 99), withdrawn: make(chan string, 9)}
 	s := New(&config.Config{Products: map[string]bool{"order": true}, Limits: config.Limits{
-		ClientConns: most, Body: 64 << 10, Header: 16 << 10, ReadHeader: time.Second, ClientIdle: time.Minute}}, k)
+		ClientConns: most, Body: 64 << 10, Header: 16 << 10, ReadHeader: time.Second, ClientIdle: time.Minute,
+		Answer: 300 * time.Millisecond, Speak: 20 * time.Millisecond}}, k)
 	go s.Serve(l)
 	t.Cleanup(func() { s.http.Close() })
 	return s, k, l.Addr().String()
@@ -252,6 +255,52 @@
 	}
 }
 
+// Clients that connect and say nothing, or never end what they say, do not take the places of others, and each
+// is closed in time.
+func TestSilentClientsMakeRoom(t *testing.T) {
+	_, _, addr := serve(t, 8, &sender.Answer{})
+	usual := dial(t, addr)
+	ask(t, usual, heads, "")
+	var bad []net.Conn
+	for i := range 40 {
+		bad = append(bad, dial(t, addr))
+		if i%4 == 0 {
+			fmt.Fprintf(bad[i], "POST /api HTTP/1.1\r\nHost: a\r\n%sContent-Length: 9\r\n\r\nhalf", heads)
+		}
+	}
+	began := time.Now()
+	ask(t, usual, heads, "") // it was not closed for them
+	if r := ask(t, dial(t, addr), heads, ""); r.StatusCode != 202 || time.Since(began) > 900*time.Millisecond {
+		t.Error(r, time.Since(began))
+	}
+	for i, c := range bad {
+		c.SetReadDeadline(began.Add(2 * time.Second))
+		if _, err := io.Copy(io.Discard, c); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("%d stays", i)
+		}
+	}
+}
+
+// A body in pieces that has a length too may conceal another request: neither of them is taken on, nor what
+// follows any body in pieces.
+func TestConcealedRequests(t *testing.T) {
+	_, k, addr := serve(t, 99, &sender.Answer{})
+	hidden := "POST /api HTTP/1.1\r\nHost: a\r\n" + heads + "Content-Length: 0\r\n\r\n"
+	for more, most := range map[string]int{"Content-Length: 5\r\n": 0, "content-length:5\r\n": 0, "": 1} {
+		for _, first := range []string{"", hidden} {
+			c := dial(t, addr)
+			io.WriteString(c, first+"POST /api HTTP/1.1\r\nHost: a\r\n"+heads+more+"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+hidden)
+			all, _ := io.ReadAll(c)
+			if want := most + strings.Count(first, "POST"); len(k.texts) > want {
+				t.Errorf("%q: %d of at most %d taken on: %s", more, len(k.texts), want, all)
+			}
+			for len(k.texts) > 0 {
+				<-k.texts
+			}
+		}
+	}
+}
+
 // From the request to stop until the listener closes, what still comes is served, each on a last connection.
 func TestLinger(t *testing.T) {
 	s, _, addr := serve(t, 9, &sender.Answer{})
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -1,47 +1,57 @@
 package clients
 
 import (
+	"cmp"
 	"context"
 	"log"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
+
+	"emberquay/internal/config"
+	"emberquay/internal/protocol"
 )
 
-// conns counts the clients' connections. At the cap the one longest idle is closed for a new one; if none
-// is idle the new one waits.
+// stage is how far a connection has come with its present request.
+type stage int
+
+// The stages, and what they mean at the cap.
+const (
+	refused stage = iota // its last answer is given: it goes first
+	silent               // no whole head yet: it goes once a usual client would have spoken
+	partial              // no whole body yet: likewise
+	idle                 // between requests: the longest idle goes
+	working              // an answer is owed: it stays
+)
+
+// conns counts the clients' connections. At the cap one makes room for a new one; if none can the new one
+// waits.
 type conns struct {
-	free chan struct{} // one token for each connection that may still come
-	most int
+	limits config.Limits
 
 	mu      sync.Mutex
-	idle    map[net.Conn]time.Time
-	waiting bool // a new one waits, and none was idle
-}
-
-func newConns(most int) *conns {
-	c := &conns{free: make(chan struct{}, most), most: most, idle: map[net.Conn]time.Time{}}
-	for range most {
-		c.free <- struct{}{}
-	}
-	return c
+	open    map[*conn]bool
+	waiting bool // a new one waits
 }
 
-func (c *conns) count() int { return c.most - len(c.free) }
+func newConns(limits config.Limits) *conns { return &conns{limits: limits, open: map[*conn]bool{}} }
 
-// changed is the server's hook.
-func (c *conns) changed(conn net.Conn, state http.ConnState) {
+func (c *conns) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.idle, conn)
-	switch {
-	case state != http.StateIdle:
-	case c.waiting: // the new one may have come just before this one was idle
-		c.waiting = false
-		conn.Close()
-	default:
-		c.idle[conn] = time.Now()
+	return len(c.open)
+}
+
+// changed is the server's hook.
+func (c *conns) changed(raw net.Conn, state http.ConnState) {
+	to := map[http.ConnState]stage{http.StateNew: silent, http.StateActive: partial, http.StateIdle: idle}
+	if at, ok := to[state]; ok {
+		raw.(*conn).reached(at)
 	}
 }
 
@@ -55,20 +65,39 @@
 	return wanted
 }
 
-// makeRoom closes the connection that has been idle longest.
-func (c *conns) makeRoom() {
+// admit lets a connection in if there is room, or if room can be made. Clients that connect and say nothing,
+// or never end what they say, must not take the places of those that ask: they go before any that is idle,
+// and while many have just come nothing else goes for them.
+func (c *conns) admit(n *conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var oldest net.Conn
-	for conn, since := range c.idle {
-		if oldest == nil || since.Before(c.idle[oldest]) {
-			oldest = conn
-		}
+	if c.waiting = len(c.open) >= c.limits.ClientConns && !c.makeRoom(); !c.waiting {
+		c.open[n] = true
 	}
-	if c.waiting = oldest == nil; !c.waiting {
-		delete(c.idle, oldest)
-		oldest.Close()
+	return !c.waiting
+}
+
+func (c *conns) makeRoom() bool {
+	now, young := time.Now(), 0
+	all := slices.SortedFunc(maps.Keys(c.open), func(a, b *conn) int {
+		return cmp.Or(int(a.at-b.at), a.since.Compare(b.since))
+	})
+	for _, o := range all {
+		switch {
+		case o.at == working, o.at == idle && young > c.limits.ClientConns/4:
+			return false
+		case o.at == silent && now.Sub(o.since) < c.limits.Speak,
+			o.at == partial && now.Sub(o.since) < c.limits.Answer:
+			young++
+			continue
+		case (o.at == silent || o.at == idle) && o.unread():
+			continue // its request has just come
+		}
+		delete(c.open, o)
+		o.Conn.Close()
+		return true
 	}
+	return false
 }
 
 func (c *conns) listen(l net.Listener) net.Listener { return &listener{l, c} }
@@ -80,33 +109,95 @@
 
 // Accept takes a connection once there is room for it.
 func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	select {
-	case <-l.conns.free:
-	default:
-		log.Printf("part=clients event=full conns=%d", l.conns.most)
-		l.conns.makeRoom()
-		<-l.conns.free
-		l.conns.wanted() // not any more
+	n := &conn{Conn: raw, conns: l.conns, at: silent, since: time.Now()}
+	for full := false; !l.conns.admit(n); time.Sleep(l.conns.limits.Speak / 4) {
+		if !full {
+			full = true
+			log.Printf("part=clients event=full conns=%d", l.conns.limits.ClientConns)
+		}
 	}
-	return &counted{Conn: conn, conns: l.conns}, nil
+	return n, nil
 }
 
-// counted gives its place back once.
-type counted struct {
+// conn is one client's connection. It reads along what comes: net/http hides a length that stands beside
+// pieces, by which a body may conceal another request.
+type conn struct {
 	net.Conn
 	conns *conns
-	once  sync.Once
+
+	at    stage     // under the lock of conns
+	since time.Time // likewise
+
+	request protocol.Message // the reader's alone
+	paired  atomic.Bool      // a length stood beside pieces; it never has a further request
 }
 
-func (c *counted) Close() error {
-	c.once.Do(func() { c.conns.free <- struct{}{} })
+// reached notes how far the connection has come.
+func (c *conn) reached(at stage) {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.at, c.since = at, time.Now()
+}
+
+// spoke notes the first bytes of a request.
+func (c *conn) spoke() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.at == silent || c.at == idle {
+		c.at, c.since = partial, time.Now()
+	}
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.spoke()
+	}
+	for rest := b[:n]; len(rest) > 0; {
+		if c.request.Part == protocol.Over || !c.request.Request {
+			c.request = protocol.Message{Request: true}
+		}
+		rest = rest[c.request.Take(rest):]
+		if c.request.Paired {
+			c.paired.Store(true)
+		}
+	}
+	return n, err
+}
+
+// CloseWrite lets net/http end its side first, so that an answer to what was not read is not lost.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close gives the place back.
+func (c *conn) Close() error {
+	c.conns.mu.Lock()
+	delete(c.conns.open, c)
+	c.conns.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// unread says whether something has come that was not read yet.
+func (c *conn) unread() bool {
+	n := 0
+	if tcp, ok := c.Conn.(syscall.Conn); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) {
+				n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			})
+		}
+	}
+	return n > 0
+}
+
 // Linger: the process is to end. Connections close after their next answer; new ones still come.
 func (s *Server) Linger() {
 	s.stopping.Store(true)
@@ -119,9 +210,9 @@
 	if err := s.http.Shutdown(ctx); err != nil {
 		return err
 	}
-	for range s.conns.most {
+	for s.conns.count() > 0 {
 		select {
-		case <-s.conns.free:
+		case <-time.After(s.limits.Speak / 4):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -42,9 +44,11 @@
 	Mailbox       int // messages waiting for one actor
 	Body          int64
 	Header        int
+	LogLines      int // a second
 
 	Answer       time.Duration // a client hears of its text within this
-	ReadHeader   time.Duration
+	Speak        time.Duration // a client that opened a connection asks within this
+	ReadHeader   time.Duration // for a whole request
 	ClientIdle   time.Duration
 	Dial         time.Duration
 	ReceiverIdle time.Duration
@@ -82,6 +86,21 @@
 	} `json:"limits"`
 }
 
+// Differ names the keys in which two configurations differ and that only a restart changes.
+func (c *Config) Differ(o *Config) []string {
+	var keys []string
+	for key, same := range map[string]bool{
+		"name": c.Name == o.Name, "listen": c.Listen == o.Listen, "state": c.State == o.State,
+		"limits": c.Limits == o.Limits, "settings": maps.Equal(c.Settings, o.Settings),
+	} {
+		if !same {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // Read reads the file at a path; what the environment tells goes before it. A fault names its key.
 func Read(path string, env func(string) string) (*Config, error) {
 	raw, err := os.ReadFile(path)
@@ -119,7 +138,10 @@
 		{"discovery", "GW_DISCOVERY", &c.Discovery, true},
 		{"state", "GW_STATE", &c.State, false},
 	} {
-		if v := env(k.env); v != "" {
+		// The file is replaced while the sender runs, the environment is not: what it says of discovery is the
+		// newest, and a restart must not go back behind it.
+		newest := k.at == &c.Discovery && *k.at != ""
+		if v := env(k.env); v != "" && !newest {
 			*k.at = v
 		}
 		if *k.at == "" {
@@ -195,10 +217,11 @@
 	}
 	c.Limits = Limits{
 		Cores: max(1, int(cores+0.999)), MemoryBytes: int64(memory * 1e6), DiskBytes: int64(disk * 1e6),
-		ClientConns: clientConns(int(sockets), int64(memory*1e6)), ReceiverConns: int(sockets) * 5 / 8, Slots: slots, Texts: texts,
-		Mailbox: 1024, Body: body, Header: header,
-		Answer: 300 * time.Millisecond, ReadHeader: 10 * time.Second, ClientIdle: 2 * time.Minute,
-		Dial: dial, ReceiverIdle: idle * 19 / 20, // a request that crosses the receiver's own close is lost
+		ClientConns: clientConns(int(sockets), int64(memory*1e6)), ReceiverConns: int(sockets) / 2, Slots: slots, Texts: texts,
+		Mailbox: 1024, Body: body, Header: header, LogLines: 50,
+		Answer: 300 * time.Millisecond, Speak: 20 * time.Millisecond, ReadHeader: 1500 * time.Millisecond,
+		ClientIdle: 4 * time.Second,                    // some keep a connection for good
+		Dial:       dial, ReceiverIdle: idle * 19 / 20, // a request that crosses the receiver's own close is lost
 		Drain: 100 * time.Millisecond, ListSilence: 4500 * time.Millisecond, Notice: 500 * time.Millisecond,
 		RetryLeast: 50 * time.Millisecond, RetryMost: time.Second,
 		StopListen: 1200 * time.Millisecond, StopSubmit: 2600 * time.Millisecond, StopEnd: 3400 * time.Millisecond,
@@ -206,10 +229,9 @@
 	return nil
 }
 
-// clientConns leaves sockets for the receivers, which hold connections for longer, and for the list, notices
-// and files; and memory for the rest of the program when every client sends the longest headers and body.
+// clientConns leaves half of the sockets for the receivers, and an eighth for the list, notices and files; and memory for the rest of the program when every client sends the longest headers and body.
 func clientConns(sockets int, memory int64) int {
-	return max(8, min(sockets/4, int(memory/4/(body+header))))
+	return max(8, min(sockets*3/8, int(memory/4/(body+header))))
 }
 
 func (c *Config) whole(key string, otherwise int) (int, error) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -316,6 +316,9 @@
 
 // Ended keeps that a text is over, or its notice has arrived, and that nothing more is owed.
 func (l *Ledger) Ended(id string) error {
+	if l.texts[id] == nil && l.notices[id] == nil {
+		return nil // it was never kept
+	}
 	l.end(id)
 	return l.note(ended, named{id})
 }
--- /dev/null
+++ b/internal/protocol/message.go
@@ -0,0 +1,112 @@
+package protocol
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+)
+
+// Part says which part of a message comes next.
+type Part int
+
+// The parts.
+const (
+	Head Part = iota
+	Body
+	ToEnd // the body ends with the connection, or its pieces tell their own lengths
+	Over
+)
+
+// Message follows one HTTP/1.1 message through the bytes of its connection. Net/http does not show its users
+// where one ended, what was left out of its head, or the first line of one that it could not read.
+type Message struct {
+	Request bool // else an answer
+	Part    Part
+	Begun   bool // some of it has come
+	Status  int  // of an answer; 0 before a first line that can be read
+	Paired  bool // it has a length and pieces, so that two readers may see two bodies
+
+	line   []byte // of the head, the present one, as far as it matters
+	first  bool   // the first line has come
+	length bool   // was told
+	pieces bool
+	left   int64 // of the body
+}
+
+// mostLine is as much of a line as is looked at.
+const mostLine = 128
+
+// Take follows the next bytes and says how many of them belong to the message.
+func (m *Message) Take(b []byte) int {
+	at := 0
+	for at < len(b) {
+		switch m.Part {
+		case Head:
+			m.Begun = true
+			line, _, whole := bytes.Cut(b[at:], []byte("\n"))
+			at += len(line)
+			m.line = append(m.line, line[:min(len(line), mostLine-len(m.line))]...)
+			if whole {
+				at++
+				m.ended(strings.TrimSuffix(string(m.line), "\r"))
+				m.line = m.line[:0]
+			}
+		case Body:
+			here := min(int64(len(b)-at), m.left)
+			at += int(here)
+			if m.left -= here; m.left == 0 {
+				m.Part = Over
+			}
+		case ToEnd:
+			return len(b)
+		default:
+			return at
+		}
+	}
+	return at
+}
+
+// ended takes one line of the head.
+func (m *Message) ended(line string) {
+	name, value, _ := strings.Cut(line, ":")
+	switch {
+	case !m.first:
+		m.first = true
+		m.Status = status(line)
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		m.pieces = true
+	case strings.EqualFold(name, "Content-Length"):
+		m.length = true
+		if n, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64); err == nil {
+			m.left = max(0, n)
+		}
+	case line == "":
+		m.headOver()
+	}
+}
+
+func (m *Message) headOver() {
+	m.Paired = m.length && m.pieces
+	bodiless := m.Status >= 100 && m.Status < 200 && m.Status != 101 || m.Status == 204 || m.Status == 304
+	switch {
+	case bodiless:
+		m.Part = Over
+	case m.pieces, !m.length && !m.Request:
+		m.Part = ToEnd
+	case m.left == 0:
+		m.Part = Over
+	default:
+		m.Part = Body
+	}
+}
+
+// status reads the first line of an answer; 0 if it makes no sense.
+func status(line string) int {
+	version, rest, _ := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	n, err := strconv.Atoi(code)
+	if !strings.HasPrefix(version, "HTTP/1.") || len(code) != 3 || err != nil || n < 100 {
+		return 0
+	}
+	return n
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -5,6 +5,7 @@
 
 import (
 	"log"
+	"maps"
 	"time"
 
 	"emberquay/control"
@@ -49,9 +50,10 @@
 
 	texts    map[string]*held
 	listed   map[control.ReceiverID]control.Entry
-	fresh    []*held  // their clients have yet to hear
-	later    []func() // calls on the module that came up during one
-	owed     int      // notices
+	at       map[string]control.ReceiverID // by address, those listed
+	fresh    []*held                       // their clients have yet to hear
+	later    []func()                      // calls on the module that came up during one
+	owed     int                           // notices
 	counts   Counts
 	stopping bool
 	frozen   bool // nothing new goes out
@@ -87,7 +89,8 @@
 	s := &Sender{
 		limits: c.Limits, began: time.Now(), mail: make(chan func(), c.Limits.Mailbox),
 		timer: time.NewTimer(time.Hour), ledger: l, fleet: f,
-		texts: map[string]*held{}, listed: map[control.ReceiverID]control.Entry{}, idle: make(chan struct{}),
+		texts: map[string]*held{}, listed: map[control.ReceiverID]control.Entry{},
+		at: map[string]control.ReceiverID{}, idle: make(chan struct{}),
 	}
 	var err error
 	if s.module, err = control.New(c.Seed, c.Settings, s); err != nil {
@@ -190,26 +193,34 @@
 }
 
 func (s *Sender) hand(t *ledger.Text, reply chan<- Answer) {
-	if s.texts[t.ID] != nil { // it came twice: it is taken on already
-		reply <- Answer{Verdict: Taken}
+	if h := s.texts[t.ID]; h != nil { // the id of a text that is held, and perhaps not taken on
+		v := Taken
+		if h.reply != nil {
+			v = Nacked
+		}
+		reply <- Answer{Verdict: v}
 		return
 	}
-	full := len(s.texts) >= s.limits.Texts || s.owed >= s.limits.Texts
+	h := &held{Text: t, reply: reply}
+	s.texts[t.ID] = h
+	full := len(s.texts) > s.limits.Texts || s.owed >= s.limits.Texts
 	if !full {
+		if s.take(t); s.texts[t.ID] != h {
+			return // refused before it cost anything
+		}
 		if err := s.ledger.Taken(t); err != nil {
 			log.Printf("part=sender event=not_kept text=%s err=%q", t.ID, err)
+			s.module.Withdrawn(t.ID)
 			full = true
 		}
 	}
 	if full {
+		delete(s.texts, t.ID)
 		s.counts.Refused++
 		reply <- Answer{Verdict: Nacked}
 		return
 	}
-	h := &held{Text: t, reply: reply}
-	s.texts[t.ID] = h
 	s.fresh = append(s.fresh, h)
-	s.take(t)
 }
 
 // take tells the module of a text and of all that was done for it.
@@ -253,14 +264,24 @@
 	named := map[control.ReceiverID]bool{}
 	entries := make([]control.Entry, 0, len(news.Hosts))
 	for _, h := range news.Hosts {
-		entries = append(entries, h.Entry)
-		if h.Listing == control.Removed {
+		before, taken := s.at[h.Addr]
+		switch taken = taken && before != h.Receiver; {
+		case h.Listing == control.Removed:
+			s.drop(h.Receiver)
+		case taken && h.Listing == control.Draining: // another has its place already
+			h.Listing = control.Removed
 			s.drop(h.Receiver)
-			continue
+		default:
+			// An address is that of whoever came there last. What is sent to one that was there before would reach
+			// the new one, perhaps of another destination.
+			if taken {
+				s.drop(before)
+				entries = append(entries, control.Entry{Receiver: before, Listing: control.Removed})
+			}
+			named[h.Receiver] = true
+			s.place(h)
 		}
-		named[h.Receiver] = true
-		s.listed[h.Receiver] = h.Entry
-		s.fleet.Listed(h.Receiver, h.Addr)
+		entries = append(entries, h.Entry)
 	}
 	if news.Whole {
 		for id := range s.listed {
@@ -272,7 +293,20 @@
 	s.module.Listed(news.Whole, entries)
 }
 
+// place keeps where a receiver is.
+func (s *Sender) place(h directory.Host) {
+	s.leave(h.Receiver)
+	s.listed[h.Receiver], s.at[h.Addr] = h.Entry, h.Receiver
+	s.fleet.Listed(h.Receiver, h.Addr)
+}
+
+// leave frees the address of a receiver.
+func (s *Sender) leave(id control.ReceiverID) {
+	maps.DeleteFunc(s.at, func(_ string, at control.ReceiverID) bool { return at == id })
+}
+
 func (s *Sender) drop(id control.ReceiverID) {
+	s.leave(id)
 	delete(s.listed, id)
 	s.fleet.Gone(id)
 }
