A spoilt answer is told by its first line, and what follows an answer is never the next one's

Checked in net/http (readLoop): a connection is idle again before the caller has the answer, and what was read beyond it then stands for the answer to the next call if that one is quicker than the loop's look; an unreadable head with 200 was Lost and sent again; a head without an end waited for the whole time-out; a 503 cut short counted as never run. At fault: call.go, which had only the transport's error to go by. Now: the connection follows each answer (protocol.Message): first line, length, end. Tests: fourteen spoilt answers and six with more than belongs to them; all of these failed or hung before.

--- a/internal/receivers/call.go
+++ b/internal/receivers/call.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"emberquay/control"
+	"emberquay/internal/config"
 	"emberquay/internal/protocol"
 )
 
@@ -53,6 +54,7 @@
 	errCancelled = errors.New("called off")
 	errTooLong   = errors.New("no answer in time")
 	errTooMany   = errors.New("too many connections")
+	errSpoilt    = errors.New("the head of the answer does not end")
 )
 
 // Cancel gives the call up; its connection is closed.
@@ -71,9 +73,13 @@
 	timer := time.AfterFunc(c.Wait, func() { c.cancel(errTooLong) })
 	defer timer.Stop()
 	defer c.cancel(nil)
-	var connected, wrote, cut atomic.Bool
+	var wrote, cut atomic.Bool
+	var on *conn // the one that it goes out on, once there is one
 	ctx := httptrace.WithClientTrace(c.ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			on, _ = info.Conn.(*conn)
+			on.begin(func() { c.cancel(errSpoilt) })
+		},
 		WroteRequest: func(w httptrace.WroteRequestInfo) {
 			if w.Err == nil {
 				wrote.Store(true)
@@ -93,28 +99,48 @@
 	var r control.Result
 	resp, err := p.transport.RoundTrip(req.WithContext(ctx)) // and no redirects
 	took := time.Since(began)
+	status, answered := on.heard()
 	if err != nil {
-		r.Outcome = failure(context.Cause(c.ctx), connected.Load(), wrote.Load(), cut.Load())
-		if errors.Is(err, errTooMany) {
+		switch {
+		case status == http.StatusOK: // true, whatever comes after that line
+			r.Outcome, r.Closed = control.Delivered, true
+		case errors.Is(err, errTooMany):
 			r.Outcome = control.Unsent
+		default:
+			r.Outcome = failure(context.Cause(c.ctx), on != nil, wrote.Load() || answered, cut.Load())
 		}
 		if !errors.Is(err, errTooLong) && !errors.Is(err, errCancelled) {
 			log.Printf("part=receivers event=call_failed addr=%s outcome=%s err=%q", c.addr, r.Outcome, err)
 		}
 	} else {
 		r = p.read(resp)
-		// The rest is read first, so that the connection is free for whoever is let go by the result.
-		drain := time.AfterFunc(p.fleet.limits.Drain, func() { c.cancel(nil) })
-		if n, _ := io.CopyN(io.Discard, resp.Body, p.fleet.limits.Body+1); n > p.fleet.limits.Body {
-			log.Printf("part=receivers event=long_answer addr=%s", c.addr)
+		// An answer that does not fit its length is spoilt: whatever it says but for a delivery, the call may
+		// have run.
+		if !c.drain(resp, p.fleet.limits) && r.Outcome != control.Delivered {
+			r = control.Result{Outcome: control.Lost, Report: r.Report}
 		}
-		drain.Stop()
-		resp.Body.Close()
+	}
+	if p.gone.Load() {
+		p.transport.CloseIdleConnections()
 	}
 	r.Took = protocol.Ticks(took)
 	c.Done(r)
 }
 
+// drain reads the rest of an answer, so that the connection is free for whoever is let go by the result. It
+// says whether all came, in little time and room; if not, or where the length was not told, so that more could
+// follow unseen, the connection is dropped.
+func (c *Call) drain(resp *http.Response, limits config.Limits) bool {
+	defer resp.Body.Close()
+	if resp.ContentLength < 0 {
+		return true
+	}
+	timer := time.AfterFunc(limits.Drain, func() { c.cancel(nil) })
+	defer timer.Stop()
+	n, err := io.CopyN(io.Discard, resp.Body, min(resp.ContentLength, limits.Body)+1)
+	return err == io.EOF && n == resp.ContentLength
+}
+
 // failure says what an answer that never came means. Only a request that was surely not written whole is
 // sure not to have run.
 func failure(cause error, connected, wrote, cut bool) control.Outcome {
--- a/internal/receivers/call_test.go
+++ b/internal/receivers/call_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -280,3 +281,101 @@
 		t.Errorf("%v with %d connections", r, f.Open())
 	}
 }
+
+// raw is a receiver that writes just these bytes in answer to each call and keeps the connection; it counts
+// connections.
+func raw(t *testing.T, answer func(n int64) string) (string, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	var conns, calls atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					io.WriteString(c, answer(calls.Add(1)))
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), &conns
+}
+
+// An answer that cannot be read may have run, and was delivered if its first line says so; either is told in
+// little time, and the connection is dropped.
+func TestSpoiltAnswers(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	for answer, want := range map[string]control.Outcome{
+		"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n":                control.Delivered,
+		"HTTP/1.1 200 OK\r\nno header\r\n\r\n":                         control.Delivered,
+		"HTTP/1.1 200 OK\r\nX-Never: ends":                             control.Delivered,
+		"HTTP/1.1 200 OK\r\nX-Long: " + long:                           control.Delivered,
+		"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + long: control.Delivered,
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort":            control.Delivered,
+		"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 200 OK\r\nX-Never: ends":   control.Delivered,
+		"HTTP/1.1 20":                                            control.Lost,
+		"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 2":                   control.Lost,
+		"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nshort":    control.Lost,
+		"HTTP/1.1 429 Full\r\nX-Retry-In-Ms: 5\r\nX-Never: ends": control.Lost,
+		"\x00\xff\x17 noise\r\n":                                 control.Lost,
+		"noise without an end":                                   control.Lost,
+		"HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n":          control.Lost,
+	} {
+		addr, conns := raw(t, func(int64) string { return answer })
+		f := fleet(addr)
+		began := time.Now()
+		for range 2 {
+			if r := submit(t, f, []byte("x"), 5*time.Second); r.Outcome != want || r.Closed != (want == control.Delivered) {
+				t.Errorf("%.60q: %v, want %v", answer, r.Outcome, want)
+			}
+		}
+		if conns.Load() != 2 || time.Since(began) > time.Second {
+			t.Errorf("%.60q: %d connections, %s", answer, conns.Load(), time.Since(began))
+		}
+	}
+}
+
+// A good answer stands with whatever comes before or after it; what comes after is nobody's answer.
+func TestMoreThanTheAnswer(t *testing.T) {
+	const good = "HTTP/1.1 200 OK\r\nX-Load-Report: x0=1,x1=2\r\nContent-Length: 2\r\n\r\nok"
+	for _, c := range []struct {
+		first string
+		conns int64
+	}{
+		{good, 1},
+		{"HTTP/1.1 102 Wait\r\nContent-Length: 7\r\n\r\nHTTP/1.1 103 Soon\r\n\r\n" + good, 1},
+		{good + good, 2},
+		{good + "noise", 2},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 2},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + good, 2},
+	} {
+		addr, conns := raw(t, func(n int64) string {
+			if n == 1 {
+				return c.first
+			}
+			return "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+		})
+		f := fleet(addr)
+		if r := submit(t, f, nil, time.Second); r.Outcome != control.Delivered {
+			t.Errorf("%q: %v", c.first, r)
+		}
+		if r := submit(t, f, nil, time.Second); r.Outcome != control.Errored || conns.Load() != c.conns {
+			t.Errorf("after %q: %v on %d connections", c.first, r, conns.Load())
+		}
+	}
+}
--- /dev/null
+++ b/internal/receivers/conn.go
@@ -0,0 +1,89 @@
+package receivers
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"emberquay/internal/protocol"
+)
+
+// conn is one connection to a receiver. It reads along what comes, since http.Transport gives only an error
+// for an answer that it cannot read, waits on for the rest of a head, and would take what is left over from
+// one answer for the next call's.
+type conn struct {
+	net.Conn
+	fleet  *Fleet
+	closed atomic.Bool
+
+	mu     sync.Mutex
+	asked  bool // some of a call is written
+	answer protocol.Message
+	late   *time.Timer // runs while a head has begun and not ended
+	spoilt func()      // tells the call that its head does not end
+}
+
+// Close takes the connection out of the fleet's count, once.
+func (c *conn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.fleet.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// begin makes the connection ready for a call; spoilt is called if the head of its answer does not end.
+func (c *conn) begin(spoilt func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked, c.answer, c.spoilt = false, protocol.Message{}, spoilt
+}
+
+// Write sends some of a call; from here on an answer may come.
+func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.asked = true
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// Read hands on what belongs to the answer of the call under way. Anything else ends the connection for the
+// transport: a second copy must never stand for the answer to the next call.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own := 0
+	for c.asked && own < n {
+		if c.answer.Part == protocol.Over && c.answer.Status >= http.StatusOK {
+			break
+		}
+		if c.answer.Part == protocol.Over { // only an answer in front of the answer
+			c.answer = protocol.Message{}
+		}
+		own += c.answer.Take(b[own:n])
+	}
+	switch part := c.answer.Part == protocol.Head && c.answer.Begun; {
+	case part && c.late == nil:
+		c.late = time.AfterFunc(c.fleet.limits.Drain, c.spoilt)
+	case !part && c.late != nil:
+		c.late.Stop()
+		c.late = nil
+	}
+	if own < n {
+		return own, io.EOF
+	}
+	return n, err
+}
+
+// heard says what the first line of the answer reads, 0 if none came, and whether any byte came.
+func (c *conn) heard() (status int, any bool) {
+	if c == nil {
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answer.Status, c.answer.Begun
+}
--- a/internal/receivers/receivers.go
+++ b/internal/receivers/receivers.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"log"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -53,6 +52,7 @@
 		f.mu.Lock()
 		delete(f.peers, id)
 		f.mu.Unlock()
+		p.gone.Store(true)
 		close(p.mail)
 	}
 }
@@ -110,6 +110,7 @@
 	fleet     *Fleet
 	addr      string       // the fleet's goroutine's alone
 	used      atomic.Int64 // the number of the last call
+	gone      atomic.Bool  // the last of its calls closes their connections
 	mail      chan func()
 	transport *http.Transport
 }
@@ -142,17 +143,3 @@
 		return false
 	}
 }
-
-// conn counts as open until it is closed.
-type conn struct {
-	net.Conn
-	fleet  *Fleet
-	closed atomic.Bool
-}
-
-func (c *conn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.fleet.open.Add(-1)
-	}
-	return c.Conn.Close()
-}
