--- a/cmd/emberquay/main.go
+++ b/cmd/emberquay/main.go
@@ -26,6 +26,23 @@
 
 func (w where) read() (*config.Config, error) { return config.Read(w.Config, os.Getenv) }
 
+// checked reads it and looks whether its settings and its list make sense.
+func (w where) checked() (*config.Config, error) {
+	conf, err := w.read()
+	if err != nil {
+		return nil, err
+	}
+	if _, err := control.New(conf.Seed, conf.Settings, nil); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if conf.Known != nil {
+		if err := directory.New(conf.Discovery, conf.Limits, func(directory.News) {}).Known(conf.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return conf, nil
+}
+
 func main() {
 	ctx := kong.Parse(&cli, kong.Name("emberquay"), kong.Description("A delivery service for outbound texts."))
 	ctx.FatalIfErrorf(ctx.Run())
@@ -34,18 +51,10 @@
 type checkCmd struct{ where }
 
 func (c *checkCmd) Run() error {
-	conf, err := c.read()
+	conf, err := c.checked()
 	if err != nil {
 		return err
 	}
-	if _, err := control.New(conf.Seed, conf.Settings, nil); err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
-	if conf.Known != nil {
-		if err := directory.New(conf.Discovery, conf.Limits, func(directory.News) {}).Known(conf.Known); err != nil {
-			return fmt.Errorf("known: %w", err)
-		}
-	}
 	l := conf.Limits
 	fmt.Printf("name=%s listen=%s discovery=%s state=%s settings=%d products=%d\n",
 		conf.Name, conf.Listen, conf.Discovery, conf.State, len(conf.Settings), len(conf.Products))
--- a/cmd/emberquay/main_test.go
+++ b/cmd/emberquay/main_test.go
@@ -47,6 +47,7 @@
 	silent  atomic.Bool // the receiver says nothing
 	calls   atomic.Int64
 	notices atomic.Int64
+	stuck   atomic.Int64 // notices that the platform does not answer
 
 	delivered sync.Map // ids
 }
@@ -69,6 +70,12 @@
 			<-r.Context().Done()
 			return
 		}
+		if p.stuck.Load() > 0 {
+			io.Copy(io.Discard, r.Body)
+			p.stuck.Add(1)
+			<-r.Context().Done()
+			return
+		}
 		lines := json.NewDecoder(r.Body)
 		for lines.Decode(&map[string]any{}) == nil {
 			p.notices.Add(1)
@@ -186,6 +193,53 @@
 	}
 }
 
+// On SIGHUP the list and the notices, also one that is under way, move to the new address; a faulty file changes
+// nothing. A restart keeps to what the file says.
+func TestConfigurationReplaced(t *testing.T) {
+	p := newProgram(t)
+	p.silent.Store(true)
+	asked, notices := make(chan string, 9), make(chan string, 9)
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if body, _ := io.ReadAll(r.Body); r.Method == http.MethodPost {
+			notices <- string(body)
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		asked <- r.URL.RequestURI()
+		if r.URL.RawQuery == "" {
+			io.WriteString(w, `{"version":1,"full":true,"servers":[]}`)
+			return
+		}
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(other.CloseClientConnections)
+	p.start()
+	p.stuck.Store(1)
+	if s := p.hand("a", 0.4); s != http.StatusAccepted {
+		t.Fatal(s)
+	}
+	p.until("no notice", func() bool { return p.stuck.Load() > 1 })
+	old, _ := os.ReadFile(p.config)
+	for _, text := range []string{`{"name":`, strings.Replace(string(old), `"TryLimit":12`, `"TryLimit":0`, 1),
+		strings.Replace(string(old), `"name"`, fmt.Sprintf(`"discovery":%q,"name"`, other.Listener.Addr()), 1)} {
+		os.WriteFile(p.config, []byte(text), 0o600)
+		time.Sleep(50 * time.Millisecond)
+		if len(asked) > 0 {
+			t.Error("moved by a faulty file")
+		}
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		time.Sleep(50 * time.Millisecond)
+	}
+	p.until("the notice does not move", func() bool { return len(notices) > 0 && len(asked) > 1 })
+	if n := <-notices; !strings.Contains(n, `"a"`) {
+		t.Error(n)
+	}
+	p.end(syscall.SIGKILL)
+	p.start()
+	p.until("a restart asks elsewhere", func() bool { return len(asked) > 2 })
+}
+
 // Clients go on through a planned restart as long as they are let: every request written is answered, save one
 // that crosses the close of a connection used before, and every text taken on is delivered, by this process or the next.
 func TestPlannedRestartUnderLoad(t *testing.T) {
--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -25,11 +26,14 @@
 
 // Run puts the parts together and serves until SIGTERM or SIGINT.
 func (c *serveCmd) Run() error {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP) // from the first: it ends a process that does not expect it
 	conf, err := c.read()
 	if err != nil {
 		return err
 	}
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds)
+	log.SetOutput(&bounded{to: os.Stderr, most: conf.Limits.LogLines, now: time.Now})
 	runtime.GOMAXPROCS(conf.Limits.Cores)
 	debug.SetMemoryLimit(conf.Limits.MemoryBytes * 6 / 10) // files, stacks and the program itself take the rest
 
@@ -62,6 +66,11 @@
 	}()
 	go list.Run(ctx)
 	go desk.Run(ctx)
+	go func(now *config.Config) {
+		for range hups {
+			now = c.reload(now, list.Move, desk.Move)
+		}
+	}(conf)
 
 	listener, err := net.Listen("tcp", conf.Listen)
 	if err != nil {
@@ -87,6 +96,28 @@
 	return s.CloseLedger()
 }
 
+// reload reads the configuration anew, as a sender that has been told to, and moves what follows discovery. A
+// faulty one changes nothing.
+func (c *serveCmd) reload(old *config.Config, moves ...func(addr string)) *config.Config {
+	conf, err := c.checked()
+	if err != nil {
+		log.Printf("part=config event=refused err=%q", err)
+		return old
+	}
+	if keys := old.Differ(conf); len(keys) > 0 {
+		log.Printf("part=config event=needs_restart keys=%s", strings.Join(keys, ","))
+	}
+	log.Printf("part=config event=reloaded discovery=%s before=%s", conf.Discovery, old.Discovery)
+	if conf.Discovery != old.Discovery {
+		for _, move := range moves {
+			move(conf.Discovery)
+		}
+	}
+	next := *old
+	next.Discovery = conf.Discovery
+	return &next
+}
+
 // windDown serves what still comes, works on what is owed for as long as there is time, and leaves the
 // rest to the ledger.
 func windDown(limits config.Limits, front *clients.Server, s *sender.Sender) {
--- a/control/control.go
+++ b/control/control.go
@@ -90,10 +90,10 @@
 			at, _ := slices.BinarySearchFunc(r.dest.receivers, r.id, byID)
 			r.dest.receivers = slices.Insert(r.dest.receivers, at, r)
 		}
-		r.listing, r.rate, r.zone = e.Listing, e.Rate, e.Zone
-		if e.Listing == Removed {
+		if e.Listing == Removed && r.listing != Removed {
 			s.gone = append(s.gone, r)
 		}
+		r.listing, r.rate, r.zone = e.Listing, e.Rate, e.Zone
 	}
 	if whole {
 		s.gone = slices.Collect(maps.Values(s.receivers))
@@ -106,13 +106,14 @@
 // destination has no other, as its next one may be a moment late. Texts and calls keep theirs.
 func (s *Sender) forget() {
 	s.gone = slices.DeleteFunc(s.gone, func(r *receiver) bool {
-		d, last := r.dest, len(r.dest.receivers) == 1
-		b, ramp, end := s.bucketOf(r), s.span("Contract.RampTimeUs", 0), s.now-goneFor
-		warm := r.fails == 0 && (r.cold == 0 || s.now > r.cold+ramp) && s.now >= b.waitUntil && !s.shut(b)
+		d, b, last := r.dest, s.bucketOf(r), len(r.dest.receivers) == 1
+		warm := r.fails == 0 && s.now > r.cold+s.span("Contract.RampTimeUs", 0) && !s.shut(b)
+		r.left = cmp.Or(r.left, s.now)
 		switch {
-		case r.listing != Removed || s.receivers[r.id] != r:
+		case r.listing != Removed:
+			r.left = 0
 			return true
-		case len(r.calls) > 0 || last && d.busy || (last || !warm) && max(r.used, r.answered, b.waitUntil) > end:
+		case len(r.calls) > 0 || s.now < b.waitUntil || last && d.busy || (last || !warm) && s.now < r.left+goneFor:
 			return false
 		}
 		delete(s.receivers, r.id)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -297,9 +297,49 @@
 	}
 	expect(t, w, "destinations walked when all is answered", len(w.s.busy), 0)
 	w.step(func() { w.s.Listed(true, w.entries()) })
+	expect(t, w, "receivers remembered, the last of a destination for a while", len(w.s.receivers), 5006)
+	w.advance(goneFor)
+	w.step(func() { w.s.Listed(true, w.entries()) })
 	expect(t, w, "receivers remembered", len(w.s.receivers), 6)
 }
 
+// Texts for destinations that do not exist were held, and each left a destination behind.
+func TestUnlistedDestinationsAreRefused(t *testing.T) {
+	w := newWorld(1, nil)
+	for i := range 99 {
+		fill(w, 1, "free", int64(1000+i))
+	}
+	expect(t, w, "refused", w.nacks, 99)
+	expect(t, w, "destinations kept", len(w.s.destinations), 3)
+	w.step(func() { w.s.Listed(true, nil) })
+	fill(w, 1, "free", 1)
+	expect(t, w, "refused where the next receiver may be late", w.nacks, 99)
+}
+
+// On a long day new receivers replaced old ones all the time; what failed just before it left stayed for ever.
+func TestWhatIsGoneIsForgotten(t *testing.T) {
+	w := newWorld(1, nil)
+	one := func(id ReceiverID, l Listing) {
+		w.to[id] = &place{Entry: Entry{id, 10, int64(id), "apart", "z1", l}, toldAt: w.now}
+		w.step(func() { w.s.Listed(false, []Entry{{id, 10, int64(id), "apart", "z1", l}}) })
+	}
+	for id := ReceiverID(100); id < 400; id++ {
+		one(id, Up)
+		a := w.take(fmt.Sprint("a", id), "free", int64(id), "", 8*Second)
+		w.advance(500)
+		if id%2 == 0 { // it leaves with a call out
+			one(id, Removed)
+		}
+		w.answer(a, NoConnection, 0)
+		one(id, Removed)
+		w.advance(Second)
+	}
+	w.advance(goneFor)
+	one(999, Up)
+	expect(t, w, "receivers, destinations and buckets kept",
+		fmt.Sprint(len(w.s.receivers), len(w.s.destinations), len(w.s.buckets) < 5, len(w.s.gone)), "7 4 true 0")
+}
+
 // A sender that restarts still owes what it had taken: what may have run and how often it was sent binds it.
 func TestWhatARestartLeaves(t *testing.T) {
 	for _, c := range []struct {
--- a/control/state.go
+++ b/control/state.go
@@ -45,6 +45,7 @@
 	zone    string
 	rate    float64
 	listing Listing
+	left    Time    // when the list named it no more; 0 if it does
 	calls   []*call // out, oldest first
 
 	crowded     bool    // a connection was refused there
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -137,3 +137,24 @@
 		}
 	}
 }
+
+// Ids that are gone keep their numbers for a while, as they may come back; but not all of them for ever.
+func TestNumbersEnd(t *testing.T) {
+	n := newNumbers()
+	one := func(id string, state string) control.ReceiverID {
+		return n.news(&list{hosts: []host{{ID: id, State: state}}}).Hosts[0].Receiver
+	}
+	stays, leaves := one("stays", "active"), one("leaves", "active")
+	one("leaves", "left")
+	if one("leaves", "active") != leaves {
+		t.Error("one that comes back has another number")
+	}
+	one("leaves", "left")
+	for i := range 9999 {
+		one(fmt.Sprint(i), "active")
+		one(fmt.Sprint(i), "left")
+	}
+	if len(n.of) > mostGone+1 || one("stays", "active") != stays || one("leaves", "active") == leaves {
+		t.Errorf("%d numbers are kept", len(n.of))
+	}
+}
--- a/internal/directory/list.go
+++ b/internal/directory/list.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"log"
+	"maps"
 	"net"
+	"slices"
 
 	"emberquay/control"
 )
@@ -78,25 +80,55 @@
 	return nil
 }
 
-// numbers gives every id a number, the same for as long as the process runs.
-type numbers map[string]control.ReceiverID
+// numbers gives every id a number, the same for as long as the list names it and a while longer: it may come
+// back, and what is known of it must be found again. Those gone longest are forgotten past a bound, so that the
+// numbers of a sender that runs for long do not add up.
+type numbers struct {
+	of    map[string]control.ReceiverID
+	gone  []string // oldest first
+	given control.ReceiverID
+}
+
+// mostGone is how many ids that are gone keep their numbers.
+const mostGone = 256
+
+func newNumbers() *numbers { return &numbers{of: map[string]control.ReceiverID{}} }
+
+func (n *numbers) number(id string) control.ReceiverID {
+	if n.of[id] == 0 {
+		n.given++
+		n.of[id] = n.given
+	}
+	return n.of[id]
+}
 
-func (n numbers) news(l *list) News {
+func (n *numbers) news(l *list) News {
 	news := News{Whole: l.Full}
+	named := map[string]bool{}
 	for _, h := range l.hosts {
-		id := n[h.ID]
-		if id == 0 {
-			id = control.ReceiverID(len(n) + 1)
-			n[h.ID] = id
-		}
-		e := control.Entry{Receiver: id, Rate: h.Weight, Destination: h.Cell, Kind: h.Kind, Zone: h.Zone}
+		e := control.Entry{Receiver: n.number(h.ID), Rate: h.Weight, Destination: h.Cell, Kind: h.Kind, Zone: h.Zone}
 		switch h.State {
 		case "leaving":
 			e.Listing = control.Draining
 		case "left":
 			e.Listing = control.Removed
 		}
+		named[h.ID] = e.Listing != control.Removed
 		news.Hosts = append(news.Hosts, Host{e, h.Addr})
 	}
+	n.forget(named, l.Full)
 	return news
 }
+
+// forget notes which ids are gone and which are back.
+func (n *numbers) forget(named map[string]bool, whole bool) {
+	n.gone = slices.DeleteFunc(n.gone, func(id string) bool { _, told := named[id]; return told })
+	for _, id := range slices.Sorted(maps.Keys(n.of)) {
+		if here, told := named[id]; told && !here || !told && whole && !slices.Contains(n.gone, id) {
+			n.gone = append(n.gone, id)
+		}
+	}
+	for ; len(n.gone) > mostGone; n.gone = n.gone[1:] {
+		delete(n.of, n.gone[0])
+	}
+}
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -20,9 +20,10 @@
 // order, by one goroutine.
 type Directory struct {
 	base    string
+	moves   chan string // addresses that it is told to go to
 	limits  config.Limits
 	client  *http.Client
-	numbers numbers
+	numbers *numbers
 	version int64
 	whole   bool // the whole list is wanted: there is none yet, or a change was missed
 	tell    func(News)
@@ -30,13 +31,26 @@
 
 // New makes the actor; news goes to tell.
 func New(addr string, limits config.Limits, tell func(News)) *Directory {
-	return &Directory{base: "http://" + addr + listPath, limits: limits, numbers: numbers{}, whole: true, tell: tell,
+	return &Directory{base: base(addr), moves: make(chan string, 8), limits: limits, numbers: newNumbers(), whole: true, tell: tell,
 		client: &http.Client{
 			Transport:     &http.Transport{DisableCompression: true},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}}
 }
 
+func base(addr string) string { return "http://" + addr + listPath }
+
+// Move posts that the list is told at another address from now on.
+func (d *Directory) Move(addr string) { d.moves <- addr }
+
+// move goes there. The list may have changed meanwhile, so it is asked for whole.
+func (d *Directory) move(addr string) error {
+	d.base, d.whole = base(addr), true
+	return errMoved
+}
+
+var errMoved = errors.New("moved")
+
 // Known tells the list as this sender had it last, before Run.
 func (d *Directory) Known(raw []byte) error {
 	l, err := parse(raw)
@@ -58,15 +72,21 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if time.Since(began) > d.limits.RetryMost {
+		log.Printf("part=directory event=watch_ended version=%d err=%q", d.version, err)
+		if time.Since(began) > d.limits.RetryMost || err == errMoved {
 			pause = d.limits.RetryLeast
 		}
-		log.Printf("part=directory event=watch_ended version=%d err=%q", d.version, err)
+		if err == errMoved {
+			continue
+		}
 		select {
 		case <-ctx.Done():
+		case addr := <-d.moves:
+			d.move(addr)
+			pause = 0
 		case <-time.After(pause):
 		}
-		pause = min(2*pause, d.limits.RetryMost)
+		pause = min(max(2*pause, d.limits.RetryLeast), d.limits.RetryMost)
 	}
 }
 
@@ -75,13 +95,15 @@
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	mail := make(chan line, d.limits.Mailbox/16)
-	go d.lines(ctx, mail, d.whole, d.version)
+	go d.lines(ctx, mail, d.base, d.whole, d.version)
 	silence := time.NewTimer(d.limits.ListSilence)
 	defer silence.Stop()
 	for {
 		select {
 		case <-silence.C:
 			return errors.New("silent")
+		case addr := <-d.moves:
+			return d.move(addr)
 		case l, more := <-mail:
 			if !more {
 				return io.EOF
@@ -125,7 +147,7 @@
 }
 
 // lines fills the mailbox from the platform: the whole list if wanted, then the changes after it.
-func (d *Directory) lines(ctx context.Context, mail chan<- line, whole bool, version int64) {
+func (d *Directory) lines(ctx context.Context, mail chan<- line, base string, whole bool, version int64) {
 	defer close(mail)
 	post := func(l line) bool {
 		select {
@@ -136,7 +158,7 @@
 		}
 	}
 	if whole {
-		body, err := d.get(ctx, d.base)
+		body, err := d.get(ctx, base)
 		if err != nil {
 			post(line{err: err})
 			return
@@ -150,7 +172,7 @@
 			return
 		}
 	}
-	body, err := d.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", d.base, version))
+	body, err := d.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", base, version))
 	if err != nil {
 		post(line{err: err})
 		return
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -9,6 +9,7 @@
 	"io"
 	"log"
 	"net/http"
+	"sync"
 	"time"
 
 	"emberquay/control"
@@ -20,16 +21,31 @@
 
 // Desk is the actor that sends notices, several at once where they have gathered, each until it is taken.
 type Desk struct {
-	url    string
 	limits config.Limits
 	mail   chan *ledger.Notice
 	told   func(ids []string) // they have arrived
 	client *http.Client
+
+	mu sync.Mutex
+	at *place
+}
+
+// place is where notices go; its context ends once they go elsewhere.
+type place struct {
+	url   string
+	here  context.Context
+	leave context.CancelFunc
+}
+
+func newPlace(addr string) *place {
+	p := &place{url: "http://" + addr + noticePath}
+	p.here, p.leave = context.WithCancel(context.Background())
+	return p
 }
 
 // New makes the actor; told hears of what has arrived. Owed notices fit in the mailbox beside the texts held.
 func New(addr string, limits config.Limits, told func([]string)) *Desk {
-	return &Desk{url: "http://" + addr + noticePath, limits: limits, told: told,
+	return &Desk{at: newPlace(addr), limits: limits, told: told,
 		mail: make(chan *ledger.Notice, 2*limits.Texts+limits.Mailbox),
 		client: &http.Client{
 			Transport:     &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1},
@@ -38,6 +54,21 @@
 		}}
 }
 
+// Move sends what is not told yet to another address from now on, what is under way too: the old one may take
+// no more. A notice that comes twice does no harm.
+func (d *Desk) Move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.at.leave()
+	d.at = newPlace(addr)
+}
+
+func (d *Desk) place() *place {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.at
+}
+
 // Post hands over a notice without waiting; false if there is no room.
 func (d *Desk) Post(n *ledger.Notice) bool {
 	select {
@@ -82,7 +113,8 @@
 			most = 1
 		}
 		body, batch := d.write(due[:most])
-		if err := d.send(ctx, body); err != nil {
+		at := d.place()
+		if err := d.send(ctx, at, body); err != nil {
 			if ctx.Err() != nil {
 				return
 			}
@@ -91,9 +123,12 @@
 			select {
 			case <-ctx.Done():
 				return
+			case <-at.here.Done():
+				pause = 0
+				d.client.CloseIdleConnections()
 			case <-time.After(pause):
 			}
-			pause = min(2*pause, d.limits.RetryMost)
+			pause = min(max(2*pause, d.limits.RetryLeast), d.limits.RetryMost)
 			continue
 		}
 		pause = d.limits.RetryLeast
@@ -126,8 +161,11 @@
 	return body.Bytes(), len(due)
 }
 
-func (d *Desk) send(ctx context.Context, body []byte) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url, bytes.NewReader(body))
+func (d *Desk) send(ctx context.Context, at *place, body []byte) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(at.here, cancel)()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, at.url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -463,3 +463,53 @@
 		t.Errorf("%d taken, %d delivered", len(taken), len(delivered))
 	}
 }
+
+// A new receiver of another destination comes at the address of one that the list still names: what is for the
+// old one must not reach it.
+func TestAReusedAddressIsTheNewOnes(t *testing.T) {
+	g := newRig(t, ok)
+	g.start()
+	list := func(hosts ...directory.Host) {
+		g.Listed(directory.News{Hosts: hosts})
+	}
+	entry := func(id control.ReceiverID, dest int64, l control.Listing, addr string) directory.Host {
+		return directory.Host{Addr: addr, Entry: control.Entry{Receiver: id, Rate: 1000, Destination: dest, Kind: "one", Listing: l}}
+	}
+	list(entry(2, 4, control.Up, g.addr))
+	list(entry(1, 3, control.Draining, g.addr)) // late news of the old one
+	if v := g.hand("a", "free", 200*time.Millisecond); v != Taken {
+		t.Fatal(v)
+	}
+	if g.notice(); g.called("a") > 0 {
+		t.Error("sent to what is another's")
+	}
+	reply := make(chan Answer, 1)
+	g.Hand(&ledger.Text{ID: "b", Product: "free", Destination: 4, ValidUntil: g.now() + control.Second}, reply)
+	g.until("the new one gets nothing", func() bool { return g.called("b") == 1 })
+	list(entry(1, 3, control.Up, "127.0.0.1:1"), entry(2, 4, control.Removed, g.addr))
+	n := make(chan [2]int)
+	if g.Tell(func() { n <- [2]int{len(g.listed), len(g.at)} }); <-n != [2]int{1, 1} {
+		t.Error("more than the one that is listed is kept")
+	}
+}
+
+// What is refused for its destination leaves no trace, and the id of a text that waits for its answer is not
+// taken on a second time.
+func TestRefusedBeforeAnythingIsKept(t *testing.T) {
+	g := newRig(t, ok)
+	g.start()
+	x := &ledger.Text{ID: "a", Product: "free", Destination: 99, Body: make([]byte, 60000), ValidUntil: g.now() + control.Second}
+	reply := make(chan Answer, 2)
+	if g.Hand(x, reply); (<-reply).Verdict != Nacked {
+		t.Error("taken on for a destination that does not exist")
+	}
+	if info, err := os.Stat(filepath.Join(g.dir, "ledger")); err != nil || info.Size() > 0 || g.holds() > 0 {
+		t.Error(info, err)
+	}
+	first, second := make(chan Answer, 1), make(chan Answer, 1)
+	b := &ledger.Text{ID: "b", Product: "free", Destination: 3, ValidUntil: g.now() + control.Second}
+	g.Tell(func() { g.Sender.hand(b, first); c := *b; g.Sender.hand(&c, second) })
+	if a, b := <-first, <-second; a.Verdict != Taken || b.Verdict != Nacked {
+		t.Error(a, b)
+	}
+}
