--- a/control/control.go
+++ b/control/control.go
@@ -167,7 +167,7 @@
 // not its own, it is refused before anything is kept of it, unless it may have run already.
 func (s *Sender) Take(a Arrival) {
 	if s.destinations[a.Destination] == nil && len(s.receivers) > 0 && a.RanSince == 0 {
-		s.out.Nack(a.ID, 0)
+		s.out.Nack(a.ID, s.advice(defaultPause))
 		return
 	}
 	p := s.products[a.Product]
@@ -242,10 +242,7 @@
 func (s *Sender) giveUp(t *text, wait Time) {
 	p := t.product
 	if !t.mayHaveRun || p.repeat == "safe" || (p.repeat == "keyed" && !p.zoned) {
-		if s.set["Permissions.RetryAfter"] != "true" {
-			wait = 0
-		}
-		s.out.Nack(t.id, min(wait, s.span("Permissions.MaxRetryAfterUs", 0)))
+		s.out.Nack(t.id, s.advice(wait))
 	} else {
 		s.out.Undeliverable(t.id)
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -310,6 +310,7 @@
 		fill(w, 1, "free", int64(1000+i))
 	}
 	expect(t, w, "refused", w.nacks, 99)
+	expect(t, w, "with when to come back", w.lastNack, defaultPause)
 	expect(t, w, "destinations kept", len(w.s.destinations), 3)
 	w.step(func() { w.s.Listed(true, nil) })
 	fill(w, 1, "free", 1)
--- a/control/settings.go
+++ b/control/settings.go
@@ -28,3 +28,11 @@
 	}
 	return ""
 }
+
+// advice is as much of a wait as a client may be told, 0 where it may be told none.
+func (s *Sender) advice(wait Time) Time {
+	if s.set["Permissions.RetryAfter"] != "true" {
+		return 0
+	}
+	return min(wait, s.span("Permissions.MaxRetryAfterUs", 0))
+}
