--- a/control/control.go
+++ b/control/control.go
@@ -639,6 +639,9 @@
 func (s *Sender) learn(r *receiver, res Result, sent Time) {
 	b := r.bucket
 	s.reported(b, res.Report)
+	if res.Kept && r.fails == 0 { // kept connections break beside a healthy receiver; a new one will tell
+		return
+	}
 	switch res.Outcome {
 	case Unsent: // no slot was free after all: not at once again
 		r.restUntil = s.now + Second/8
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -303,6 +303,24 @@
 	expect(t, w, "receivers remembered", len(w.s.receivers), 6)
 }
 
+// Kept connections that were reset at their next call made receivers look ill that answered all others.
+func TestKeptConnectionsThatBreakAreNoFailure(t *testing.T) {
+	w := newWorld(1, nil)
+	w.step(func() { w.s.Listed(false, []Entry{{Receiver: 12, Destination: 1, Listing: Removed}}) })
+	x := w.take("a", "free", 1, "", 8*Second)
+	for range 3 {
+		w.advance(100)
+		w.kept = true
+		w.answer(x, Lost, 0)
+		expect(t, w, "failures noted", w.s.receivers[11].fails, 0)
+		expect(t, w, "sent again at once", x.out, ReceiverID(11))
+	}
+	w.kept = false // a new one tells
+	w.answer(x, Lost, 0)
+	w.answer(x, NoConnection, 0)
+	expect(t, w, "failures noted", w.s.receivers[11].fails, 2)
+}
+
 // Texts for destinations that do not exist were held, and each left a destination behind.
 func TestUnlistedDestinationsAreRefused(t *testing.T) {
 	w := newWorld(1, nil)
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -22,6 +22,7 @@
 	sends    int
 	rests    map[string]Time
 	lastNack Time
+	kept     bool // what ends just now was on kept connections
 }
 
 // sent is what the world knows of a text.
@@ -150,7 +151,8 @@
 	}
 	w.hear(p, o, wait, at)
 	w.step(func() {
-		w.s.Ended(t.id, t.submits-1, Result{Outcome: o, Closed: t.over, Took: w.now - at, Wait: wait, Report: report})
+		w.s.Ended(t.id, t.submits-1, Result{Outcome: o, Closed: t.over, Took: w.now - at, Wait: wait, Kept: w.kept,
+			Report: report})
 	})
 }
 
--- a/control/interface.go
+++ b/control/interface.go
@@ -84,6 +84,7 @@
 type Result struct {
 	Outcome Outcome
 	Closed  bool      // the text has its final answer
+	Kept    bool      // it broke with a connection kept from an earlier call, before any answer
 	Took    Time      // since it was sent
 	Wait    Time      // told wait, with Full
 	Report  []float64 // in the order of the setting Report.Names; nil if none came, NaN if left out
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -10,7 +10,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"emberquay/internal/config"
@@ -90,7 +89,8 @@
 			o.at == partial && now.Sub(o.since) < c.limits.Answer:
 			young++
 			continue
-		case (o.at == silent || o.at == idle) && o.unread():
+		}
+		if unread, _ := protocol.Peek(o.Conn); unread && (o.at == silent || o.at == idle) {
 			continue // its request has just come
 		}
 		delete(c.open, o)
@@ -185,19 +185,6 @@
 	return c.Conn.Close()
 }
 
-// unread says whether something has come that was not read yet.
-func (c *conn) unread() bool {
-	n := 0
-	if tcp, ok := c.Conn.(syscall.Conn); ok {
-		if raw, err := tcp.SyscallConn(); err == nil {
-			raw.Control(func(fd uintptr) {
-				n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			})
-		}
-	}
-	return n > 0
-}
-
 // Linger: the process is to end. Connections close after their next answer; new ones still come.
 func (s *Server) Linger() {
 	s.stopping.Store(true)
--- a/internal/receivers/call.go
+++ b/internal/receivers/call.go
@@ -54,6 +54,7 @@
 	errCancelled = errors.New("called off")
 	errTooLong   = errors.New("no answer in time")
 	errTooMany   = errors.New("too many connections")
+	errDead      = errors.New("the receiver has ended the connection")
 	errSpoilt    = errors.New("the head of the answer does not end")
 )
 
@@ -67,24 +68,25 @@
 
 func (onceBody) Close() error { return nil }
 
-// call makes the call and tells its result once.
-func (p *peer) call(c *Call) {
-	began := time.Now()
-	timer := time.AfterFunc(c.Wait, func() { c.cancel(errTooLong) })
-	defer timer.Stop()
-	defer c.cancel(nil)
-	var wrote, cut atomic.Bool
-	var on *conn // the one that it goes out on, once there is one
+// trip is one way of a call over one connection.
+type trip struct {
+	on         *conn // nil before there is one
+	wrote, cut atomic.Bool
+}
+
+// round makes one trip.
+func (p *peer) round(c *Call) (*trip, *http.Response, error) {
+	t := &trip{}
 	ctx := httptrace.WithClientTrace(c.ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			on, _ = info.Conn.(*conn)
-			on.begin(func() { c.cancel(errSpoilt) })
+			t.on, _ = info.Conn.(*conn)
+			t.on.begin(func() { c.cancel(errSpoilt) })
 		},
 		WroteRequest: func(w httptrace.WroteRequestInfo) {
 			if w.Err == nil {
-				wrote.Store(true)
+				t.wrote.Store(true)
 			} else {
-				cut.Store(true)
+				t.cut.Store(true)
 			}
 		},
 	})
@@ -96,22 +98,28 @@
 	if c.Mark != "" {
 		req.Header[protocol.Mark] = []string{c.Mark}
 	}
-	var r control.Result
 	resp, err := p.transport.RoundTrip(req.WithContext(ctx)) // and no redirects
+	return t, resp, err
+}
+
+// call makes the call and tells its result once.
+func (p *peer) call(c *Call) {
+	began := time.Now()
+	timer := time.AfterFunc(c.Wait, func() { c.cancel(errTooLong) })
+	defer timer.Stop()
+	defer c.cancel(nil)
+	t, resp, err := p.round(c)
+	// To a connection that was found dead nothing of the call was written: it goes on the next one.
+	for tries := 0; err != nil && c.ctx.Err() == nil && tries < p.fleet.limits.Slots; tries++ {
+		if _, dead := t.on.state(); !dead {
+			break
+		}
+		t, resp, err = p.round(c)
+	}
 	took := time.Since(began)
-	status, answered := on.heard()
+	var r control.Result
 	if err != nil {
-		switch {
-		case status == http.StatusOK: // true, whatever comes after that line
-			r.Outcome, r.Closed = control.Delivered, true
-		case errors.Is(err, errTooMany):
-			r.Outcome = control.Unsent
-		default:
-			r.Outcome = failure(context.Cause(c.ctx), on != nil, wrote.Load() || answered, cut.Load())
-		}
-		if !errors.Is(err, errTooLong) && !errors.Is(err, errCancelled) {
-			log.Printf("part=receivers event=call_failed addr=%s outcome=%s err=%q", c.addr, r.Outcome, err)
-		}
+		r = p.failed(c, t, err)
 	} else {
 		r = p.read(resp)
 		// An answer that does not fit its length is spoilt: whatever it says but for a delivery, the call may
@@ -127,6 +135,27 @@
 	c.Done(r)
 }
 
+// failed says what a call came to that has no answer which can be read.
+func (p *peer) failed(c *Call, t *trip, err error) control.Result {
+	var r control.Result
+	kept, dead := t.on.state()
+	status, answered := t.on.heard()
+	switch {
+	case status == http.StatusOK: // true, whatever comes after that line
+		r.Outcome, r.Closed = control.Delivered, true
+	case errors.Is(err, errTooMany), dead:
+		r.Outcome = control.Unsent
+	default:
+		r.Outcome = failure(context.Cause(c.ctx), t.on != nil, t.wrote.Load() || answered, t.cut.Load())
+		broke := r.Outcome == control.Lost || r.Outcome == control.NoConnection
+		r.Kept = kept && broke && !answered
+	}
+	if !errors.Is(err, errTooLong) && !errors.Is(err, errCancelled) {
+		log.Printf("part=receivers event=call_failed addr=%s outcome=%s kept=%v err=%q", c.addr, r.Outcome, r.Kept, err)
+	}
+	return r
+}
+
 // drain reads the rest of an answer, so that the connection is free for whoever is let go by the result. It
 // says whether all came, in little time and room; if not, or where the length was not told, so that more could
 // follow unseen, the connection is dropped.
--- a/internal/receivers/call_test.go
+++ b/internal/receivers/call_test.go
@@ -379,3 +379,55 @@
 		}
 	}
 }
+
+// The receiver ended a kept connection, or said more on it, and the transport has not seen that yet: the call
+// goes on another, as nothing of it was written.
+func TestADeadConnectionGetsNothing(t *testing.T) {
+	for _, more := range []string{"", "more"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		near, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		far, _ := l.Accept()
+		c := &conn{Conn: near, fleet: fleet("127.0.0.1:1")}
+		c.begin(nil)
+		if _, err := c.Write([]byte("first")); err != nil {
+			t.Fatal(err)
+		}
+		if io.WriteString(far, more); more == "" {
+			far.Close()
+		}
+		for dead := false; !dead; _, dead = c.state() {
+			time.Sleep(time.Millisecond)
+			c.begin(nil)
+		}
+		if n, err := c.Write([]byte("second")); n != 0 || err != errDead {
+			t.Error(n, err)
+		}
+	}
+}
+
+// A kept connection that breaks under its next call says so; a new one does not.
+func TestKeptConnectionsThatBreak(t *testing.T) {
+	for answers, kept := range map[int64]bool{0: false, 1: true} {
+		var n atomic.Int64
+		addr, _ := standIn(t, func(*http.Request, []byte) string {
+			if n.Add(1) <= answers {
+				return "200 OK\r\n"
+			}
+			return ""
+		})
+		f := fleet(addr)
+		for range answers {
+			submit(t, f, nil, time.Second)
+		}
+		if r := submit(t, f, nil, time.Second); r.Outcome != control.Lost || r.Kept != kept {
+			t.Errorf("%v after %d answers", r, answers)
+		}
+	}
+}
--- a/internal/receivers/conn.go
+++ b/internal/receivers/conn.go
@@ -20,6 +20,8 @@
 	closed atomic.Bool
 
 	mu     sync.Mutex
+	calls  int  // that it was given
+	dead   bool // the receiver had ended it before the present one
 	asked  bool // some of a call is written
 	answer protocol.Message
 	late   *time.Timer // runs while a head has begun and not ended
@@ -34,18 +36,27 @@
 	return c.Conn.Close()
 }
 
-// begin makes the connection ready for a call; spoilt is called if the head of its answer does not end.
+// begin makes the connection ready for a call; spoilt is called if the head of its answer does not end. The
+// transport may give out a kept one before it sees that the receiver has ended it, or sent what nobody asked
+// for: nothing is written to such a one.
 func (c *conn) begin(spoilt func()) {
+	unread, ended := protocol.Peek(c.Conn)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.calls++
+	c.dead = unread || ended
 	c.asked, c.answer, c.spoilt = false, protocol.Message{}, spoilt
 }
 
 // Write sends some of a call; from here on an answer may come.
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	c.asked = true
+	dead := c.dead && !c.asked
+	c.asked = c.asked || !dead
 	c.mu.Unlock()
+	if dead {
+		return 0, errDead
+	}
 	return c.Conn.Write(b)
 }
 
@@ -78,6 +89,16 @@
 	return n, err
 }
 
+// state says whether the connection was kept from an earlier call, and whether it was found dead.
+func (c *conn) state() (kept, dead bool) {
+	if c == nil {
+		return false, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls > 1, c.dead
+}
+
 // heard says what the first line of the answer reads, 0 if none came, and whether any byte came.
 func (c *conn) heard() (status int, any bool) {
 	if c == nil {
