--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -127,6 +127,7 @@
 	w.Header().Set("Connection", "close")
 	http.Error(w, why.Error(), status)
 	connOf(r).reached(refused)
+	log.Printf("part=clients event=refused from=%s status=%d err=%q", r.RemoteAddr, status, why)
 }
 
 // hand answers one hand-in: whatever was read whole gets an answer.
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -281,6 +281,26 @@
 	}
 }
 
+// A silent connection went for each new one, and what was idle stayed: clients at their own bound could open no
+// more for those of them that asked.
+func TestFewSilentClientsLeaveIdleOnesToGo(t *testing.T) {
+	_, _, addr := serve(t, 8, &sender.Answer{})
+	silent := dial(t, addr)
+	time.Sleep(50 * time.Millisecond)
+	var idle []net.Conn
+	for range 7 {
+		idle = append(idle, dial(t, addr))
+		ask(t, idle[len(idle)-1], heads, "")
+	}
+	ask(t, dial(t, addr), heads, "")
+	for i, c := range append(idle[:1:1], silent) {
+		c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if _, err := c.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) != (i == 1) {
+			t.Errorf("%d: %v", i, err)
+		}
+	}
+}
+
 // A body in pieces that has a length too may conceal another request: neither of them is taken on, nor what
 // follows any body in pieces.
 func TestConcealedRequests(t *testing.T) {
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -1,7 +1,6 @@
 package clients
 
 import (
-	"cmp"
 	"context"
 	"log"
 	"maps"
@@ -22,12 +21,16 @@
 // The stages, and what they mean at the cap.
 const (
 	refused stage = iota // its last answer is given: it goes first
-	silent               // no whole head yet: it goes once a usual client would have spoken
-	partial              // no whole body yet: likewise
+	silent               // nothing has come: it goes once a usual client would have spoken
+	partial              // not all of a request has come: likewise
 	idle                 // between requests: the longest idle goes
 	working              // an answer is owed: it stays
 )
 
+func (s stage) String() string {
+	return [...]string{"refused", "silent", "partial", "idle", "working"}[s]
+}
+
 // conns counts the clients' connections. At the cap one makes room for a new one; if none can the new one
 // waits.
 type conns struct {
@@ -35,7 +38,8 @@
 
 	mu      sync.Mutex
 	open    map[*conn]bool
-	waiting bool // a new one waits
+	waiting bool      // a new one waits
+	told    time.Time // when the log last had that room was made
 }
 
 func newConns(limits config.Limits) *conns { return &conns{limits: limits, open: map[*conn]bool{}} }
@@ -64,9 +68,7 @@
 	return wanted
 }
 
-// admit lets a connection in if there is room, or if room can be made. Clients that connect and say nothing,
-// or never end what they say, must not take the places of those that ask: they go before any that is idle,
-// and while many have just come nothing else goes for them.
+// admit lets a connection in if there is room, or if room can be made.
 func (c *conns) admit(n *conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -76,23 +78,36 @@
 	return !c.waiting
 }
 
+// makeRoom closes the connection that is worth least. Those that say nothing, or never end what they say, may
+// have a quarter of the places: with more, what is idle would go for them, and with fewer the next client that
+// asks would wait behind them to be let in, as each has a moment to speak.
 func (c *conns) makeRoom() bool {
-	now, young := time.Now(), 0
-	all := slices.SortedFunc(maps.Keys(c.open), func(a, b *conn) int {
-		return cmp.Or(int(a.at-b.at), a.since.Compare(b.since))
-	})
-	for _, o := range all {
-		switch {
-		case o.at == working, o.at == idle && young > c.limits.ClientConns/4:
-			return false
-		case o.at == silent && now.Sub(o.since) < c.limits.Speak,
-			o.at == partial && now.Sub(o.since) < c.limits.Answer:
-			young++
-			continue
+	now := time.Now()
+	var over, between, unheard, ripe []*conn
+	for _, o := range slices.SortedFunc(maps.Keys(c.open), func(a, b *conn) int { return a.since.Compare(b.since) }) {
+		switch o.at {
+		case refused:
+			over = append(over, o)
+		case idle:
+			between = append(between, o)
+		case silent, partial:
+			unheard = append(unheard, o)
+			if o.at == silent && now.Sub(o.since) >= c.limits.Speak || now.Sub(o.since) >= c.limits.Answer {
+				ripe = append(ripe, o)
+			}
 		}
+	}
+	if len(unheard) <= c.limits.ClientConns/4 {
+		over = append(over, between...)
+	}
+	for _, o := range append(over, ripe...) {
 		if unread, _ := protocol.Peek(o.Conn); unread && (o.at == silent || o.at == idle) {
 			continue // its request has just come
 		}
+		if now.Sub(c.told) >= time.Second { // it may be every connection
+			c.told = now
+			log.Printf("part=clients event=made_room from=%s at=%s for=%s", o.RemoteAddr(), o.at, now.Sub(o.since))
+		}
 		delete(c.open, o)
 		o.Conn.Close()
 		return true
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -217,7 +217,7 @@
 	}
 	c.Limits = Limits{
 		Cores: max(1, int(cores+0.999)), MemoryBytes: int64(memory * 1e6), DiskBytes: int64(disk * 1e6),
-		ClientConns: clientConns(int(sockets), int64(memory*1e6)), ReceiverConns: int(sockets) / 2, Slots: slots, Texts: texts,
+		ClientConns: clientConns(int(sockets), int64(memory*1e6)), ReceiverConns: int(sockets) * 5 / 8, Slots: slots, Texts: texts,
 		Mailbox: 1024, Body: body, Header: header, LogLines: 50,
 		Answer: 300 * time.Millisecond, Speak: 20 * time.Millisecond, ReadHeader: 1500 * time.Millisecond,
 		ClientIdle: 4 * time.Second,                    // some keep a connection for good
@@ -229,9 +229,12 @@
 	return nil
 }
 
-// clientConns leaves half of the sockets for the receivers, and an eighth for the list, notices and files; and memory for the rest of the program when every client sends the longest headers and body.
+// clientConns leaves sockets for the receivers, which hold connections for longer, and for the list, notices
+// and files. It is less than the third that clients hold at most: at their own bound they could open no more, and
+// those that ask would go without while what others keep stays idle; only at ours is an idle one closed for them.
+// Memory is left for the rest of the program when every client sends the longest headers and body.
 func clientConns(sockets int, memory int64) int {
-	return max(8, min(sockets*3/8, int(memory/4/(body+header))))
+	return max(8, min(sockets/4, int(memory/4/(body+header))))
 }
 
 func (c *Config) whole(key string, otherwise int) (int, error) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -32,7 +32,7 @@
 	}
 	l := c.Limits
 	if c.Seed != 0x8c1f30d27a5be964 || l.Cores != 1 || l.Texts != 435 || l.Slots != 51 || l.MemoryBytes != 128e6 ||
-		l.ReceiverIdle >= 5*time.Second || l.ClientConns+l.ReceiverConns >= 512 {
+		l.ReceiverIdle >= 5*time.Second || l.ClientConns+l.ReceiverConns >= 512 || l.ClientConns*3 >= 512 {
 		t.Errorf("%+v", c)
 	}
 	c, err = Parse([]byte(good), func(name string) string {
