--- a/cmd/emberquay/main.go
+++ b/cmd/emberquay/main.go
@@ -11,6 +11,7 @@
 	"emberquay/control"
 	"emberquay/internal/config"
 	"emberquay/internal/directory"
+	"emberquay/internal/options"
 )
 
 var cli struct {
@@ -19,28 +20,36 @@
 	Version versionCmd `cmd:"" help:"Say which build this is."`
 }
 
-// where is the flag that the commands which read the configuration share.
+// where are the flags that the commands which read the configuration share.
 type where struct {
 	Config string `help:"The configuration file." env:"GW_CONFIG" required:"" type:"path"`
+	With   string `help:"A file of our own (TOML) with what the configuration does not know." type:"path"`
 }
 
-func (w where) read() (*config.Config, error) { return config.Read(w.Config, os.Getenv) }
+func (w where) read() (*config.Config, *options.Options, error) {
+	conf, err := config.Read(w.Config, os.Getenv)
+	if err != nil {
+		return nil, nil, err
+	}
+	own, err := options.Read(w.With)
+	return conf, own, err
+}
 
-// checked reads it and looks whether its settings and its list make sense.
-func (w where) checked() (*config.Config, error) {
-	conf, err := w.read()
+// checked reads both and looks whether the settings and the list make sense.
+func (w where) checked() (*config.Config, *options.Options, error) {
+	conf, own, err := w.read()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if _, err := control.New(conf.Seed, conf.Settings, nil); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, nil, fmt.Errorf("settings: %w", err)
 	}
 	if conf.Known != nil {
 		if err := directory.New(conf.Discovery, conf.Limits, func(directory.News) {}).Known(conf.Known); err != nil {
-			return nil, fmt.Errorf("known: %w", err)
+			return nil, nil, fmt.Errorf("known: %w", err)
 		}
 	}
-	return conf, nil
+	return conf, own, nil
 }
 
 func main() {
@@ -51,7 +60,7 @@
 type checkCmd struct{ where }
 
 func (c *checkCmd) Run() error {
-	conf, err := c.checked()
+	conf, own, err := c.checked()
 	if err != nil {
 		return err
 	}
@@ -60,6 +69,7 @@
 		conf.Name, conf.Listen, conf.Discovery, conf.State, len(conf.Settings), len(conf.Products))
 	fmt.Printf("cores=%d memory=%d disk=%d client_conns=%d receiver_conns=%d slots=%d texts=%d\n",
 		l.Cores, l.MemoryBytes, l.DiskBytes, l.ClientConns, l.ReceiverConns, l.Slots, l.Texts)
+	fmt.Printf("log_format=%s log_level=%s\n", own.Log.Format, own.Log.Level)
 	return nil
 }
 
--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"os/signal"
@@ -17,6 +17,7 @@
 	"emberquay/internal/config"
 	"emberquay/internal/directory"
 	"emberquay/internal/ledger"
+	"emberquay/internal/logs"
 	"emberquay/internal/notices"
 	"emberquay/internal/receivers"
 	"emberquay/internal/sender"
@@ -28,18 +29,17 @@
 func (c *serveCmd) Run() error {
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP) // from the first: it ends a process that does not expect it
-	conf, err := c.read()
+	conf, own, err := c.read()
 	if err != nil {
 		return err
 	}
-	log.SetFlags(log.LstdFlags | log.Lmicroseconds)
-	log.SetOutput(&bounded{to: os.Stderr, most: conf.Limits.LogLines, now: time.Now})
+	logs.Setup(os.Stderr, conf.Limits.LogLines, own.Log)
 	runtime.GOMAXPROCS(conf.Limits.Cores)
 	debug.SetMemoryLimit(conf.Limits.MemoryBytes * 6 / 10) // files, stacks and the program itself take the rest
 
 	kept, err := ledger.Open(conf.State, conf.Limits.DiskBytes)
 	if err != nil { // texts are refused, the process lives
-		log.Printf("part=ledger event=unread err=%q", err)
+		slog.Error("unread", "part", "ledger", "err", err)
 	}
 	s, err := sender.New(conf, kept, receivers.New(conf.Limits, conf.Reports))
 	if err != nil {
@@ -50,7 +50,7 @@
 	list := directory.New(conf.Discovery, conf.Limits, func(n directory.News) { tell(n) })
 	if conf.Known != nil {
 		if err := list.Known(conf.Known); err != nil {
-			log.Printf("part=config event=bad_known err=%q", err)
+			slog.Warn("bad_known", "part", "config", "err", err)
 		}
 	}
 	tell = s.Listed
@@ -79,7 +79,7 @@
 	front := clients.New(conf, s)
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve(listener) }()
-	log.Printf("part=serve event=ready name=%s listen=%s", conf.Name, conf.Listen)
+	slog.Info("ready", "part", "serve", "name", conf.Name, "listen", conf.Listen)
 
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -87,7 +87,7 @@
 	case err := <-failed:
 		return err
 	case sig := <-signals:
-		log.Printf("part=serve event=stopping signal=%s", sig)
+		slog.Info("stopping", "part", "serve", "signal", sig)
 	}
 	windDown(conf.Limits, front, s)
 	cancel()
@@ -99,15 +99,16 @@
 // reload reads the configuration anew, as a sender that has been told to, and moves what follows discovery. A
 // faulty one changes nothing.
 func (c *serveCmd) reload(old *config.Config, moves ...func(addr string)) *config.Config {
-	conf, err := c.checked()
+	conf, own, err := c.checked()
 	if err != nil {
-		log.Printf("part=config event=refused err=%q", err)
+		slog.Warn("refused", "part", "config", "err", err)
 		return old
 	}
 	if keys := old.Differ(conf); len(keys) > 0 {
-		log.Printf("part=config event=needs_restart keys=%s", strings.Join(keys, ","))
+		slog.Warn("needs_restart", "part", "config", "keys", strings.Join(keys, ","))
 	}
-	log.Printf("part=config event=reloaded discovery=%s before=%s", conf.Discovery, old.Discovery)
+	logs.Setup(os.Stderr, conf.Limits.LogLines, own.Log)
+	slog.Info("reloaded", "part", "config", "discovery", conf.Discovery, "before", old.Discovery)
 	if conf.Discovery != old.Discovery {
 		for _, move := range moves {
 			move(conf.Discovery)
@@ -143,9 +144,10 @@
 		}
 	}
 	if err := <-closed; err != nil {
-		log.Printf("part=serve event=shutdown err=%q", err)
+		slog.Warn("shutdown", "part", "serve", "err", err)
 	}
 	c, _ := s.Status()
-	log.Printf("part=serve event=stopped after=%s taken=%d refused=%d delivered=%d nacked=%d undeliverable=%d held=%d owed=%d",
-		time.Since(began).Round(time.Millisecond), c.Taken, c.Refused, c.Delivered, c.Nacked, c.Undeliverable, c.Held, c.Owed)
+	slog.Info("stopped", "part", "serve", "after", time.Since(began).Round(time.Millisecond), "taken", c.Taken,
+		"refused", c.Refused, "delivered", c.Delivered, "nacked", c.Nacked, "undeliverable", c.Undeliverable,
+		"held", c.Held, "owed", c.Owed)
 }
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -7,7 +7,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+
+	"log/slog"
 	"math"
 	"net"
 	"net/http"
@@ -20,6 +21,7 @@
 	"emberquay/control"
 	"emberquay/internal/config"
 	"emberquay/internal/ledger"
+	"emberquay/internal/logs"
 	"emberquay/internal/protocol"
 	"emberquay/internal/sender"
 )
@@ -64,7 +66,7 @@
 	s.http = &http.Server{
 		Handler: s.unpaired(mux), ReadHeaderTimeout: c.Limits.ReadHeader, ReadTimeout: c.Limits.ReadHeader,
 		IdleTimeout: c.Limits.ClientIdle, MaxHeaderBytes: c.Limits.Header,
-		ConnState: s.conns.changed, ErrorLog: log.Default(),
+		ConnState: s.conns.changed, ErrorLog: logs.ForLibrary("clients"),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 	return s
@@ -127,7 +129,7 @@
 	w.Header().Set("Connection", "close")
 	http.Error(w, why.Error(), status)
 	connOf(r).reached(refused)
-	log.Printf("part=clients event=refused from=%s status=%d err=%q", r.RemoteAddr, status, why)
+	slog.Warn("refused", "part", "clients", "from", r.RemoteAddr, "status", status, "err", why)
 }
 
 // hand answers one hand-in: whatever was read whole gets an answer.
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"log"
+	"log/slog"
 	"maps"
 	"net"
 	"net/http"
@@ -106,7 +106,7 @@
 		}
 		if now.Sub(c.told) >= time.Second { // it may be every connection
 			c.told = now
-			log.Printf("part=clients event=made_room from=%s at=%s for=%s", o.RemoteAddr(), o.at, now.Sub(o.since))
+			slog.Info("made_room", "part", "clients", "from", o.RemoteAddr(), "at", o.at, "for", now.Sub(o.since))
 		}
 		delete(c.open, o)
 		o.Conn.Close()
@@ -132,7 +132,7 @@
 	for full := false; !l.conns.admit(n); time.Sleep(l.conns.limits.Speak / 4) {
 		if !full {
 			full = true
-			log.Printf("part=clients event=full conns=%d", l.conns.limits.ClientConns)
+			slog.Warn("full", "part", "clients", "conns", l.conns.limits.ClientConns)
 		}
 	}
 	return n, nil
--- a/internal/directory/list.go
+++ b/internal/directory/list.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"maps"
 	"net"
 	"slices"
@@ -57,7 +57,7 @@
 			err = h.check()
 		}
 		if err != nil {
-			log.Printf("part=directory event=bad_entry version=%d err=%q", l.Version, err)
+			slog.Warn("bad_entry", "part", "directory", "version", l.Version, "err", err)
 			continue
 		}
 		l.hosts = append(l.hosts, h)
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -7,7 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -72,7 +72,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		log.Printf("part=directory event=watch_ended version=%d err=%q", d.version, err)
+		slog.Warn("watch_ended", "part", "directory", "version", d.version, "err", err)
 		if time.Since(began) > d.limits.RetryMost || err == errMoved {
 			pause = d.limits.RetryLeast
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -15,7 +15,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
-	"log"
+	"log/slog"
 	"maps"
 	"os"
 	"path/filepath"
@@ -117,7 +117,7 @@
 	}
 	// A new file that was not finished counts for nothing: the old one is whole.
 	if err := os.Remove(l.path(".new")); err != nil && !errors.Is(err, os.ErrNotExist) {
-		log.Printf("part=ledger event=leftover err=%q", err)
+		slog.Warn("leftover", "part", "ledger", "err", err)
 	}
 	f, err := os.OpenFile(l.path(""), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
@@ -135,12 +135,12 @@
 		}
 		l.size += n
 	}
-	log.Printf("part=ledger event=opened bytes=%d texts=%d notices=%d", len(raw), len(l.texts), len(l.notices))
+	slog.Info("opened", "part", "ledger", "bytes", len(raw), "texts", len(l.texts), "notices", len(l.notices))
 	for _, t := range l.texts { // what was out when the process ended may have run
 		t.tentative = false
 	}
 	if torn := int64(len(raw)) - l.size; torn > 0 {
-		log.Printf("part=ledger event=torn bytes=%d", torn)
+		slog.Warn("torn", "part", "ledger", "bytes", torn)
 		if err := f.Truncate(l.size); err != nil {
 			l.broken = true
 		}
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,51 @@
+package logs
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A peer that misbehaves must not fill the log; what is left out is told.
+func TestBounded(t *testing.T) {
+	for _, json := range []bool{false, true} {
+		var out bytes.Buffer
+		now := time.Unix(100, 0)
+		b := &Bounded{to: &out, most: 2, json: json, now: func() time.Time { return now }}
+		for range 5 {
+			fmt.Fprintln(b, "line")
+		}
+		now = now.Add(time.Second)
+		fmt.Fprintln(b, "next")
+		want := "line\nline\nlevel=WARN event=dropped part=log lines=3\nnext\n"
+		if json {
+			want = "line\nline\n" + `{"level":"WARN","event":"dropped","part":"log","lines":3}` + "\nnext\n"
+		}
+		if out.String() != want {
+			t.Errorf("%q, want %q", out.String(), want)
+		}
+	}
+}
+
+func TestFormatAndLevel(t *testing.T) {
+	var out bytes.Buffer
+	say := func(o Options) string {
+		out.Reset()
+		l := slog.New(handler(&out, o))
+		l.Info("ready", "part", "serve")
+		l.Warn("call_failed", "part", "receivers", "err", "a b")
+		return out.String()
+	}
+	text := say(Defaults())
+	if !strings.Contains(text, `level=INFO event=ready part=serve`) || !strings.Contains(text, `event=call_failed part=receivers err="a b"`) {
+		t.Error(text)
+	}
+	var one map[string]string
+	if err := json.Unmarshal([]byte(say(Options{Format: "json", Level: "warn"})), &one); err != nil || one["event"] != "call_failed" {
+		t.Error(err, one) // and no second line
+	}
+}
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -7,7 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net/http"
 	"sync"
 	"time"
@@ -118,7 +118,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			log.Printf("part=notices event=not_taken count=%d err=%q", batch, err)
+			slog.Warn("not_taken", "part", "notices", "count", batch, "err", err)
 			due = append(due[batch:], due[:batch]...)
 			select {
 			case <-ctx.Done():
--- /dev/null
+++ b/internal/options/options.go
@@ -0,0 +1,41 @@
+// Package options reads the sender's own file: what the platform's configuration does not know. It is TOML, named
+// by `--with`; without one everything in it is off.
+//
+//	own, err := options.Read("deploy/own.toml") // "" gives the defaults
+//	logs.Setup(os.Stderr, limits.LogLines, own.Log)
+//
+// A key or value that is not known is an error with its line. A later direction adds its section to Options, with
+// toml, comment and range tags (see internal/tomlfile), and its defaults to Defaults.
+package options
+
+import (
+	"fmt"
+	"os"
+
+	"emberquay/internal/logs"
+	"emberquay/internal/tomlfile"
+)
+
+// Options are all sections of the file.
+type Options struct {
+	Log logs.Options `toml:"log" comment:"how the log is written"`
+}
+
+// Defaults are what counts where the file says nothing.
+func Defaults() *Options { return &Options{Log: logs.Defaults()} }
+
+// Read reads the file at a path; no path gives the defaults.
+func Read(path string) (*Options, error) {
+	o := Defaults()
+	if path == "" {
+		return o, nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := tomlfile.Decode(raw, o); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return o, nil
+}
--- a/internal/receivers/call.go
+++ b/internal/receivers/call.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"math"
 	"net"
 	"net/http"
@@ -151,7 +151,7 @@
 		r.Kept = kept && broke && !answered
 	}
 	if !errors.Is(err, errTooLong) && !errors.Is(err, errCancelled) {
-		log.Printf("part=receivers event=call_failed addr=%s outcome=%s kept=%v err=%q", c.addr, r.Outcome, r.Kept, err)
+		slog.Warn("call_failed", "part", "receivers", "addr", c.addr, "outcome", r.Outcome, "kept", r.Kept, "err", err)
 	}
 	return r
 }
@@ -201,7 +201,7 @@
 		if v := resp.Header.Get(waitHeader); v != "" && r.Outcome == control.Full {
 			ms, err := strconv.ParseFloat(v, 64)
 			if err != nil || !(ms >= 0) || ms > 1e9 {
-				log.Printf("part=receivers event=bad_wait addr=%s value=%q", resp.Request.URL.Host, v)
+				slog.Warn("bad_wait", "part", "receivers", "addr", resp.Request.URL.Host, "value", v)
 				break
 			}
 			r.Wait = control.Time(math.Ceil(ms * float64(time.Millisecond/protocol.Tick)))
@@ -213,7 +213,7 @@
 	default:
 		r.Outcome = control.Errored
 		if resp.StatusCode != http.StatusInternalServerError {
-			log.Printf("part=receivers event=odd_answer addr=%s status=%d", resp.Request.URL.Host, resp.StatusCode)
+			slog.Warn("odd_answer", "part", "receivers", "addr", resp.Request.URL.Host, "status", resp.StatusCode)
 		}
 	}
 	return r
@@ -232,7 +232,7 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
 		v, err := strconv.ParseFloat(value, 64)
 		if err != nil || !(v >= 0) || math.IsInf(v, 0) {
-			log.Printf("part=receivers event=bad_report value=%q", text)
+			slog.Warn("bad_report", "part", "receivers", "value", text)
 			return nil
 		}
 		for i, n := range p.fleet.names {
--- a/internal/receivers/receivers.go
+++ b/internal/receivers/receivers.go
@@ -4,7 +4,7 @@
 
 import (
 	"cmp"
-	"log"
+	"log/slog"
 	"maps"
 	"net/http"
 	"slices"
@@ -139,7 +139,7 @@
 	case p.mail <- do:
 		return true
 	default:
-		log.Printf("part=receivers event=mailbox_full addr=%s", p.addr)
+		slog.Error("mailbox_full", "part", "receivers", "addr", p.addr)
 		return false
 	}
 }
--- a/internal/sender/outlet.go
+++ b/internal/sender/outlet.go
@@ -1,7 +1,7 @@
 package sender
 
 import (
-	"log"
+	"log/slog"
 
 	"emberquay/control"
 	"emberquay/internal/ledger"
@@ -15,7 +15,7 @@
 func (s *Sender) Submit(id string, to control.ReceiverID, timeout control.Time) {
 	h := s.texts[id]
 	if h == nil {
-		log.Printf("part=sender event=unknown_text text=%s", id)
+		slog.Error("unknown_text", "part", "sender", "text", id)
 		return
 	}
 	no := h.no
@@ -27,7 +27,7 @@
 	}
 	// A submit that the ledger does not know of could be made once more after a restart.
 	if err := s.ledger.Submitted(id, now, s.listed[to].Zone); err != nil {
-		log.Printf("part=sender event=not_submitted text=%s err=%q", id, err)
+		slog.Error("not_submitted", "part", "sender", "text", id, "err", err)
 		s.unsent(id, no)
 		return
 	}
@@ -92,7 +92,7 @@
 func (s *Sender) post(n *ledger.Notice) {
 	s.owed++
 	if !s.desk.Post(n) { // it stays in the ledger
-		log.Printf("part=sender event=notice_left text=%s", n.ID)
+		slog.Warn("notice_left", "part", "sender", "text", n.ID)
 	}
 }
 
@@ -111,4 +111,4 @@
 func (s *Sender) Note([]byte) {}
 
 // Log writes a line of the module.
-func (s *Sender) Log(line string) { log.Printf("part=module said=%q", line) }
+func (s *Sender) Log(line string) { slog.Info("said", "part", "module", "line", line) }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -4,7 +4,7 @@
 package sender
 
 import (
-	"log"
+	"log/slog"
 	"maps"
 	"time"
 
@@ -209,7 +209,7 @@
 			return // refused before it cost anything
 		}
 		if err := s.ledger.Taken(t); err != nil {
-			log.Printf("part=sender event=not_kept text=%s err=%q", t.ID, err)
+			slog.Error("not_kept", "part", "sender", "text", t.ID, "err", err)
 			s.module.Withdrawn(t.ID)
 			full = true
 		}
@@ -250,7 +250,7 @@
 // noted logs what the ledger could not keep. At worst a text is looked at again after a restart.
 func (s *Sender) noted(id string, err error) {
 	if err != nil {
-		log.Printf("part=sender event=not_noted text=%s err=%q", id, err)
+		slog.Error("not_noted", "part", "sender", "text", id, "err", err)
 	}
 }
 
--- /dev/null
+++ b/internal/tomlfile/tomlfile.go
@@ -0,0 +1,247 @@
+// Package tomlfile reads our own TOML files strictly: a key that is not known, a value of the wrong type or one out
+// of range is an error that names line, key and what is allowed. Struct tags say what that is:
+//
+//	type Load struct {
+//		Rate  float64 `toml:"texts_per_s" range:"0.1 500" comment:"handed in by clients, a second"`
+//		Shape string  `toml:"shape" oneof:"flat wave"`
+//	}
+//	load := Load{Rate: 60, Shape: "flat"} // defaults
+//	err := tomlfile.Decode(raw, &load)    // line 2: texts_per_s: 0 is out of range; allowed: 0.1 to 500
+//
+// range holds for numbers (for lists: for each member) and takes in both ends. What a file does not name keeps the
+// value that it had before. Encode writes a value as a file, with the comments.
+package tomlfile
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Decode reads a file into a pointer to a struct that holds the defaults.
+func Decode(raw []byte, into any) error {
+	dec := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields()
+	err := dec.Decode(into)
+	var unknown *toml.StrictMissingError
+	var bad *toml.DecodeError
+	switch {
+	case errors.As(err, &unknown):
+		first := unknown.Errors[0]
+		line, _ := first.Position()
+		return fmt.Errorf("line %d: %s: this key is not known; allowed: %s", line, strings.Join(first.Key(), "."),
+			strings.Join(keysAt(reflect.TypeOf(into), first.Key()), ", "))
+	case errors.As(err, &bad):
+		line, _ := bad.Position()
+		if key := bad.Key(); len(key) > 0 {
+			if f, ok := fieldAt(reflect.TypeOf(into), key); ok {
+				return fmt.Errorf("line %d: %s: the value has the wrong type; allowed: %s", line, strings.Join(key, "."), allowed(f))
+			}
+		}
+		return fmt.Errorf("line %d: %s", line, strings.TrimPrefix(bad.Error(), "toml: "))
+	case err != nil:
+		return err
+	}
+	return (&checker{lines: linesOf(raw)}).check(reflect.ValueOf(into).Elem(), "", "")
+}
+
+// Encode writes a value as a file, with the comments of its tags.
+func Encode(v any) ([]byte, error) {
+	var out bytes.Buffer
+	enc := toml.NewEncoder(&out)
+	enc.SetIndentTables(false)
+	err := enc.Encode(v)
+	return out.Bytes(), err
+}
+
+// structOf follows pointers and lists down to a struct.
+func structOf(t reflect.Type) (reflect.Type, bool) {
+	for t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice {
+		t = t.Elem()
+	}
+	return t, t.Kind() == reflect.Struct
+}
+
+func nameOf(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+	return name
+}
+
+// fieldAt finds the field that a key names.
+func fieldAt(t reflect.Type, key []string) (reflect.StructField, bool) {
+	t, ok := structOf(t)
+	for i := 0; ok && i < t.NumField(); i++ {
+		f := t.Field(i)
+		switch {
+		case nameOf(f) != key[0]:
+		case len(key) == 1:
+			return f, true
+		default:
+			return fieldAt(f.Type, key[1:])
+		}
+	}
+	return reflect.StructField{}, false
+}
+
+// keysAt lists what may stand beside a key that is not known.
+func keysAt(t reflect.Type, key []string) []string {
+	for len(key) > 1 {
+		f, ok := fieldAt(t, key[:1])
+		if !ok {
+			break
+		}
+		t, key = f.Type, key[1:]
+	}
+	var keys []string
+	if t, ok := structOf(t); ok {
+		for i := range t.NumField() {
+			if name := nameOf(t.Field(i)); name != "" && name != "-" {
+				keys = append(keys, name)
+			}
+		}
+	}
+	return keys
+}
+
+// allowed says in words what a field takes.
+func allowed(f reflect.StructField) string {
+	t, many := f.Type, ""
+	if t.Kind() == reflect.Slice {
+		t, many = t.Elem(), "a list, each "
+	}
+	if one := f.Tag.Get("oneof"); one != "" {
+		return many + strings.Join(strings.Fields(one), ", ")
+	}
+	kind := map[reflect.Kind]string{reflect.Bool: "true or false", reflect.String: "text in quotes", reflect.Struct: "a table",
+		reflect.Float64: "a number", reflect.Int: "a whole number", reflect.Int64: "a whole number", reflect.Uint64: "a whole number"}[t.Kind()]
+	if low, high, ok := bounds(f); ok {
+		if t.Kind() == reflect.Float64 || t.Kind() == reflect.Int {
+			kind += fmt.Sprintf(", %v to %v", low, high)
+		}
+	}
+	return many + kind
+}
+
+// bounds reads the tag range. A tag that makes no sense is a fault of the program.
+func bounds(f reflect.StructField) (low, high float64, ok bool) {
+	tag, ok := f.Tag.Lookup("range")
+	if !ok {
+		return 0, 0, false
+	}
+	if _, err := fmt.Sscan(tag, &low, &high); err != nil {
+		panic(fmt.Sprintf("field %s: range %q", f.Name, tag))
+	}
+	return low, high, true
+}
+
+// checker holds the lines on which keys stand.
+type checker struct{ lines map[string]int }
+
+func (c *checker) fail(path, shown, why string, f reflect.StructField) error {
+	line := ""
+	if n := c.lines[path]; n > 0 {
+		line = fmt.Sprintf("line %d: ", n)
+	}
+	return fmt.Errorf("%s%s: %s; allowed: %s", line, shown, why, allowed(f))
+}
+
+// check goes through all fields, the untold too: defaults must be in range as well. path has the places of lists
+// in it, shown has not.
+func (c *checker) check(v reflect.Value, path, shown string) error {
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		name := nameOf(f)
+		if name == "" || name == "-" {
+			continue
+		}
+		p, s := path+name, shown+name
+		if err := c.field(v.Field(i), f, p, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *checker) field(v reflect.Value, f reflect.StructField, path, shown string) error {
+	switch v.Kind() {
+	case reflect.Struct:
+		return c.check(v, path+".", shown+".")
+	case reflect.Slice:
+		for i := range v.Len() {
+			at := path
+			if v.Index(i).Kind() == reflect.Struct {
+				at = fmt.Sprintf("%s[%d]", path, i)
+			}
+			if err := c.field(v.Index(i), f, at, shown); err != nil {
+				return err
+			}
+		}
+	case reflect.String:
+		if one := strings.Fields(f.Tag.Get("oneof")); len(one) > 0 && !slices.Contains(one, v.String()) {
+			return c.fail(path, shown, fmt.Sprintf("%q is not known", v.String()), f)
+		}
+	case reflect.Float64, reflect.Int, reflect.Int64:
+		n := 0.0
+		if v.CanFloat() {
+			n = v.Float()
+		} else {
+			n = float64(v.Int())
+		}
+		if low, high, ok := bounds(f); ok && !(n >= low && n <= high) {
+			return c.fail(path, shown, strconv.FormatFloat(n, 'g', -1, 64)+" is out of range", f)
+		}
+	}
+	return nil
+}
+
+// linesOf finds the line of each key; tables of a list are numbered from nought.
+func linesOf(raw []byte) map[string]int {
+	lines, count := map[string]int{}, map[string]int{}
+	var p unstable.Parser
+	p.Reset(raw)
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		key, line := "", 0
+		for it := e.Key(); it.Next(); {
+			n := it.Node()
+			if key != "" {
+				key += "."
+			}
+			key += string(n.Data)
+			line = p.Shape(n.Raw).Start.Line
+		}
+		switch e.Kind {
+		case unstable.Table:
+			table = numbered(key, count) + "."
+			lines[strings.TrimSuffix(table, ".")] = line
+		case unstable.ArrayTable:
+			at := numbered(key, count)
+			table = fmt.Sprintf("%s[%d].", at, count[at])
+			lines[strings.TrimSuffix(table, ".")] = line
+			count[at]++
+		case unstable.KeyValue:
+			lines[table+key] = line
+		}
+	}
+	return lines
+}
+
+// numbered writes a table's key with the places of the lists above it.
+func numbered(key string, count map[string]int) string {
+	parts := strings.Split(key, ".")
+	at := parts[0]
+	for _, part := range parts[1:] {
+		if n := count[at]; n > 0 {
+			at = fmt.Sprintf("%s[%d]", at, n-1)
+		}
+		at += "." + part
+	}
+	return at
+}
