--- /dev/null
+++ b/cmd/quaylab/report.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"emberquay/internal/standin"
+	"emberquay/internal/world"
+)
+
+// report prints what a day came to: a row a product, a row a receiver, the rules.
+func report(out io.Writer, day *world.Day, r *standin.Result, show int) {
+	a := r.Account
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "product\ttexts\tin time\tlate\tnacked\tfailed\tlost\tunheard\tp50 ms\tp99 ms\trevenue\tof\tbest by capacity\t")
+	for _, p := range a.Products {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t\n", p.Name, p.Texts, p.InTime, p.Late, p.Nacked,
+			p.Failed, p.Lost, p.Unheard, p.P50, p.P99, p.Earned+p.Faded, p.Asked, r.Best[p.Name])
+	}
+	t.Flush()
+	fmt.Fprintln(out)
+	t = tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "receiver\tdest\tkind\tcalls/s borne\tcalls\tdelivered\tfull\terrors\tbroken\tgiven up\tstruck by\t")
+	for _, o := range a.Receivers {
+		m := day.Receivers[o.No]
+		struck := ""
+		for _, s := range day.Strikes {
+			for _, no := range s.Receivers {
+				if no == o.No {
+					struck += fmt.Sprintf(" %s %.1f-%.1fs", s.What, s.From.Seconds(), s.To.Seconds())
+				}
+			}
+		}
+		if o.Fell > 0 {
+			struck += " FELL OVER"
+		}
+		fmt.Fprintf(t, "%d\t%d\t%s\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t\n", o.No, m.Destination().No, m.Destination().Kind.Name,
+			m.Capacity(0), o.Calls, o.Delivered, o.Full, o.Errored, o.Broken, o.GivenUp, struck)
+	}
+	t.Flush()
+	inTime, late, asked := a.Revenue()
+	best := 0.0
+	for _, b := range r.Best {
+		best += b
+	}
+	fmt.Fprintf(out, "\nrevenue %.1f in time and %.1f late of %.1f asked for: %.3f; by capacity alone about %.3f\n", inTime, late, asked,
+		(inTime+late)/max(1e-9, asked), best/max(1e-9, asked))
+	fmt.Fprintf(out, "%d hand-ins, %d submits (%d worked on for nothing), %d refusals, %d waits told\n", a.HandIns, a.Submits, a.Wasted, a.Refusals, a.Waits)
+	fmt.Fprintf(out, "took %.1f s; CPU of the senders %.2f s, of the stand-ins %.2f s; senders' peak memory %v KB; texts at most %s late\n",
+		r.Took.Seconds(), r.CPU.Seconds(), r.OwnCPU.Seconds(), r.MemoryKB, r.Late.Round(100*time.Microsecond))
+	if r.Late > lateAtMost {
+		fmt.Fprintf(out, "the machine was busy: texts were up to %s late, take the figures with care\n", r.Late.Round(time.Millisecond))
+	}
+	fmt.Fprintf(out, "\n%s", r.Verdict)
+	for _, c := range r.Crashes {
+		fmt.Fprintf(out, "CRASHED: %s\n", c)
+	}
+	for i, b := range r.Breaches {
+		if i >= show {
+			fmt.Fprintf(out, "... and %d more\n", len(r.Breaches)-show+r.More)
+			break
+		}
+		fmt.Fprintln(out, b)
+		for _, l := range b.Last {
+			fmt.Fprintf(out, "    %s\n", l)
+		}
+	}
+}
+
+// lateAtMost is how late the clients may be before a day's figures are doubtful.
+const lateAtMost = 50 * time.Millisecond
--- a/internal/referee/referee.go
+++ b/internal/referee/referee.go
@@ -231,6 +231,12 @@
 	r.account.handedIn(t)
 }
 
+// Missed: a client finds no sender that it could hand a text in to.
+func (r *Referee) Missed(now time.Duration, t *world.Text) {
+	r.Advance(now)
+	r.account.ended(&text{HandIn: HandIn{Text: t}}, "unheard", 0)
+}
+
 // Heard: a client reads the answer to its hand-in, or closes its connection since none came in its patience
 // (world.NoAnswer).
 func (r *Referee) Heard(now time.Duration, id string, h world.Heard, advice time.Duration) {
--- /dev/null
+++ b/internal/standin/senders.go
@@ -0,0 +1,352 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"syscall"
+	"time"
+
+	"emberquay/internal/world"
+)
+
+// sender is one real sender: its process, started anew as the day has it.
+type sender struct {
+	stage *Stage
+	no    int
+	moves int // new configurations
+
+	// under the stage's lock
+	agent  *agent
+	listed bool // the front sends to it
+	down   bool
+	deaths int
+	cpu    time.Duration
+	peak   int64
+
+	cmd    *exec.Cmd
+	exited chan struct{}
+	meant  bool // its end is wanted
+}
+
+func newSender(s *Stage, no int) *sender { return &sender{stage: s, no: no, down: true} }
+
+func (o *sender) name() string      { return fmt.Sprintf("n%d", o.no+1) }
+func (o *sender) discovery() string { return o.stage.net.agent(o.no, o.moves) }
+func (o *sender) dir() string       { return filepath.Join(o.stage.opt.Dir, o.name()) }
+
+func (o *sender) agentNow() *agent {
+	o.stage.mu.Lock()
+	defer o.stage.mu.Unlock()
+	return o.agent
+}
+
+func (o *sender) isDown() bool {
+	o.stage.mu.Lock()
+	defer o.stage.mu.Unlock()
+	return o.down
+}
+
+// Settings are the module's settings for a world, as the platform writes them.
+func Settings(w *world.World, d *world.Day) map[string]any {
+	us := func(ms float64) float64 { return math.Round(ms * 1000) }
+	var kinds []string
+	var apart []bool
+	var bundles []int
+	reports := false
+	for _, k := range w.Kind {
+		kinds, apart, bundles = append(kinds, k.Name), append(apart, false), append(bundles, 1)
+		reports = reports || k.Reports
+	}
+	var classes []map[string]any
+	for _, p := range w.Product {
+		kind := map[string]string{"resendable": "safe", "referenced": "keyed", "once-only": "unsafe"}[p.Repeat]
+		classes = append(classes, map[string]any{"Name": p.Name, "Repeat": kind, "Group": "all", "RepeatWindowUs": us(p.WindowS * 1000),
+			"SerialByKey": p.Ordered, "ObjectiveUs": us(p.SLAS * 1000), "HardLimitUs": us(p.ValidityS * 1000), "Value": p.Revenue,
+			"LateShare": p.LateShare, "Streaming": false})
+	}
+	busy := 0.0
+	for _, dest := range d.Destinations {
+		busy += dest.Traffic * dest.Receivers[0].Service.Seconds()
+	}
+	part := 1 / float64(w.Senders)
+	set := map[string]any{
+		"Instances": w.Senders, "Kinds": kinds, "Workload": "deliver", "RequestClasses": classes,
+		"WeightSource": map[string]string{"none": "silent", "nominal": "nominal", "rough": "rough"}[w.List.Rate],
+		"Specifics": map[string]any{"MaxCalls": max(4, int(math.Ceil(w.Sender.SlotsRoom*busy*part))), "Fades": "halves",
+			"RoutesApart": apart, "BundleMax": bundles},
+		"Permissions": map[string]any{"MayCancel": true, "TryLimit": w.Sender.Submits, "RetryAfter": w.Sender.AdviceS > 0,
+			"MaxRetryAfterUs": us(w.Sender.AdviceS * 1000), "ConnIdleUs": us(w.Sender.ConnIdleS * 1000), "DialTimeoutUs": us(w.Sender.DialMs),
+			"MaxOpen": max(16, int(w.Sender.HoldS*w.Load.PerSecond*part)), "Peers": false, "Probes": false, "MayDuplicate": false},
+		"Contract": map[string]any{"AnswerSlackUs": us(w.Rules.EndMs), "ColdFrom": w.Rules.ColdFrom, "RampTimeUs": us(w.Rules.ColdS * 1000),
+			"StopSendingWithinUs": us(w.Rules.DrainMs), "FallMultiple": w.Rules.FallMultiple, "FallUs": us(w.Rules.FallS * 1000),
+			"KeyRestUs": us(w.Rules.KeyRestMs)},
+		"Clients": map[string]any{"MarksRetry": w.Clients.Marks},
+	}
+	if reports {
+		set["Report"] = map[string]any{"Names": []string{"x0", "x1"}, "How": "piggyback"}
+	}
+	return set
+}
+
+// configure writes the configuration that the sender is started with, or told to read anew.
+func (o *sender) configure() error {
+	s, w := o.stage, o.stage.day.World
+	conf := map[string]any{"name": o.name(), "listen": s.net.front(o.no), "discovery": o.discovery(), "state": filepath.Join(o.dir(), "state"),
+		"seed":     fmt.Sprintf("%x", s.day.Seed+uint64(o.no)),
+		"limits":   map[string]any{"cores": w.Sender.Cores, "memory_mb": w.Sender.MemoryMB, "sockets": w.Sender.Sockets, "disk_mb": w.Sender.DiskMB},
+		"settings": Settings(w, s.day)}
+	if w.List.Known {
+		conf["known"] = s.list(o.no, 0, s.day.Version(o.no, s.now()))
+	}
+	raw, err := json.MarshalIndent(conf, "", " ")
+	if err != nil {
+		return err
+	}
+	// In one step: a sender may read it just now.
+	path := filepath.Join(o.dir(), "config.json")
+	if err := os.WriteFile(path+".new", raw, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// start starts the process.
+func (o *sender) start(ctx context.Context, launch *launcher) error {
+	if err := o.configure(); err != nil {
+		return err
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(o.dir(), "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	s := o.stage
+	cmd := exec.Command(s.opt.Command[0], s.opt.Command[1:]...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + o.dir(), "TMPDIR=" + o.dir(), "GW_NAME=" + o.name(),
+		"GW_LISTEN=" + s.net.front(o.no), "GW_DISCOVERY=" + o.discovery(), "GW_STATE=" + filepath.Join(o.dir(), "state"),
+		"GW_CONFIG=" + filepath.Join(o.dir(), "config.json")}, s.opt.Env...)
+	cmd.SysProcAttr = childAttr()
+	s.see(func(now time.Duration) { s.ref.SenderStarted(now, o.no) })
+	if err := launch.start(cmd); err != nil {
+		return fmt.Errorf("sender %s: %w", o.name(), err)
+	}
+	exited := make(chan struct{})
+	s.mu.Lock()
+	o.cmd, o.exited, o.meant = cmd, exited, false
+	s.mu.Unlock()
+	s.work.Go(func() {
+		defer close(exited)
+		err := cmd.Wait()
+		s.see(func(now time.Duration) {
+			if !o.meant {
+				s.crashes = append(s.crashes, fmt.Sprintf("sender %s ended by itself at %.3fs: %v; see its log", o.name(), now.Seconds(), err))
+				o.dies(now)
+			}
+			o.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+			if use, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+				o.peak = max(o.peak, use.Maxrss)
+			}
+		})
+	})
+	return nil
+}
+
+// dies: it is down from now on; the front goes on sending to it until it notices. Under the stage's lock.
+func (o *sender) dies(now time.Duration) {
+	s := o.stage
+	o.down = true
+	s.ref.SenderDown(now, o.no)
+	life := o.deaths
+	o.deaths++
+	time.AfterFunc(s.day.Notices(o.no, life), func() {
+		s.see(func(time.Duration) {
+			if o.down && o.deaths == life+1 {
+				o.listed = false
+			}
+		})
+	})
+}
+
+// ready waits until the sender says that it serves.
+func (o *sender) ready(ctx context.Context) error {
+	s := o.stage
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	end := time.Now().Add(time.Duration(s.day.World.Sender.ReadyWithS * float64(time.Second)))
+	for time.Now().Before(end) && ctx.Err() == nil {
+		resp, err := client.Get("http://" + s.net.front(o.no) + "/up")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				s.see(func(now time.Duration) {
+					s.ref.SenderReady(now, o.no)
+					o.down, o.listed = false, true
+				})
+				return nil
+			}
+		}
+		select {
+		case <-o.exited:
+			return fmt.Errorf("sender %s ended before it was ready; its log says: %s", o.name(), o.lastLine())
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return fmt.Errorf("sender %s does not answer GET /up at %s within %vs; its log says: %s", o.name(), s.net.front(o.no),
+		s.day.World.Sender.ReadyWithS, o.lastLine())
+}
+
+func (o *sender) lastLine() string {
+	raw, _ := os.ReadFile(filepath.Join(o.dir(), "log"))
+	if len(raw) > 400 {
+		raw = raw[len(raw)-400:]
+	}
+	return string(raw)
+}
+
+// fates plays what befalls the sender, one thing after the other.
+func (o *sender) fates(ctx context.Context, launch *launcher) {
+	s := o.stage
+	for _, f := range s.day.Fates {
+		if f.Sender != o.no || !s.until(ctx, time.Duration(f.AtS*float64(time.Second))) {
+			continue
+		}
+		switch f.What {
+		case "hup":
+			o.reload()
+			continue
+		case "kill":
+			o.kill()
+		case "term":
+			o.terminate(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(f.DownS * float64(time.Second))):
+		}
+		if err := o.start(ctx, launch); err == nil {
+			err = o.ready(ctx)
+			if err != nil && ctx.Err() == nil {
+				s.see(func(time.Duration) { s.crashes = append(s.crashes, err.Error()) })
+			}
+		}
+	}
+}
+
+// kill ends the process with SIGKILL.
+func (o *sender) kill() {
+	o.stage.see(func(now time.Duration) {
+		o.meant = true
+		if !o.down {
+			o.dies(now)
+		}
+		o.cmd.Process.Kill()
+	})
+	<-o.exited
+}
+
+// stopWithin is when SIGKILL follows SIGTERM.
+const stopWithin = 3700 * time.Millisecond
+
+// terminate ends it with SIGTERM. For a moment the front goes on sending to it.
+func (o *sender) terminate(ctx context.Context) {
+	s := o.stage
+	s.see(func(now time.Duration) {
+		o.meant = true
+		s.ref.SenderStopping(now, o.no)
+		o.cmd.Process.Signal(syscall.SIGTERM)
+	})
+	time.AfterFunc(300*time.Millisecond, func() { s.see(func(time.Duration) { o.listed = false }) })
+	select {
+	case <-o.exited:
+	case <-time.After(stopWithin):
+		o.kill()
+	case <-ctx.Done():
+		o.kill()
+	}
+	s.see(func(now time.Duration) {
+		if !o.down {
+			o.down = true
+			s.ref.SenderDown(now, o.no)
+		}
+	})
+}
+
+// reload gives the sender a new configuration: the platform has moved, and the old place ends after 1.5 s.
+func (o *sender) reload() {
+	s := o.stage
+	old := o.agentNow()
+	o.moves++
+	next, err := newAgent(s, o.no, o.discovery())
+	if err == nil {
+		err = o.configure()
+	}
+	if err != nil {
+		s.fail(err)
+		return
+	}
+	s.see(func(time.Duration) {
+		o.agent = next
+		if !o.down {
+			o.cmd.Process.Signal(syscall.SIGHUP)
+		}
+	})
+	old.listener.Close()
+	time.AfterFunc(1500*time.Millisecond, old.close)
+}
+
+// end ends the process, whatever it does.
+func (o *sender) end() {
+	o.stage.mu.Lock()
+	cmd, exited := o.cmd, o.exited
+	o.meant = true
+	o.stage.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-exited:
+	case <-time.After(stopWithin):
+		cmd.Process.Kill()
+		<-exited
+	}
+}
+
+// launcher starts processes from one thread that lives as long as they do: they end with it, so that none is left
+// behind even if this process is killed.
+type launcher struct {
+	ask  chan *exec.Cmd
+	tell chan error
+}
+
+func newLauncher() *launcher {
+	l := &launcher{make(chan *exec.Cmd), make(chan error)}
+	go func() {
+		runtime.LockOSThread()
+		for cmd := range l.ask {
+			l.tell <- cmd.Start()
+		}
+	}()
+	return l
+}
+
+func (l *launcher) start(cmd *exec.Cmd) error {
+	l.ask <- cmd
+	return <-l.tell
+}
+
+func (l *launcher) close() { close(l.ask) }
--- a/internal/world/spec.go
+++ b/internal/world/spec.go
@@ -257,3 +257,6 @@
 		Fate: []Fate{{What: "kill", Sender: 1, AtS: 5.5, DownS: 0.6}},
 	}
 }
+
+// Print writes a world as a file, with comments.
+func Print(w *World) ([]byte, error) { return tomlfile.Encode(w) }
