--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -206,11 +206,9 @@
 	}
 	left := control.Time(budget * float64(control.Second)) // rounded down
 	t.ValidUntil = protocol.At(came) + left
-	dest, err := destination(r.Header.Get(envelopeHeader))
-	if err != nil {
+	if t.Destination, t.Key, err = envelope(r.Header.Get(envelopeHeader)); err != nil {
 		return bad(envelopeHeader, err.Error())
 	}
-	t.Destination = dest
 	switch again := r.Header.Get(againHeader); again {
 	case "", "0":
 	case "1":
@@ -237,16 +235,26 @@
 	mostBudget = 1e6 // seconds
 )
 
-// destination finds dest=N in an envelope.
-func destination(envelope string) (int64, error) {
+// envelope finds dest=N, and key=TEXT where texts of one key go in order (not the platform's; other installations
+// may ask for it).
+func envelope(envelope string) (dest int64, key string, err error) {
+	found := false
 	for _, part := range strings.FieldsFunc(envelope, func(r rune) bool { return strings.ContainsRune(",; ", r) }) {
-		if v, ok := strings.CutPrefix(part, "dest="); ok {
-			n, err := strconv.ParseInt(v, 10, 64)
-			if err != nil {
-				return 0, fmt.Errorf("dest %q is no number", v)
+		name, v, _ := strings.Cut(part, "=")
+		switch {
+		case name == "dest" && !found: // the first counts
+			if dest, err = strconv.ParseInt(v, 10, 64); err != nil {
+				return 0, "", fmt.Errorf("dest %q is no number", v)
+			}
+			found = true
+		case name == "key" && key == "":
+			if key = v; len(key) > mostID || !utf8.ValidString(key) {
+				return 0, "", errors.New("key is too long or no text")
 			}
-			return n, nil
 		}
 	}
-	return 0, errors.New("dest is missing")
+	if !found {
+		return 0, "", errors.New("dest is missing")
+	}
+	return dest, key, nil
 }
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -97,14 +97,15 @@
 		_, k, addr := serve(t, 9, &c.answer)
 		conn := dial(t, addr)
 		for range 2 { // the connection stays
-			r := ask(t, conn, heads+"X-Again: 1\r\n", "b\x00y")
+			keyed := strings.Replace(heads, "dest=7", "dest=7, key=k9", 1)
+			r := ask(t, conn, keyed+"X-Again: 1\r\n", "b\x00y")
 			if r.StatusCode != c.status || r.Header.Get("Retry-After") != c.after {
 				t.Errorf("%v: %v", c.answer, r)
 			}
 		}
 		x := <-k.texts
 		left := x.ValidUntil - protocol.At(time.Now())
-		if x.ID != "a1" || x.Product != "order" || x.Destination != 7 || x.Mark != "k" || !x.Retry || x.Returned ||
+		if x.ID != "a1" || x.Product != "order" || x.Destination != 7 || x.Mark != "k" || x.Key != "k9" || !x.Retry || x.Returned ||
 			string(x.Body) != "b\x00y" || left > 12500 || left < 10000 {
 			t.Errorf("%+v, %d left", x, left)
 		}
@@ -122,6 +123,7 @@
 		"X-Budget: 1":          "X-Budget: 1e99",
 		"dest=7":               "dest=",
 		"X-Envelope: dest=7":   "X-Envelope: 7",
+		"dest=7\r":             "dest=7,key=" + strings.Repeat("k", 300) + "\r",
 		"Idempotency-Key: k":   "Idempotency-Key: " + strings.Repeat("k", 300),
 		"X-Call-Id: a1\r":      "X-Call-Id: a\xff\r",
 		"Idempotency-Key: k\r": "X-Again: maybe\r",
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -35,6 +35,7 @@
 	Product     string       `json:"product"`
 	Destination int64        `json:"dest"`
 	Mark        string       `json:"mark,omitempty"` // by which a repeat is known, as it came
+	Key         string       `json:"key,omitempty"`  // texts of one key go in order, where their product asks for it
 	Retry       bool         `json:"retry,omitempty"`
 	Returned    bool         `json:"returned,omitempty"`
 	ValidUntil  control.Time `json:"until"`
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -226,7 +226,7 @@
 // take tells the module of a text and of all that was done for it.
 func (s *Sender) take(t *ledger.Text) {
 	s.module.Take(control.Arrival{
-		ID: t.ID, Product: t.Product, Destination: t.Destination, TimeLeft: t.ValidUntil - s.now(),
+		ID: t.ID, Product: t.Product, Destination: t.Destination, TimeLeft: t.ValidUntil - s.now(), Key: t.Key,
 		Retry: t.Retry, Returned: t.Returned, Submits: t.Submits, RanSince: t.RanSince, RanZone: t.RanZone,
 	})
 }
--- a/internal/world/doc.go
+++ b/internal/world/doc.go
@@ -52,6 +52,9 @@
 	return math.Exp(c.NormFloat64()*math.Sqrt(sigma2) - sigma2/2)
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// seconds turns seconds into a span. A draw may be longer than a span can be: it ends at a year.
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, 365*24*3600) * float64(time.Second))
+}
 
 func millis(ms float64) time.Duration { return seconds(ms / 1000) }
--- a/internal/world/spec.go
+++ b/internal/world/spec.go
@@ -234,11 +234,11 @@
 		Sender: Sender{Cores: 1, MemoryMB: 64, Sockets: 512, DiskMB: 3, SlotsRoom: 2, HoldS: 8, Submits: 12, ConnIdleS: 5, DialMs: 1000,
 			AdviceS: 3, ReadyWithS: 5},
 		Rules: Rules{SlackMs: 50, EndMs: 300, DrainMs: 1000, WaitExcuseMs: 100, RestartMs: 1500, FallMultiple: 2, FallS: 3,
-			FallSlack: 3, ColdFrom: 0.2, ColdS: 6, ListLatestS: 6, RestartClears: true},
+			FallSlack: 3, ColdFrom: 0.2, ColdS: 6, ListLatestS: 6, KeyRestMs: 300, RestartClears: true},
 		Product: []Product{
 			{Name: "order", Share: 0.57, SLAS: 2, ValidityS: 8, Repeat: "referenced", WindowS: 5, Revenue: 1, LateShare: 0.3},
 			{Name: "status", Share: 0.4, SLAS: 2, ValidityS: 6, Repeat: "resendable", Revenue: 3, LateShare: 0.3},
-			{Name: "charge", Share: 0.03, SLAS: 2, ValidityS: 8, Repeat: "once-only", Revenue: 2, LateShare: 0.3},
+			{Name: "charge", Share: 0.03, SLAS: 2, ValidityS: 8, Repeat: "once-only", Ordered: true, Keys: 3, Revenue: 2, LateShare: 0.3},
 		},
 		Kind: []Kind{
 			{Name: "large", Destinations: 2, Endpoints: []float64{2, 2}, ServiceMs: []float64{80, 140}, ServiceCV: 0.6, Spare: []float64{1.4, 1.8},
