--- /dev/null
+++ b/internal/standin/tiny_test.go
@@ -0,0 +1,284 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// A tiny sender: one call at a time to each destination, in order of arrival. It is right as it is; a fault by name
+// makes it wrong in one way. The test binary runs as this program when TINY_FAULT is set.
+
+type tinyText struct {
+	ID, Product, Mark string
+	Dest              int
+	Until             time.Time
+	Body              []byte
+	RanAt             time.Time // of the first submit that may have run
+	Over              bool
+}
+
+type tiny struct {
+	fault    string
+	products map[string]struct {
+		Repeat         string
+		RepeatWindowUs float64
+	}
+	discovery string
+
+	turn   atomic.Int64
+	mu     sync.Mutex
+	ledger *os.File
+	addrs  map[string]tinyAddr // by id
+	queues map[int]chan *tinyText
+	waits  map[int]time.Time
+}
+
+type tinyAddr struct {
+	addr  string
+	cell  int
+	state string
+}
+
+func tinyMain(fault string) error {
+	raw, err := os.ReadFile(os.Getenv("GW_CONFIG"))
+	if err != nil {
+		return err
+	}
+	var conf struct {
+		Listen, Discovery, State string
+		Settings                 struct {
+			RequestClasses []struct {
+				Name, Repeat   string
+				RepeatWindowUs float64
+			}
+		}
+	}
+	if err := json.Unmarshal(raw, &conf); err != nil {
+		return err
+	}
+	s := &tiny{fault: fault, discovery: conf.Discovery, addrs: map[string]tinyAddr{}, queues: map[int]chan *tinyText{}, waits: map[int]time.Time{}}
+	s.products = map[string]struct {
+		Repeat         string
+		RepeatWindowUs float64
+	}{}
+	for _, p := range conf.Settings.RequestClasses {
+		s.products[p.Name] = struct {
+			Repeat         string
+			RepeatWindowUs float64
+		}{p.Repeat, p.RepeatWindowUs}
+	}
+	go s.watch()
+	if err := s.open(filepath.Join(conf.State, "tiny")); err != nil {
+		return err
+	}
+	if fault == "crash" {
+		time.AfterFunc(time.Second, func() { os.Exit(3) })
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/up", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/api", s.take)
+	return http.ListenAndServe(conf.Listen, mux)
+}
+
+// open reads what was held, and goes on with it.
+func (s *tiny) open(path string) error {
+	texts := map[string]*tinyText{}
+	var order []*tinyText
+	if raw, err := os.ReadFile(path); err == nil && s.fault != "loses" {
+		for line := range bytes.Lines(raw) {
+			var t tinyText
+			if json.Unmarshal(line, &t) != nil {
+				continue
+			}
+			if old := texts[t.ID]; old != nil {
+				*old = t
+			} else {
+				texts[t.ID] = &t
+				order = append(order, &t)
+			}
+		}
+	}
+	var err error
+	if s.ledger, err = os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+		return err
+	}
+	for _, t := range order {
+		if !t.Over {
+			s.queue(t)
+		}
+	}
+	return nil
+}
+
+func (s *tiny) keep(t *tinyText) {
+	raw, _ := json.Marshal(t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Write(append(raw, '\n'))
+}
+
+// watch follows the list.
+func (s *tiny) watch() {
+	for version := 0; ; time.Sleep(20 * time.Millisecond) {
+		resp, err := http.Get(fmt.Sprintf("http://%s/discovery/hosts?stream=1&index=%d", s.discovery, version))
+		if err != nil {
+			continue
+		}
+		in := bufio.NewScanner(resp.Body)
+		in.Buffer(nil, 1<<20)
+		for in.Scan() {
+			var l listed
+			if json.Unmarshal(in.Bytes(), &l) != nil {
+				continue
+			}
+			version = l.Version
+			s.mu.Lock()
+			for _, one := range l.Servers {
+				if s.fault == "drains" {
+					one.State = "active"
+				}
+				s.addrs[one.ID] = tinyAddr{one.Addr, one.Cell, one.State}
+			}
+			s.mu.Unlock()
+		}
+		resp.Body.Close()
+	}
+}
+
+func (s *tiny) take(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	budget, _ := strconv.ParseFloat(r.Header.Get("X-Budget"), 64)
+	dest, _, _ := strings.Cut(strings.TrimPrefix(r.Header.Get("X-Envelope"), "dest="), ",")
+	no, _ := strconv.Atoi(dest)
+	if err != nil {
+		return
+	}
+	t := &tinyText{ID: r.Header.Get("X-Call-Id"), Product: r.Header.Get("X-Call-Class"), Mark: r.Header.Get("Idempotency-Key"), Dest: no,
+		Until: time.Now().Add(time.Duration(budget * float64(time.Second))), Body: body}
+	s.keep(t)
+	if s.fault == "twice" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	} else {
+		w.WriteHeader(http.StatusAccepted)
+	}
+	w.(http.Flusher).Flush()
+	s.queue(t)
+}
+
+func (s *tiny) queue(t *tinyText) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := s.queues[t.Dest]
+	if q == nil {
+		q = make(chan *tinyText, 4096)
+		s.queues[t.Dest] = q
+		workers := map[string]int{"floods": 40, "order": 8}[s.fault]
+		for range max(1, workers) {
+			go func() {
+				for t := range q {
+					s.deliver(t)
+				}
+			}()
+		}
+	}
+	q <- t
+}
+
+// deliver submits a text until it is delivered or over.
+func (s *tiny) deliver(t *tinyText) {
+	p := s.products[t.Product]
+	pause := 150 * time.Millisecond
+	if s.fault == "floods" {
+		pause = 5 * time.Millisecond
+	}
+	for ; ; time.Sleep(pause) {
+		now := time.Now()
+		late := now.After(t.Until.Add(-100 * time.Millisecond))
+		if !t.RanAt.IsZero() {
+			window := time.Duration(p.RepeatWindowUs) * time.Microsecond
+			late = late || p.Repeat == "unsafe" && s.fault != "repeats" || p.Repeat == "keyed" && now.After(t.RanAt.Add(window-100*time.Millisecond))
+		}
+		if late {
+			s.notice(t)
+			return
+		}
+		s.mu.Lock()
+		wait := s.waits[t.Dest]
+		var open []string
+		for _, a := range s.addrs {
+			if a.cell == t.Dest && a.state == "active" {
+				open = append(open, a.addr)
+			}
+		}
+		s.mu.Unlock()
+		if now.Before(wait) && s.fault != "deaf" || len(open) == 0 {
+			continue
+		}
+		slices.Sort(open)
+		ran := t.RanAt
+		if ran.IsZero() {
+			t.RanAt = now
+			s.keep(t) // before the call: it may run
+		}
+		delivered, never, told := s.submit(t, open[int(s.turn.Add(1))%len(open)])
+		if delivered {
+			t.Over = true
+			s.keep(t)
+			return
+		}
+		if never {
+			t.RanAt = ran
+			s.keep(t)
+		}
+		if told > 0 {
+			s.mu.Lock()
+			s.waits[t.Dest] = time.Now().Add(told)
+			s.mu.Unlock()
+		}
+	}
+}
+
+func (s *tiny) submit(t *tinyText, addr string) (delivered, never bool, told time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), min(600*time.Millisecond, time.Until(t.Until)))
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/events", once{bytes.NewReader(t.Body)})
+	req.ContentLength = int64(len(t.Body))
+	req.Header = http.Header{"X-Call-Id": {t.ID}, "X-Budget": {"0.6"}}
+	if t.Mark != "" {
+		req.Header["Idempotency-Key"] = []string{t.Mark}
+	}
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return false, strings.Contains(err.Error(), "refused"), 0
+	}
+	defer resp.Body.Close()
+	ms, _ := strconv.ParseFloat(resp.Header.Get("X-Retry-In-Ms"), 64)
+	return resp.StatusCode == 200, resp.StatusCode == 429 || resp.StatusCode == 503, time.Duration(ms * float64(time.Millisecond))
+}
+
+// notice gives a text up.
+func (s *tiny) notice(t *tinyText) {
+	line := fmt.Sprintf(`{"message":%q,"outcome":"given_up"}`, t.ID)
+	for ; ; time.Sleep(20 * time.Millisecond) {
+		resp, err := http.Post("http://"+s.discovery+"/v2/finals", "application/json", strings.NewReader(line))
+		if err == nil {
+			resp.Body.Close()
+			break
+		}
+	}
+	t.Over = true
+	s.keep(t)
+}
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -364,7 +364,7 @@
 		t.Mark = fmt.Sprintf("%016x%016x", c.Uint64(), c.Uint64())
 	}
 	if t.Product.Ordered {
-		t.Key = fmt.Sprintf("k%d", c.IntN(t.Product.Keys))
+		t.Key = fmt.Sprintf("k%d-%d", dest, c.IntN(t.Product.Keys)) // of one destination: another's outage does not hold it up
 	}
 	t.Work = lognormal(c, d.Destinations[dest].Kind.ServiceCV)
 	d.Texts = append(d.Texts, t)
