--- a/internal/world/spec.go
+++ b/internal/world/spec.go
@@ -141,9 +141,11 @@
 	DownS  float64 `toml:"down_s" range:"0 60" comment:"until it is started again"`
 }
 
-// Read reads a described world; what it does not name is as in Default.
+// Read reads a described world; what it does not name is as in Default, but for troubles and fates: there are none
+// but those that it names.
 func Read(raw []byte) (*World, error) {
 	w := Default()
+	w.Trouble, w.Fate = nil, nil
 	if err := tomlfile.Decode(raw, w); err != nil {
 		return nil, err
 	}
