--- a/internal/referee/referee_test.go
+++ b/internal/referee/referee_test.go
@@ -10,9 +10,12 @@
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
 
+	"emberquay/internal/rapidseed"
 	"emberquay/internal/world"
 )
 
+func TestMain(m *testing.M) { rapidseed.Main(m) }
+
 var rules = world.Rules{SlackMs: 50, EndMs: 300, DrainMs: 1000, WaitExcuseMs: 100, RestartMs: 1500, FallMultiple: 2, FallS: 3,
 	FallSlack: 3, ColdFrom: 0.2, ColdS: 6, ListLatestS: 6, KeyRestMs: 400, RestartClears: true}
 
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -94,6 +94,9 @@
 		return nil, fmt.Errorf("load: %d texts in a day are drawn, %d at most", len(d.Texts), mostTexts)
 	}
 	d.Fates = slices.Clone(w.Fate)
+	for i := range d.Fates {
+		d.Fates[i].AtS += d.Fates[i].LaterS * chance(seed, "fate", uint64(i)).Float64()
+	}
 	slices.SortStableFunc(d.Fates, func(a, b Fate) int { return cmp.Compare(a.AtS, b.AtS) })
 	longest := 0.0
 	for _, p := range w.Product {
@@ -172,8 +175,9 @@
 // strikes says what each trouble strikes: destinations of its kind, drawn until they have its share of the traffic.
 func (d *Day) strikes() {
 	for i, t := range d.World.Trouble {
-		s := Strike{Trouble: t, From: seconds(t.AtS), To: seconds(t.AtS + t.ForS)}
 		c := chance(d.Seed, "trouble", uint64(i))
+		later := t.LaterS * chance(d.Seed, "later", uint64(i)).Float64()
+		s := Strike{Trouble: t, From: seconds(t.AtS + later), To: seconds(t.AtS + later + t.ForS)}
 		share := 0.0
 		for _, no := range c.Perm(len(d.Destinations)) {
 			dest := d.Destinations[no]
--- a/internal/world/spec.go
+++ b/internal/world/spec.go
@@ -130,6 +130,7 @@
 	ForS   float64 `toml:"for_s" range:"0 3600"`
 	Kind   string  `toml:"kind" comment:"struck is a destination of this kind; empty: of any"`
 	Share  float64 `toml:"share" range:"0 1" comment:"of the traffic that is struck, at least one destination"`
+	LaterS float64 `toml:"later_s" range:"0 3600" comment:"it comes so much later at most, drawn"`
 	Factor float64 `toml:"factor" range:"0 1000" comment:"errors: share that fails; slow: times as long; flash, hot: share more; pause: ms each second"`
 }
 
@@ -138,6 +139,7 @@
 	What   string  `toml:"what" oneof:"term kill hup"`
 	Sender int     `toml:"sender" range:"0 15"`
 	AtS    float64 `toml:"at_s" range:"0 3600"`
+	LaterS float64 `toml:"later_s" range:"0 3600" comment:"it comes so much later at most, drawn"`
 	DownS  float64 `toml:"down_s" range:"0 60" comment:"until it is started again"`
 }
 
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -9,8 +9,12 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"emberquay/internal/rapidseed"
 )
 
+func TestMain(m *testing.M) { rapidseed.Main(m) }
+
 func draw(t testing.TB, w *World, seed uint64) *Day {
 	t.Helper()
 	d, err := w.Draw(seed)
@@ -48,6 +52,13 @@
 	if x, y := took(a, 0), took(b, 30); x != y {
 		t.Errorf("a call takes %s, after others %s", x, y)
 	}
+	w := Default()
+	w.Fate[0].LaterS, w.Trouble[0].LaterS = 2, 2
+	x, y := draw(t, w, 5), draw(t, w, 5)
+	if at := x.Fates[0].AtS; at == w.Fate[0].AtS || at > w.Fate[0].AtS+2 || at != y.Fates[0].AtS || x.Strikes[0].From != y.Strikes[0].From ||
+		x.Strikes[0].To-x.Strikes[0].From != 2*time.Second {
+		t.Errorf("drawn instants: %+v %+v", x.Fates, x.Strikes[0])
+	}
 	if c := draw(t, Default(), 6); c.Texts[0].At == a.Texts[0].At {
 		t.Error("another seed gives the same day")
 	}
