The ledger is kept in segments, cleaned while texts flow, and may outlast the loss of power

Need: the ledger was one file of half the room, made anew in one go by the actor that decides; nothing was promised when the machine loses power, and a bad record in the middle cost all behind it. Change: internal/ledger/layout (pure) says what is admitted, moved and removed, and when; internal/vfs is the seam to the disk, internal/vfs/memfs one that crashes, tears, loses, fills and fails; records have numbers, so that a missing one shows and what it may have held counts as run; [ledger] durability = power with one sync for a batch, nothing leaving before it; room held back for ends; emberquay ledger inspect, verify, compact, export; the old file is carried over; a second process on the folder is refused. Result: a crash at each call and at six bytes of each write, both modes, and random runs with faults find each text as it was promised. Found on the way: half-written moves, submits counted twice after a failed sync.

--- a/cmd/emberquay/main.go
+++ b/cmd/emberquay/main.go
@@ -17,6 +17,7 @@
 var cli struct {
 	Serve   serveCmd   `cmd:"" help:"Serve clients until told to stop."`
 	Check   checkCmd   `cmd:"" help:"Read the configuration and say what it comes to."`
+	Ledger  ledgerCmd  `cmd:"" help:"Look into the folder that lasts."`
 	Version versionCmd `cmd:"" help:"Say which build this is."`
 }
 
@@ -69,7 +70,7 @@
 		conf.Name, conf.Listen, conf.Discovery, conf.State, len(conf.Settings), len(conf.Products))
 	fmt.Printf("cores=%d memory=%d disk=%d client_conns=%d receiver_conns=%d slots=%d texts=%d\n",
 		l.Cores, l.MemoryBytes, l.DiskBytes, l.ClientConns, l.ReceiverConns, l.Slots, l.Texts)
-	fmt.Printf("log_format=%s log_level=%s\n", own.Log.Format, own.Log.Level)
+	fmt.Printf("log_format=%s log_level=%s durability=%s\n", own.Log.Format, own.Log.Level, own.Ledger.Durability)
 	return nil
 }
 
--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -19,8 +20,10 @@
 	"emberquay/internal/ledger"
 	"emberquay/internal/logs"
 	"emberquay/internal/notices"
+	"emberquay/internal/options"
 	"emberquay/internal/receivers"
 	"emberquay/internal/sender"
+	"emberquay/internal/vfs"
 )
 
 type serveCmd struct{ where }
@@ -37,7 +40,10 @@
 	runtime.GOMAXPROCS(conf.Limits.Cores)
 	debug.SetMemoryLimit(conf.Limits.MemoryBytes * 6 / 10) // files, stacks and the program itself take the rest
 
-	kept, err := ledger.Open(conf.State, conf.Limits.DiskBytes)
+	kept, err := openLedger(conf, own)
+	if errors.Is(err, vfs.ErrLocked) {
+		return err
+	}
 	if err != nil { // texts are refused, the process lives
 		slog.Error("unread", "part", "ledger", "err", err)
 	}
@@ -96,6 +102,20 @@
 	return s.CloseLedger()
 }
 
+// lockWait is how long a start waits for the process before it to let go of the folder.
+const lockWait = time.Second
+
+// openLedger opens the folder that lasts.
+func openLedger(conf *config.Config, own *options.Options) (*ledger.Ledger, error) {
+	opt := ledger.Options{Room: conf.Limits.DiskBytes, Power: own.Ledger.Durability == "power"}
+	for began := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		l, err := ledger.Open(vfs.OS{}, conf.State, opt)
+		if !errors.Is(err, vfs.ErrLocked) || time.Since(began) > lockWait {
+			return l, err
+		}
+	}
+}
+
 // reload reads the configuration anew, as a sender that has been told to, and moves what follows discovery. A
 // faulty one changes nothing.
 func (c *serveCmd) reload(old *config.Config, moves ...func(addr string)) *config.Config {
--- /dev/null
+++ b/internal/ledger/compare_test.go
@@ -0,0 +1,206 @@
+package ledger
+
+import (
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"emberquay/control"
+	"emberquay/internal/vfs"
+)
+
+// The measurement of docs/notes/ledger.md: the same workload on this ledger and on an embedded store, in one run.
+//
+//	go test ./internal/ledger -run '^$' -bench . -benchtime 20000x
+//
+// Each round takes a text, notes a submit and ends the text; so many others are held all along, so that the room is
+// filled as far as said. In the modes of power a batch of 16 rounds shares a sync.
+
+// store is what is compared.
+type store interface {
+	take(t *Text) error
+	submit(id string) error
+	end(id string) error
+	sync() error
+	close()
+}
+
+type ours struct{ *Ledger }
+
+func (o ours) take(t *Text) error     { return o.Taken(t) }
+func (o ours) submit(id string) error { return o.Submitted(id, 5, "a") }
+func (o ours) end(id string) error    { return o.Ended(id) }
+func (o ours) sync() error            { return o.Sync() }
+func (o ours) close()                 { o.Close() }
+
+// bolt is the embedded store: a transaction for each call, without a sync, or one for each batch with it.
+type bolt struct {
+	db    *bbolt.DB
+	power bool
+	tx    *bbolt.Tx
+}
+
+var bucket = []byte("texts")
+
+func (o *bolt) do(f func(b *bbolt.Bucket) error) error {
+	if !o.power {
+		return o.db.Update(func(tx *bbolt.Tx) error { return f(tx.Bucket(bucket)) })
+	}
+	if o.tx == nil {
+		tx, err := o.db.Begin(true)
+		if err != nil {
+			return err
+		}
+		o.tx = tx
+	}
+	return f(o.tx.Bucket(bucket))
+}
+
+func (o *bolt) take(t *Text) error {
+	return o.do(func(b *bbolt.Bucket) error { return b.Put([]byte(t.ID), t.record().payload) })
+}
+
+func (o *bolt) submit(id string) error {
+	return o.do(func(b *bbolt.Bucket) error {
+		return b.Put([]byte(id+"/s"), binary.LittleEndian.AppendUint64(nil, 5))
+	})
+}
+
+func (o *bolt) end(id string) error {
+	return o.do(func(b *bbolt.Bucket) error {
+		if err := b.Delete([]byte(id + "/s")); err != nil {
+			return err
+		}
+		return b.Delete([]byte(id))
+	})
+}
+
+func (o *bolt) sync() error {
+	if o.tx == nil {
+		return nil
+	}
+	tx := o.tx
+	o.tx = nil
+	return tx.Commit()
+}
+
+func (o *bolt) close() { o.db.Close() }
+
+func stores(b *testing.B, room int64, power bool) map[string]func() store {
+	return map[string]func() store{
+		"segments": func() store {
+			l, err := Open(vfs.OS{}, b.TempDir(), Options{Room: room, Power: power})
+			if err != nil {
+				b.Fatal(err)
+			}
+			return ours{l}
+		},
+		"bbolt": func() store {
+			db, err := bbolt.Open(filepath.Join(b.TempDir(), "db"), 0o600, &bbolt.Options{NoSync: !power, NoFreelistSync: true})
+			if err != nil {
+				b.Fatal(err)
+			}
+			db.Update(func(tx *bbolt.Tx) error { _, err := tx.CreateBucket(bucket); return err })
+			return &bolt{db: db, power: power}
+		},
+	}
+}
+
+func BenchmarkStores(b *testing.B) {
+	for _, c := range []struct {
+		room  int64
+		size  int
+		held  float64 // share of the room
+		power bool
+	}{
+		{3e6, 200, 0, false}, {3e6, 200, 0.6, false}, {3e6, 200, 0.8, false}, {3e6, 64 << 10, 0.5, false},
+		{1e9, 200, 0.01, false}, {3e6, 200, 0, true}, {3e6, 200, 0.6, true}, {1e9, 200, 0.01, true},
+	} {
+		for _, name := range []string{"segments", "bbolt"} {
+			b.Run(fmt.Sprintf("%s/room=%g/bytes=%d/held=%g/power=%v", name, float64(c.room), c.size, c.held, c.power), func(b *testing.B) {
+				s := stores(b, c.room, c.power)[name]()
+				defer s.close()
+				body := make([]byte, c.size)
+				text := func(id string) *Text {
+					return &Text{ID: id, Product: "order", Destination: 3, Mark: id, TakenAt: 1e14, ValidUntil: 1e14, Body: body}
+				}
+				for i := 0; float64(i)*float64(c.size+200) < c.held*float64(c.room); i++ {
+					if err := s.take(text(fmt.Sprintf("held-%012d", i))); err != nil {
+						b.Fatal(i, err)
+					}
+				}
+				if err := s.sync(); err != nil {
+					b.Fatal(err)
+				}
+				var took []time.Duration
+				b.ResetTimer()
+				for i := range b.N {
+					id := fmt.Sprintf("%016x", i)
+					began := time.Now()
+					if err := s.take(text(id)); err != nil {
+						b.Fatal(err)
+					}
+					took = append(took, time.Since(began))
+					if err := s.submit(id); err != nil {
+						b.Fatal(err)
+					}
+					if err := s.end(id); err != nil {
+						b.Fatal(err)
+					}
+					if c.power && i%16 == 15 {
+						if err := s.sync(); err != nil {
+							b.Fatal(err)
+						}
+					}
+				}
+				b.StopTimer()
+				slices.Sort(took)
+				b.ReportMetric(float64(took[len(took)*999/1000].Microseconds()), "p99.9-take-us")
+				b.ReportMetric(float64(took[len(took)-1].Microseconds()), "max-take-us")
+				if o, ok := s.(ours); ok {
+					st := o.Stats()
+					b.ReportMetric(float64(st.Written)/float64(max(1, st.Written-st.Moved)), "written-per-byte")
+					b.ReportMetric(float64(st.Forced), "forced")
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkOpen measures a start with so many live records, beside a hundred times as many that are over.
+func BenchmarkOpen(b *testing.B) {
+	for _, n := range []int{10, 10_000, 1_000_000} {
+		dir := b.TempDir()
+		l, err := Open(vfs.OS{}, dir, Options{Room: 2e9})
+		if err != nil {
+			b.Fatal(err)
+		}
+		for i := range n {
+			if err := l.Taken(&Text{ID: fmt.Sprintf("%016x", i), Product: "order", Body: make([]byte, 200), ValidUntil: control.Time(i)}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		for i := range min(100*n, 300_000) {
+			id := fmt.Sprintf("over%012x", i)
+			l.Taken(&Text{ID: id, Product: "order", Body: make([]byte, 200)})
+			l.Ended(id)
+		}
+		l.Close()
+		b.Run(fmt.Sprint("texts=", n), func(b *testing.B) {
+			for range b.N {
+				l, err := Open(vfs.OS{}, dir, Options{Room: 2e9})
+				if err != nil || len(l.state.texts) != n {
+					b.Fatal(err, len(l.state.texts))
+				}
+				l.Close()
+			}
+		})
+		os.RemoveAll(dir)
+	}
+}
--- /dev/null
+++ b/internal/ledger/layout/layout.go
@@ -0,0 +1,276 @@
+// Package layout decides how a ledger lies on the disk: which segments there are and what is live in each, when a text
+// finds no room, what is moved out of the oldest segment next, and how much of that is done at a time. It is pure: it is
+// told sizes and does nothing itself. How to use it:
+//
+//	l := layout.New(layout.Limits{Room: 3 << 20, Record: 84 << 10})
+//	l.Begin(1, 64)                     // a new segment is the tail; its head has 64 bytes
+//	if l.Admits(n) { ... }             // a new text of n bytes may be taken on
+//	if l.Rolls(n) { ... }              // the tail has had its share: begin another first
+//	l.Wrote(n); l.Put("t1", n)         // n bytes went to the tail, and are what is live of t1
+//	for l.Due() { id, n := l.Next() }  // move this: write it anew to the tail, and Put it
+//	no, ok := l.Dead()                 // the oldest has nothing live any more: remove it, then Gone
+//
+// Segments are a queue: what is written goes to the newest, and only the oldest is cleaned, by writing what is still live
+// in it anew and removing it. A record that ends a text stands after all that it ends, so it may go with its own segment
+// without a look: what it ended went before.
+//
+// Sizes. Room is kept for moving what one segment can hold, twice over; what is admitted leaves it. So cleaning from the
+// oldest on always comes to an end with room, and a text that was taken can always end. Cleaning goes along with writing:
+// each write pays for as much as keeps the garbage in bounds, Step bytes at a time at most; only if the room runs out
+// sooner is more done at once (Forced counts that).
+package layout
+
+import "slices"
+
+// Limits are the sizes that a layout keeps to, in bytes.
+type Limits struct {
+	Room    int64 // all files together, each in whole blocks
+	Record  int64 // the largest record
+	Segment int64 // a segment is closed past this; 0: a 32nd of the room, 2 KiB to 8 MiB
+	End     int64 // what a held text may still need before it is over
+	Step    int64 // moved at a time, at most; 0: as much as the largest record
+}
+
+// Block is what files are counted in.
+const Block = 512
+
+// Layout is what lies where.
+type Layout struct {
+	limits   Limits
+	segments []*segment // oldest first; the last is the tail
+	at       map[string]*place
+	live     int64
+	total    int64 // bytes of all segments, in whole blocks
+	credit   int64 // of moving, not yet used
+	forced   int
+	moved    int64
+	written  int64
+}
+
+type segment struct {
+	no    uint64
+	size  int64
+	live  int64
+	first *place // of what is live, in the order written
+	last  *place
+}
+
+type place struct {
+	id         string
+	size       int64
+	in         *segment
+	prev, next *place
+}
+
+// New makes an empty layout. Limits that are too small are raised to what works.
+func New(limits Limits) *Layout {
+	l := &Layout{limits: limits, at: map[string]*place{}}
+	if l.limits.Segment == 0 {
+		l.limits.Segment = min(max(limits.Room/32, 2<<10), 8<<20)
+	}
+	l.limits.Record = min(l.limits.Record, limits.Room/8)
+	if l.limits.Step == 0 {
+		l.limits.Step = max(l.limits.Record, 4<<10)
+	}
+	return l
+}
+
+func blocks(n int64) int64 { return (n + Block - 1) / Block * Block }
+
+// headroom is what is needed to move all that is live in one segment.
+func (l *Layout) headroom() int64 { return l.limits.Segment + l.limits.Record + Block }
+
+// capacity is how much may be live, with what it still needs.
+func (l *Layout) capacity() int64 { return l.limits.Room - 2*l.headroom() }
+
+// Admits says whether a new text of so many bytes finds room.
+func (l *Layout) Admits(n int64) bool {
+	texts := int64(len(l.at)) + 1
+	return n <= l.limits.Record && l.live+n+texts*l.limits.End <= l.capacity()
+}
+
+// Rolls says whether another segment is begun before a record of so many bytes is written.
+func (l *Layout) Rolls(n int64) bool {
+	t := l.tail()
+	return t == nil || t.size >= l.limits.Segment
+}
+
+func (l *Layout) tail() *segment {
+	if len(l.segments) == 0 {
+		return nil
+	}
+	return l.segments[len(l.segments)-1]
+}
+
+// Begin makes a new segment the tail; its head has so many bytes.
+func (l *Layout) Begin(no uint64, head int64) {
+	l.segments = append(l.segments, &segment{no: no, size: head})
+	l.total += blocks(head)
+}
+
+// Wrote says that the tail has grown by something new. It pays for cleaning.
+func (l *Layout) Wrote(n int64) {
+	l.grow(n)
+	// To free one byte, as much has to be moved as is live beside it.
+	garbage := max(l.total-l.live, 1)
+	l.credit = min(l.credit+n*min(32, 1+2*l.live/garbage)+64, 2*l.limits.Step)
+}
+
+// Moved says that it has grown by something that was moved there.
+func (l *Layout) Moved(n int64) {
+	l.grow(n)
+	l.moved += n
+	l.credit -= n
+}
+
+func (l *Layout) grow(n int64) {
+	t := l.tail()
+	l.total += blocks(t.size+n) - blocks(t.size)
+	t.size += n
+	l.written += n
+}
+
+// Put says that a text's live record lies at the end of the tail now, and no longer where it was.
+func (l *Layout) Put(id string, n int64) {
+	l.Drop(id)
+	t := l.tail()
+	p := &place{id: id, size: n, in: t, prev: t.last}
+	if t.last != nil {
+		t.last.next = p
+	} else {
+		t.first = p
+	}
+	t.last = p
+	t.live += n
+	l.live += n
+	l.at[id] = p
+}
+
+// Drop says that nothing of a text is live any more.
+func (l *Layout) Drop(id string) {
+	p := l.at[id]
+	if p == nil {
+		return
+	}
+	delete(l.at, id)
+	s := p.in
+	if p.prev != nil {
+		p.prev.next = p.next
+	} else {
+		s.first = p.next
+	}
+	if p.next != nil {
+		p.next.prev = p.prev
+	} else {
+		s.last = p.prev
+	}
+	s.live -= p.size
+	l.live -= p.size
+}
+
+// Holds says whether something of a text is live.
+func (l *Layout) Holds(id string) bool { return l.at[id] != nil }
+
+// bound is how much may lie on the disk before cleaning sets in: as much garbage as there is live, or a few segments,
+// so that opening takes time for what is live and not for all that ever was; but with half of what is left, as what is
+// held for long has to be moved through before the garbage behind it is reached.
+func (l *Layout) bound() int64 {
+	return min(l.live+(l.limits.Room-l.headroom()-l.live)/2, max(2*l.live, 8*l.limits.Segment))
+}
+
+// mostSegments bounds their number: each start begins a new one.
+const mostSegments = 128
+
+// Due says whether something is to be moved now, in the course of writing.
+func (l *Layout) Due() bool {
+	return len(l.segments) > 1 && l.credit > 0 && (l.total > l.bound() || len(l.segments) > mostSegments)
+}
+
+// Short says whether a record of so many bytes finds no room before more is cleaned. At most it takes moving all
+// that is live once.
+func (l *Layout) Short(n int64) bool {
+	return l.total+blocks(n)+Block > l.limits.Room-l.headroom() && len(l.segments) > 1
+}
+
+// Force notes that cleaning had to be done at once.
+func (l *Layout) Force() { l.forced++ }
+
+// Next is what is to be moved: the first live record of the oldest segment, with its size. Nothing if that segment
+// has none, or is the tail.
+func (l *Layout) Next() (id string, n int64) {
+	if len(l.segments) < 2 || l.segments[0].first == nil {
+		return "", 0
+	}
+	p := l.segments[0].first
+	return p.id, p.size
+}
+
+// Dead is the oldest segment if nothing in it is live and it is not the tail.
+func (l *Layout) Dead() (no uint64, ok bool) {
+	if len(l.segments) < 2 || l.segments[0].first != nil {
+		return 0, false
+	}
+	return l.segments[0].no, true
+}
+
+// Gone says that the oldest segment is removed.
+func (l *Layout) Gone() {
+	l.total -= blocks(l.segments[0].size)
+	l.segments = slices.Delete(l.segments, 0, 1)
+}
+
+// Oldest is the number of the oldest segment, 0 if there is none.
+func (l *Layout) Oldest() uint64 {
+	if len(l.segments) == 0 {
+		return 0
+	}
+	return l.segments[0].no
+}
+
+// Used is what lies on the disk, and Live how much of it counts.
+func (l *Layout) Used() int64 { return l.total }
+
+// Live is how many bytes are live.
+func (l *Layout) Live() int64 { return l.live }
+
+// Stats are what a layout has come to.
+type Stats struct {
+	Segments int
+	Live     int64 // bytes
+	Used     int64 // bytes on the disk
+	Room     int64
+	Written  int64 // bytes in all, moved ones too
+	Moved    int64
+	Forced   int // times that cleaning had to be done at once
+}
+
+// Stats gives them.
+func (l *Layout) Stats() Stats {
+	return Stats{len(l.segments), l.live, l.total, l.limits.Room, l.written, l.moved, l.forced}
+}
+
+// Check looks whether all adds up; for tests.
+func (l *Layout) Check() string {
+	live, total, n := int64(0), int64(0), 0
+	for _, s := range l.segments {
+		sum := int64(0)
+		for p := s.first; p != nil; p = p.next {
+			if l.at[p.id] != p || p.in != s {
+				return "a place is not where it says"
+			}
+			sum += p.size
+			n++
+		}
+		if sum != s.live || s.live > s.size {
+			return "a segment's live bytes do not add up"
+		}
+		live, total = live+sum, total+blocks(s.size)
+	}
+	switch {
+	case n != len(l.at):
+		return "places and segments differ"
+	case live != l.live || total != l.total:
+		return "the sums differ"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/ledger/state.go
@@ -0,0 +1,235 @@
+package ledger
+
+import (
+	"cmp"
+	"encoding/binary"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"emberquay/control"
+)
+
+// Text is a text as it was taken on, and how far it has come.
+type Text struct {
+	ID          string       `json:"id"`
+	Product     string       `json:"product"`
+	Destination int64        `json:"dest"`
+	Mark        string       `json:"mark,omitempty"` // by which a repeat is known, as it came
+	Key         string       `json:"key,omitempty"`  // texts of one key go in order, where their product asks for it
+	Retry       bool         `json:"retry,omitempty"`
+	Returned    bool         `json:"returned,omitempty"`
+	TakenAt     control.Time `json:"at,omitempty"` // 0: not known
+	ValidUntil  control.Time `json:"until"`
+	Body        []byte       `json:"-"`
+
+	Submits  int          `json:"submits,omitempty"`
+	RanSince control.Time `json:"ran,omitempty"` // when the first submit that may have run was sent
+	RanZone  string       `json:"zone,omitempty"`
+
+	Order     uint64 `json:"order,omitempty"` // of arrival
+	Tentative bool   `json:"out,omitempty"`   // RanSince holds the submit that is out; it goes if that one never ran
+}
+
+// Notice is the end of a text that the platform has yet to hear of.
+type Notice struct {
+	ID    string       `json:"id"`
+	Nack  bool         `json:"nack,omitempty"`
+	Delay control.Time `json:"delay,omitempty"` // advice with a nack
+	Order uint64       `json:"order,omitempty"`
+}
+
+// The kinds of record.
+const (
+	taken     = 'T'
+	submitted = 'S'
+	neverRan  = 'N'
+	ended     = 'E'
+	untold    = 'U' // ended, and a notice is owed
+	synced    = 'M' // all up to a number is on the disk
+)
+
+type sent struct {
+	ID   string       `json:"id"`
+	No   int          `json:"n,omitempty"` // how many there are with it: it may be written twice
+	At   control.Time `json:"at"`
+	Zone string       `json:"zone,omitempty"`
+}
+
+type named struct {
+	ID string `json:"id"`
+}
+
+// state is what is live: it is made by records, one after the other, and gives records that make it anew. It does no
+// I/O.
+type state struct {
+	texts   map[string]*Text
+	notices map[string]*Notice
+	order   uint64
+	unknown map[string]bool // named by a record, and not there: perhaps a lost text; bounded
+}
+
+// mostUnknown bounds the ids that are remembered for the log.
+const mostUnknown = 64
+
+func newState() *state {
+	return &state{texts: map[string]*Text{}, notices: map[string]*Notice{}, unknown: map[string]bool{}}
+}
+
+// apply does what a record says; false if it makes no sense.
+func (s *state) apply(kind byte, payload []byte) bool {
+	switch kind {
+	case taken:
+		k, n := binary.Uvarint(payload)
+		if n <= 0 || k > uint64(len(payload)-n) {
+			return false
+		}
+		t := &Text{}
+		if json.Unmarshal(payload[n:n+int(k)], t) != nil || t.ID == "" {
+			return false
+		}
+		t.Body = slices.Clone(payload[n+int(k):])
+		s.add(t)
+	case submitted:
+		var r sent
+		if json.Unmarshal(payload, &r) != nil {
+			return false
+		}
+		if t := s.texts[r.ID]; t != nil {
+			t.out(cmp.Or(r.No, t.Submits+1), r.At, r.Zone)
+		} else {
+			s.wonder(r.ID)
+		}
+	case untold:
+		n := &Notice{}
+		if json.Unmarshal(payload, n) != nil || n.ID == "" {
+			return false
+		}
+		s.end(n.ID)
+		s.owe(n)
+	case neverRan, ended:
+		var id named
+		if json.Unmarshal(payload, &id) != nil {
+			return false
+		}
+		t := s.texts[id.ID]
+		switch {
+		case kind == ended:
+			s.end(id.ID)
+			delete(s.unknown, id.ID)
+		case t != nil:
+			t.back()
+		}
+	case synced:
+	default:
+		return false
+	}
+	return true
+}
+
+// wonder notes an id that a record names and no text has.
+func (s *state) wonder(id string) {
+	if len(s.unknown) < mostUnknown {
+		s.unknown[id] = true
+	}
+}
+
+func (t *Text) out(no int, at control.Time, zone string) {
+	t.Submits = max(t.Submits, no)
+	if t.RanSince == 0 {
+		t.RanSince, t.RanZone, t.Tentative = at, zone, true
+	}
+}
+
+// back: the submit that was out never ran.
+func (t *Text) back() {
+	if t.Tentative {
+		t.RanSince, t.RanZone, t.Tentative = 0, "", false
+	}
+}
+
+func (s *state) add(t *Text) {
+	if t.Order == 0 {
+		t.Order = s.order + 1
+	}
+	s.order = max(s.order, t.Order)
+	s.texts[t.ID] = t
+	delete(s.notices, t.ID)
+	delete(s.unknown, t.ID)
+}
+
+func (s *state) owe(n *Notice) {
+	if n.Order == 0 {
+		n.Order = s.order + 1
+	}
+	s.order = max(s.order, n.Order)
+	s.notices[n.ID] = n
+	delete(s.unknown, n.ID)
+}
+
+func (s *state) end(id string) {
+	delete(s.texts, id)
+	delete(s.notices, id)
+}
+
+// doubt: records were lost, and nobody knows what of. A text that is held may have been submitted in them, at the
+// earliest when it was taken; or it may have ended. So it counts as one that may have run.
+func (s *state) doubt() {
+	for _, t := range s.texts {
+		t.Submits++
+		if t.RanSince == 0 || t.Tentative {
+			t.RanSince, t.Tentative = max(1, t.TakenAt), false
+		}
+	}
+}
+
+// owed gives the texts that have no end yet, in the order they were taken, and the notices that are due.
+func (s *state) owed() ([]*Text, []*Notice) {
+	return slices.SortedFunc(maps.Values(s.texts), func(a, b *Text) int { return int(int64(a.Order - b.Order)) }),
+		slices.SortedFunc(maps.Values(s.notices), func(a, b *Notice) int { return int(int64(a.Order - b.Order)) })
+}
+
+// anew gives the record that makes what is live of an id again; false if nothing is.
+func (s *state) anew(id string) (record, bool) {
+	if t := s.texts[id]; t != nil {
+		return t.record(), true
+	}
+	if n := s.notices[id]; n != nil {
+		return note(untold, n), true
+	}
+	return record{}, false
+}
+
+// record is one, without its number and checksum.
+type record struct {
+	kind    byte
+	payload []byte
+}
+
+func (r record) size() int64 { return frameHead + int64(len(r.payload)) }
+
+func (t *Text) record() record {
+	meta := encode(t)
+	p := binary.AppendUvarint(make([]byte, 0, len(meta)+len(t.Body)+4), uint64(len(meta)))
+	return record{taken, append(append(p, meta...), t.Body...)}
+}
+
+func note(kind byte, what any) record { return record{kind, encode(what)} }
+
+// encode cannot fail: what is written has only plain fields.
+func encode(what any) []byte {
+	b, err := json.Marshal(what)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// idOf reads the id of what is written in a record.
+func idOf(meta []byte) string {
+	var n named
+	if json.Unmarshal(meta, &n) != nil {
+		return ""
+	}
+	return n.ID
+}
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -18,11 +18,19 @@
 
 // Options are all sections of the file.
 type Options struct {
-	Log logs.Options `toml:"log" comment:"how the log is written"`
+	Log    logs.Options `toml:"log" comment:"how the log is written"`
+	Ledger Ledger       `toml:"ledger" comment:"the folder that lasts"`
+}
+
+// Ledger says how the folder that lasts is kept.
+type Ledger struct {
+	Durability string `toml:"durability" oneof:"process power" comment:"process: outlasts a killed process; power: the loss of power too"`
 }
 
 // Defaults are what counts where the file says nothing.
-func Defaults() *Options { return &Options{Log: logs.Defaults()} }
+func Defaults() *Options {
+	return &Options{Log: logs.Defaults(), Ledger: Ledger{Durability: "process"}}
+}
 
 // Read reads the file at a path; no path gives the defaults.
 func Read(path string) (*Options, error) {
--- a/internal/sender/outlet.go
+++ b/internal/sender/outlet.go
@@ -37,13 +37,16 @@
 			s.answered(id, no, r)
 		})
 	}
-	h.call = receivers.NewCall(id, h.Mark, h.Body, protocol.Span(wait), done)
-	if !s.fleet.Submit(to, h.call) {
-		s.unsent(id, no)
-		return
-	}
-	s.counts.Out++
-	s.counts.Submits++
+	call := receivers.NewCall(id, h.Mark, h.Body, protocol.Span(wait), done)
+	h.call = call
+	s.leave(func() {
+		if !s.fleet.Submit(to, call) {
+			s.unsent(id, no)
+			return
+		}
+		s.counts.Out++
+		s.counts.Submits++
+	}, func() { s.unsent(id, no) })
 }
 
 // unsent tells the module, after the call it makes just now, that a submit never left.
@@ -75,8 +78,9 @@
 		// Written before it is said: a process killed in between would else send what its client had back.
 		s.counts.Refused++
 		s.forget(n.ID)
-		h.reply <- a
+		reply := h.reply
 		h.reply = nil
+		s.leave(func() { reply <- a }, nil) // an end goes in any case
 	default:
 		if n.Nack {
 			s.counts.Nacked++
@@ -85,7 +89,7 @@
 		}
 		delete(s.texts, n.ID)
 		s.noted(n.ID, s.ledger.Untold(n))
-		s.post(n)
+		s.leave(func() { s.post(n) }, nil)
 	}
 }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -53,6 +53,8 @@
 	at       map[string]control.ReceiverID // by address, those listed
 	fresh    []*held                       // their clients have yet to hear
 	later    []func()                      // calls on the module that came up during one
+	leaving  []effect                      // what may leave once the ledger is synced
+	unsynced bool                          // it was not: the fresh ones must not be taken on
 	owed     int                           // notices
 	counts   Counts
 	stopping bool
@@ -155,21 +157,61 @@
 		if !s.frozen {
 			s.module.Settle()
 		}
+		s.commit()
 	}
 	for _, h := range s.fresh {
-		if h.reply != nil {
+		switch {
+		case h.reply == nil:
+		case s.unsynced: // it might be forgotten
+			s.module.Withdrawn(h.ID)
+			s.counts.Refused++
+			s.forget(h.ID)
+			h.reply <- Answer{Verdict: Nacked}
+			h.reply = nil
+		default:
 			h.reply <- Answer{Verdict: Taken}
 			h.reply = nil
 			s.counts.Taken++
 		}
 	}
-	s.fresh = s.fresh[:0]
+	s.fresh, s.unsynced = s.fresh[:0], false
 	if s.stopping && s.counts.Out == 0 && (s.frozen || len(s.texts)+s.owed == 0) {
 		s.stopping = false
 		close(s.idle)
 	}
 }
 
+// effect is something that leaves the sender, and what is done if it must not.
+type effect struct{ do, instead func() }
+
+// leave lets something leave once what it rests on is kept: at once where the process is all that may end, else after
+// the sync that everything of this batch shares.
+func (s *Sender) leave(do, instead func()) {
+	if !s.ledger.Durable() {
+		do()
+		return
+	}
+	s.leaving = append(s.leaving, effect{do, instead})
+}
+
+// commit has what was written on the disk, and lets go what waited for it.
+func (s *Sender) commit() {
+	err := s.ledger.Sync()
+	if err != nil {
+		slog.Error("not_synced", "part", "sender", "err", err)
+		s.unsynced = true
+	}
+	todo := s.leaving
+	s.leaving = nil
+	for _, e := range todo {
+		if err != nil && e.instead != nil {
+			e.instead()
+		} else {
+			e.do()
+		}
+	}
+}
+
 // Tell posts a call on the module; it waits while the mailbox is full.
 func (s *Sender) Tell(do func()) { s.mail <- do }
 
@@ -203,6 +245,7 @@
 	}
 	h := &held{Text: t, reply: reply}
 	s.texts[t.ID] = h
+	t.TakenAt = s.now()
 	full := len(s.texts) > s.limits.Texts || s.owed >= s.limits.Texts
 	if !full {
 		if s.take(t); s.texts[t.ID] != h {
@@ -295,18 +338,18 @@
 
 // place keeps where a receiver is.
 func (s *Sender) place(h directory.Host) {
-	s.leave(h.Receiver)
+	s.vacate(h.Receiver)
 	s.listed[h.Receiver], s.at[h.Addr] = h.Entry, h.Receiver
 	s.fleet.Listed(h.Receiver, h.Addr)
 }
 
-// leave frees the address of a receiver.
-func (s *Sender) leave(id control.ReceiverID) {
+// vacate frees the address of a receiver.
+func (s *Sender) vacate(id control.ReceiverID) {
 	maps.DeleteFunc(s.at, func(_ string, at control.ReceiverID) bool { return at == id })
 }
 
 func (s *Sender) drop(id control.ReceiverID) {
-	s.leave(id)
+	s.vacate(id)
 	delete(s.listed, id)
 	s.fleet.Gone(id)
 }
--- /dev/null
+++ b/internal/vfs/memfs/memfs.go
@@ -0,0 +1,410 @@
+// Package memfs is a file system in memory that fails as disks do, for tests: it can end at any call and at any byte of
+// a write, lose what was not synced, keep what was written out of order, tear writes, flip bits, run full, and give
+// errors. How to use it:
+//
+//	m := memfs.New()
+//	m.Hook = func(c memfs.Call) memfs.Verdict { return memfs.Verdict{Crash: c.No == 7, Partly: c.Bytes / 2} }
+//	... use m as a vfs.FS until it has crashed ...
+//	again := m.After(memfs.Process, nil)    // as a killed process leaves it
+//	again = m.After(memfs.Power, chance)    // as a machine that lost power may
+//
+// All files are in one folder as far as syncing names goes. It is safe for use by several goroutines.
+package memfs
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+
+	"emberquay/internal/vfs"
+)
+
+// ErrCrashed is what every call gives after the crash.
+var ErrCrashed = errors.New("the process is gone")
+
+// Call is one call on the file system, before it is made.
+type Call struct {
+	No    int // from 0
+	Op    string
+	Name  string
+	Bytes int // of a write
+}
+
+// Verdict says what becomes of a call.
+type Verdict struct {
+	Crash  bool  // the process ends within it
+	Partly int   // of a write that crashes or fails: so many bytes are written
+	Err    error // it fails with this
+}
+
+// Mode is how much a crash loses.
+type Mode int
+
+// The modes.
+const (
+	Process Mode = iota // all that was written stays
+	Power               // what was not synced may be lost, in any order
+)
+
+// Mem is the file system.
+type Mem struct {
+	Hook func(Call) Verdict // asked before each call that changes or reads; nil: all goes well
+	Room int64              // bytes of all files together; 0: any
+
+	mu      sync.Mutex
+	names   map[string]*inode
+	durable map[string]*inode // names as they are on the disk
+	unsaid  []dirOp           // made since
+	calls   int
+	dead    bool
+	locks   map[string]bool
+}
+
+type inode struct {
+	data   []byte
+	synced []byte
+	dirty  []write // since the last sync, in order
+}
+
+type write struct {
+	at   int64
+	data []byte
+}
+
+type dirOp struct {
+	name string
+	node *inode // nil: removed
+	more *dirOp // the other half of a rename; both or neither
+}
+
+// New makes an empty one.
+func New() *Mem {
+	return &Mem{names: map[string]*inode{}, durable: map[string]*inode{}, locks: map[string]bool{}}
+}
+
+// Calls counts the calls so far.
+func (m *Mem) Calls() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
+// Names lists what is there.
+func (m *Mem) Names() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.names))
+}
+
+// Used counts the bytes of all files, each in whole blocks of 512.
+func (m *Mem) Used() (sum int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range m.names {
+		sum += (int64(len(n.data)) + 511) / 512 * 512
+	}
+	return sum
+}
+
+// Data gives the bytes of a file; they may be changed, as a bad disk does.
+func (m *Mem) Data(name string) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n := m.names[name]; n != nil {
+		return n.data
+	}
+	return nil
+}
+
+// Put lays a file down, as if it had always been there.
+func (m *Mem) Put(name string, data []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := &inode{data: slices.Clone(data), synced: slices.Clone(data)}
+	m.names[name], m.durable[name] = n, n
+}
+
+// After gives the file system as it is found after a crash; nothing of the old one can be used any more.
+func (m *Mem) After(mode Mode, chance *rand.Rand) *Mem {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dead = true
+	next := New()
+	found := maps.Clone(m.names)
+	if mode == Power {
+		found = maps.Clone(m.durable)
+		all, none := chance.IntN(4) == 0, chance.IntN(4) == 0
+		for _, op := range m.unsaid { // each may have got through by itself
+			if all || !none && chance.IntN(2) == 0 {
+				for o := &op; o != nil; o = o.more {
+					if o.node == nil {
+						delete(found, o.name)
+					} else {
+						found[o.name] = o.node
+					}
+				}
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(found)) {
+		n := found[name]
+		data := slices.Clone(n.data)
+		if mode == Power {
+			data = n.survives(chance)
+		}
+		next.Put(name, data)
+	}
+	return next
+}
+
+// survives is what may be left of a file: what was synced, and any part of what was written since.
+func (n *inode) survives(chance *rand.Rand) []byte {
+	data := slices.Clone(n.synced)
+	all, none := chance.IntN(4) == 0, chance.IntN(4) == 0
+	for _, w := range n.dirty {
+		switch {
+		case all:
+			data = overlay(data, w.at, w.data)
+		case none:
+		case chance.IntN(3) == 0:
+		case chance.IntN(3) == 0: // torn
+			data = overlay(data, w.at, w.data[:chance.IntN(len(w.data)+1)])
+		default:
+			data = overlay(data, w.at, w.data)
+		}
+	}
+	return data
+}
+
+// overlay writes over bytes, with zeros where there were none before.
+func overlay(data []byte, at int64, with []byte) []byte {
+	if end := int(at) + len(with); end > len(data) && len(with) > 0 {
+		data = append(data, make([]byte, end-len(data))...)
+	}
+	copy(data[min(int(at), len(data)):], with)
+	return data
+}
+
+// call asks the hook; the lock is held.
+func (m *Mem) call(op, name string, bytes int) (Verdict, error) {
+	if m.dead {
+		return Verdict{}, ErrCrashed
+	}
+	c := Call{m.calls, op, name, bytes}
+	m.calls++
+	var v Verdict
+	if m.Hook != nil {
+		v = m.Hook(c)
+	}
+	if v.Crash {
+		m.dead = true
+		return v, ErrCrashed
+	}
+	if v.Err != nil {
+		return v, &fs.PathError{Op: op, Path: name, Err: v.Err}
+	}
+	return v, nil
+}
+
+// MkdirAll makes nothing: there is one folder.
+func (m *Mem) MkdirAll(dir string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, err := m.call("mkdir", dir, 0)
+	return err
+}
+
+type file struct {
+	m    *Mem
+	n    *inode
+	name string
+	ro   bool
+}
+
+// Create makes a file, or empties it.
+func (m *Mem) Create(name string) (vfs.File, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.call("create", name, 0); err != nil {
+		return nil, err
+	}
+	n := &inode{}
+	m.names[name] = n
+	m.unsaid = append(m.unsaid, dirOp{name: name, node: n})
+	return &file{m: m, n: n, name: name}, nil
+}
+
+// Open opens a file for reading.
+func (m *Mem) Open(name string) (vfs.File, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.call("open", name, 0); err != nil {
+		return nil, err
+	}
+	n := m.names[name]
+	if n == nil {
+		return nil, &fs.PathError{Op: "open", Path: name, Err: fs.ErrNotExist}
+	}
+	return &file{m: m, n: n, name: name, ro: true}, nil
+}
+
+// Remove removes a file.
+func (m *Mem) Remove(name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.call("remove", name, 0); err != nil {
+		return err
+	}
+	if m.names[name] == nil {
+		return &fs.PathError{Op: "remove", Path: name, Err: fs.ErrNotExist}
+	}
+	delete(m.names, name)
+	m.unsaid = append(m.unsaid, dirOp{name: name})
+	return nil
+}
+
+// Rename gives a file another name.
+func (m *Mem) Rename(from, to string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.call("rename", from, 0); err != nil {
+		return err
+	}
+	n := m.names[from]
+	if n == nil {
+		return &fs.PathError{Op: "rename", Path: from, Err: fs.ErrNotExist}
+	}
+	delete(m.names, from)
+	m.names[to] = n
+	m.unsaid = append(m.unsaid, dirOp{name: from, more: &dirOp{name: to, node: n}})
+	return nil
+}
+
+// List names the files of a folder.
+func (m *Mem) List(dir string) ([]string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.call("list", dir, 0); err != nil {
+		return nil, err
+	}
+	var names []string
+	for name := range m.names {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// SyncDir has the names on the disk.
+func (m *Mem) SyncDir(dir string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.call("syncdir", dir, 0); err != nil {
+		return err
+	}
+	m.durable, m.unsaid = maps.Clone(m.names), nil
+	return nil
+}
+
+type lock struct {
+	m    *Mem
+	name string
+}
+
+func (l lock) Close() error {
+	l.m.mu.Lock()
+	defer l.m.mu.Unlock()
+	delete(l.m.locks, l.name)
+	return nil
+}
+
+// Lock takes a name.
+func (m *Mem) Lock(name string) (io.Closer, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.call("lock", name, 0); err != nil {
+		return nil, err
+	}
+	if m.locks[name] {
+		return nil, fmt.Errorf("%s: %w", name, vfs.ErrLocked)
+	}
+	m.locks[name] = true
+	return lock{m, name}, nil
+}
+
+func (f *file) ReadAt(p []byte, at int64) (int, error) {
+	f.m.mu.Lock()
+	defer f.m.mu.Unlock()
+	if _, err := f.m.call("read", f.name, 0); err != nil {
+		return 0, err
+	}
+	if at >= int64(len(f.n.data)) {
+		return 0, io.EOF
+	}
+	n := copy(p, f.n.data[at:])
+	if n < len(p) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+func (f *file) WriteAt(p []byte, at int64) (int, error) {
+	m := f.m
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if f.ro {
+		return 0, &fs.PathError{Op: "write", Path: f.name, Err: syscall.EBADF}
+	}
+	v, err := m.call("write", f.name, len(p))
+	n := len(p)
+	if err != nil {
+		n = 0
+		if v.Crash || v.Err != nil {
+			n = max(0, min(v.Partly, len(p)))
+		}
+	} else if m.Room > 0 {
+		used := int64(0)
+		for _, o := range m.names {
+			used += int64(len(o.data))
+		}
+		if free := m.Room - used; at+int64(n)-int64(len(f.n.data)) > free {
+			n = int(max(0, min(int64(n), free+int64(len(f.n.data))-at)))
+			err = &fs.PathError{Op: "write", Path: f.name, Err: syscall.ENOSPC}
+		}
+	}
+	if n > 0 {
+		f.n.data = overlay(f.n.data, at, p[:n])
+		f.n.dirty = append(f.n.dirty, write{at, slices.Clone(p[:n])})
+	}
+	return n, err
+}
+
+func (f *file) Sync() error {
+	f.m.mu.Lock()
+	defer f.m.mu.Unlock()
+	if _, err := f.m.call("sync", f.name, 0); err != nil {
+		return err
+	}
+	f.n.synced, f.n.dirty = slices.Clone(f.n.data), nil
+	return nil
+}
+
+func (f *file) Size() (int64, error) {
+	f.m.mu.Lock()
+	defer f.m.mu.Unlock()
+	if f.m.dead {
+		return 0, ErrCrashed
+	}
+	return int64(len(f.n.data)), nil
+}
+
+func (f *file) Close() error { return nil }
