Segments hold what fits or one record; less room is kept back; measured beside an embedded store

Need: 54% of 3 MB could be live with texts of 200 bytes, where four fifths are wanted. Change: room kept for moving is one segment or one record, twice; what a text may grow by is all that is kept for it.

--- a/internal/ledger/compare_test.go
+++ b/internal/ledger/compare_test.go
@@ -160,6 +160,7 @@
 					}
 				}
 				b.StopTimer()
+				s.sync()
 				slices.Sort(took)
 				b.ReportMetric(float64(took[len(took)*999/1000].Microseconds()), "p99.9-take-us")
 				b.ReportMetric(float64(took[len(took)-1].Microseconds()), "max-take-us")
--- a/internal/ledger/layout/layout.go
+++ b/internal/ledger/layout/layout.go
@@ -26,8 +26,8 @@
 type Limits struct {
 	Room    int64 // all files together, each in whole blocks
 	Record  int64 // the largest record
-	Segment int64 // a segment is closed past this; 0: a 32nd of the room, 2 KiB to 8 MiB
-	End     int64 // what a held text may still need before it is over
+	Segment int64 // a segment holds so much, or one record; 0: a 32nd of the room, 2 KiB to 8 MiB
+	End     int64 // what a held text may still grow by
 	Step    int64 // moved at a time, at most; 0: as much as the largest record
 }
 
@@ -49,6 +49,7 @@
 
 type segment struct {
 	no    uint64
+	head  int64
 	size  int64
 	live  int64
 	first *place // of what is live, in the order written
@@ -66,7 +67,7 @@
 func New(limits Limits) *Layout {
 	l := &Layout{limits: limits, at: map[string]*place{}}
 	if l.limits.Segment == 0 {
-		l.limits.Segment = min(max(limits.Room/32, 2<<10), 8<<20)
+		l.limits.Segment = min(max(limits.Room/64, 2<<10), 8<<20)
 	}
 	l.limits.Record = min(l.limits.Record, limits.Room/8)
 	if l.limits.Step == 0 {
@@ -77,8 +78,8 @@
 
 func blocks(n int64) int64 { return (n + Block - 1) / Block * Block }
 
-// headroom is what is needed to move all that is live in one segment.
-func (l *Layout) headroom() int64 { return l.limits.Segment + l.limits.Record + Block }
+// headroom is what is needed to move all that is live in one segment: it ends before it is passed, or holds one record.
+func (l *Layout) headroom() int64 { return max(l.limits.Segment, l.limits.Record+4*Block) + Block }
 
 // capacity is how much may be live, with what it still needs.
 func (l *Layout) capacity() int64 { return l.limits.Room - 2*l.headroom() }
@@ -89,10 +90,10 @@
 	return n <= l.limits.Record && l.live+n+texts*l.limits.End <= l.capacity()
 }
 
-// Rolls says whether another segment is begun before a record of so many bytes is written.
+// Rolls says whether another segment is begun before a record of so many bytes is written: where it does not fit.
 func (l *Layout) Rolls(n int64) bool {
 	t := l.tail()
-	return t == nil || t.size >= l.limits.Segment
+	return t == nil || t.size+n > l.limits.Segment && t.size > t.head
 }
 
 func (l *Layout) tail() *segment {
@@ -104,7 +105,7 @@
 
 // Begin makes a new segment the tail; its head has so many bytes.
 func (l *Layout) Begin(no uint64, head int64) {
-	l.segments = append(l.segments, &segment{no: no, size: head})
+	l.segments = append(l.segments, &segment{no: no, head: head, size: head})
 	l.total += blocks(head)
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -75,8 +75,12 @@
 	badPrefix   = "bad-"
 )
 
-// growth is about what a held text still needs: a submit, that it never ran, the end.
-const growth = 256
+// growth is by how much a held text's record may still grow: submits, since when it may have run, and where. What else
+// is written of it is garbage as soon as it is.
+const growth = 72
+
+// ending is about what the end of a text takes.
+const ending = 160
 
 // largest is what one record may have: the largest body, the longest headers, and what is written with them.
 const largest = 84 << 10
@@ -333,7 +337,7 @@
 		return fmt.Errorf("text %s is not held", id)
 	}
 	// Where somebody else fills the disk, submits use what is held back as long as that is plenty for the ends.
-	plenty := int64(len(l.state.texts))*growth < l.reserve/2
+	plenty := int64(len(l.state.texts))*ending < l.reserve/2
 	return l.write(note(submitted, sent{id, t.Submits + 1, at, zone}), plenty, func() { t.out(t.Submits+1, at, zone) })
 }
 
