--- a/cmd/quaylab/main_test.go
+++ b/cmd/quaylab/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -77,6 +78,61 @@
 	}
 }
 
+// killed is thirty seconds of senders that are killed at drawn times.
+const killed = `
+seconds = 22
+senders = 2
+[load]
+texts_per_s = 60
+[[trouble]]
+what = "silent"
+at_s = 3
+for_s = 4
+share = 0.2
+[[trouble]]
+what = "errors"
+at_s = 10
+for_s = 6
+share = 0.3
+factor = 0.4
+` + "%s"
+
+// Killed at random points under load, in both modes of the ledger: each text has one final answer, once-only texts never
+// run twice.
+func TestKilledAtRandom(t *testing.T) {
+	dir := build(t)
+	fates := ""
+	for i := range 6 {
+		for no := range 2 {
+			fates += fmt.Sprintf("[[fate]]\nwhat = \"kill\"\nsender = %d\nat_s = %d\nlater_s = 1.5\ndown_s = 0.3\n", no, 2+3*i)
+		}
+	}
+	file, own := filepath.Join(dir, "w.toml"), filepath.Join(dir, "own.toml")
+	os.WriteFile(file, fmt.Appendf(nil, killed, fates), 0o600)
+	os.WriteFile(own, []byte("[ledger]\ndurability = \"power\"\n"), 0o600)
+	for name, more := range map[string][]string{"process": nil, "power": {"--with", own}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			result := filepath.Join(dir, name+".json")
+			args := append([]string{"world", file, "--seed", "5", "--json", result}, more...)
+			out, err := exec.Command(filepath.Join(dir, "quaylab"), args...).CombinedOutput()
+			if err != nil {
+				t.Fatalf("%v\n%s", err, out)
+			}
+			raw, _ := os.ReadFile(result)
+			var r standin.Result
+			if err := json.Unmarshal(raw, &r); err != nil {
+				t.Fatal(err)
+			}
+			for _, p := range r.Account.Products {
+				if p.Lost > 0 || p.Doubled > 0 || p.InTime < p.Texts/2 {
+					t.Errorf("%+v", p)
+				}
+			}
+		})
+	}
+}
+
 // What cannot be done is said with its place, and the status is not nought.
 func TestMistakesAreTold(t *testing.T) {
 	dir := build(t)
--- a/internal/ledger/layout/layout.go
+++ b/internal/ledger/layout/layout.go
@@ -67,7 +67,7 @@
 func New(limits Limits) *Layout {
 	l := &Layout{limits: limits, at: map[string]*place{}}
 	if l.limits.Segment == 0 {
-		l.limits.Segment = min(max(limits.Room/64, 2<<10), 8<<20)
+		l.limits.Segment = min(max(limits.Room/64, 2<<10), 1<<20)
 	}
 	l.limits.Record = min(l.limits.Record, limits.Room/8)
 	if l.limits.Step == 0 {
@@ -179,12 +179,14 @@
 	return min(l.live+(l.limits.Room-l.headroom()-l.live)/2, max(2*l.live, 8*l.limits.Segment))
 }
 
-// mostSegments bounds their number: each start begins a new one.
-const mostSegments = 128
+// crowd bounds how many segments there are beyond what their bytes need: each start begins a new one.
+const crowd = 128
+
+func (l *Layout) crowded() bool { return int64(len(l.segments)) > crowd+2*l.total/l.limits.Segment }
 
 // Due says whether something is to be moved now, in the course of writing.
 func (l *Layout) Due() bool {
-	return len(l.segments) > 1 && l.credit > 0 && (l.total > l.bound() || len(l.segments) > mostSegments)
+	return len(l.segments) > 1 && l.credit > 0 && (l.total > l.bound() || l.crowded())
 }
 
 // Short says whether a record of so many bytes finds no room before more is cleaned. At most it takes moving all
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -199,18 +199,11 @@
 
 // lies tells the layout what a record changes.
 func (f *Found) lies(r record, size int, lay *layout.Layout) {
-	switch r.kind {
-	case taken:
-		k, n := binary.Uvarint(r.payload)
-		if id := idOf(r.payload[n : n+int(k)]); id != "" {
-			lay.Put(id, int64(size))
-		}
-	case untold:
-		if id := idOf(r.payload); id != "" {
-			lay.Put(id, int64(size))
-		}
+	switch id := f.state.named; r.kind {
+	case taken, untold:
+		lay.Put(id, int64(size))
 	case ended:
-		lay.Drop(idOf(r.payload))
+		lay.Drop(id)
 	}
 }
 
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -66,6 +66,7 @@
 	texts   map[string]*Text
 	notices map[string]*Notice
 	order   uint64
+	named   string          // the id in the last record
 	unknown map[string]bool // named by a record, and not there: perhaps a lost text; bounded
 }
 
@@ -89,6 +90,7 @@
 			return false
 		}
 		t.Body = slices.Clone(payload[n+int(k):])
+		s.named = t.ID
 		s.add(t)
 	case submitted:
 		var r sent
@@ -105,6 +107,7 @@
 		if json.Unmarshal(payload, n) != nil || n.ID == "" {
 			return false
 		}
+		s.named = n.ID
 		s.end(n.ID)
 		s.owe(n)
 	case neverRan, ended:
@@ -112,6 +115,7 @@
 		if json.Unmarshal(payload, &id) != nil {
 			return false
 		}
+		s.named = id.ID
 		t := s.texts[id.ID]
 		switch {
 		case kind == ended:
