--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -2,7 +2,8 @@
 // written; what follows from that is decided elsewhere. How to use it:
 //
 //	l, err := ledger.Open(vfs.OS{}, dir, ledger.Options{Room: 3e6})
-//	texts, notices := l.Owed()               // from before
+//	l.Now(now)                               // at a start, before anything is done with
+//	texts, notices := l.Owed()               // what is from before
 //	err = l.Taken(t)                         // before its client hears that it is taken on
 //	err = l.Submitted(t.ID, now, zone)       // before each call
 //	err = l.Answered(t.ID, mayHaveRun)       // what became of it
@@ -308,6 +309,14 @@
 // Owed gives the texts that have no end yet, in the order they were taken, and the notices that are due.
 func (l *Ledger) Owed() ([]*Text, []*Notice) { return l.state.owed() }
 
+// Now tells the time at a start. If what is held tells of later instants, the clock was put back since.
+func (l *Ledger) Now(now control.Time) {
+	if by := l.state.latest() - now; by > 0 {
+		slog.Warn("clock_put_back", "part", "ledger", "tenths_of_ms", int64(by), "texts", len(l.state.texts))
+		l.state.steppedBack(by)
+	}
+}
+
 // Durable says whether Sync has to be waited for.
 func (l *Ledger) Durable() bool { return l.opt.Power }
 
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -187,6 +187,26 @@
 	}
 }
 
+// latest is the latest instant that anything of what is held tells of.
+func (s *state) latest() (at control.Time) {
+	for _, t := range s.texts {
+		at = max(at, t.TakenAt, t.RanSince)
+	}
+	return at
+}
+
+// steppedBack: the clock was put back since, by so much at least. How long ago anything was cannot be known any more: the
+// time in which a repeat is known counts as over, and validity periods end sooner by what is known.
+func (s *state) steppedBack(by control.Time) {
+	for _, t := range s.texts {
+		t.ValidUntil -= by
+		t.TakenAt = 0
+		if t.RanSince > 0 {
+			t.RanSince = 1
+		}
+	}
+}
+
 // owed gives the texts that have no end yet, in the order they were taken, and the notices that are due.
 func (s *state) owed() ([]*Text, []*Notice) {
 	return slices.SortedFunc(maps.Values(s.texts), func(a, b *Text) int { return int(int64(a.Order - b.Order)) }),
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -111,6 +111,7 @@
 // due go to the desk.
 func (s *Sender) Start(desk Desk) {
 	s.desk = desk
+	s.ledger.Now(s.now())
 	texts, due := s.ledger.Owed()
 	for _, t := range texts {
 		s.texts[t.ID] = &held{Text: t, no: t.Submits}
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -562,3 +562,25 @@
 		t.Error("b was refused and sent")
 	}
 }
+
+// The clock was put back between two starts: how long ago a text may have run is not known, so what must not run twice
+// past its window is not sent again, and nothing is held for longer than its client waits.
+func TestClockPutBack(t *testing.T) {
+	g := newRig(t, ok)
+	l, err := ledger.Open(vfs.OS{}, g.dir, ledger.Options{Room: 3e6})
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := protocol.At(time.Now()) + 3600*control.Second
+	for id, product := range map[string]string{"a": "marked", "b": "free"} {
+		l.Taken(&ledger.Text{ID: id, Product: product, Destination: 3, TakenAt: later, ValidUntil: later + 2*control.Second})
+		l.Submitted(id, later, "")
+	}
+	l.Close()
+	g.start()
+	if n := g.notice(); n.ID != "a" || g.called("a") != 0 {
+		t.Errorf("%+v after %d calls", n, g.called("a"))
+	}
+	g.until("b is not sent", func() bool { return g.called("b") == 1 })
+	g.until("b is held for an hour", func() bool { return g.holds() == 0 })
+}
