One check for ranges in described worlds; what nothing read any more is gone

Need: read again, the range check stood twice, and a method, a field and two test fields had no reader. Change: noRange serves both places; the rest is removed. Result: the same tests with the same assertions pass.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -70,8 +70,6 @@
 	power   bool
 	kept    map[string]promise // after the last Sync, or at once where the process is all that ends
 	done    map[string]promise // calls that have returned, not synced
-	asking  string             // the id of the call that is under way
-	after   promise            // what it becomes
 	pending map[string][]promise
 }
 
@@ -89,7 +87,6 @@
 
 // call makes one call on the ledger; next is what the text has become once it returns.
 func (s *story) call(id string, next promise, do func() error) error {
-	s.asking, s.after = id, next
 	s.pending[id] = append(s.pending[id], next)
 	err := do()
 	if err == nil {
--- a/internal/world/receiver.go
+++ b/internal/world/receiver.go
@@ -70,7 +70,6 @@
 	Text   *Text // nil: nobody handed it in
 	Submit int   // of the text, from 0, as the receivers count them
 
-	arrived time.Duration
 	starts  time.Duration
 	refused bool
 	wait    time.Duration
@@ -213,9 +212,6 @@
 // Disconnect frees the place.
 func (r *Receiver) Disconnect() { r.conns-- }
 
-// MostConns is the size of the connection table, 0 for any.
-func (r *Receiver) MostConns() int { return r.mostConns }
-
 // draw is the chance of one step of one submit of a text here.
 func (r *Receiver) draw(step string, c *Call) *rand.Rand {
 	text := uint64(0)
@@ -251,7 +247,7 @@
 
 // Begin takes a call whose last byte has come, and says when its End is due; never where nothing will come.
 func (r *Receiver) Begin(now time.Duration, c *Call) (due time.Duration, ever bool) {
-	c.arrived, c.starts = now, now
+	c.starts = now
 	r.weigh(now, c.Sender)
 	chance := r.draw("begin", c)
 	refuse := func(why string, room time.Duration) (time.Duration, bool) {
--- a/internal/world/spec.go
+++ b/internal/world/spec.go
@@ -196,7 +196,7 @@
 			must bool
 		}{{"endpoints", k.Endpoints, true}, {"service_ms", k.ServiceMs, true}, {"spare", k.Spare, true},
 			{"headroom", k.Headroom, k.Limit != "none"}, {"wait_ms", k.WaitMs, false}, {"report_ms", k.ReportMs, false}} {
-			if r.must && len(r.row) == 0 || len(r.row) > 2 || len(r.row) == 2 && r.row[0] > r.row[1] {
+			if noRange(r.row, r.must) {
 				return fmt.Errorf("%s: %s: %v is neither one number nor a range", at, r.key, r.row)
 			}
 		}
@@ -220,13 +220,18 @@
 		row []float64
 	}{{"load.clump_s", w.Load.ClumpS}, {"load.body_bytes", w.Load.BodyBytes}, {"clients.backoff_ms", w.Clients.BackoffMs},
 		{"clients.again_ms", w.Clients.AgainMs}, {"clients.notice_s", w.Clients.NoticeS}, {"list.lag_s", w.List.LagS}} {
-		if len(r.row) == 0 || len(r.row) > 2 || len(r.row) == 2 && r.row[0] > r.row[1] {
+		if noRange(r.row, true) {
 			return fmt.Errorf("%s: %v is neither one number nor a range", r.key, r.row)
 		}
 	}
 	return nil
 }
 
+// noRange says whether a row is neither one number nor a range; where it may be left out it may be empty.
+func noRange(row []float64, must bool) bool {
+	return must && len(row) == 0 || len(row) > 2 || len(row) == 2 && row[0] > row[1]
+}
+
 // Default is the short rough day of `quaylab try`: two senders, a dozen receivers, an outage, a drain, a kill.
 func Default() *World {
 	return &World{
