Each sender asks for the list at a time of its own, and ever later when in vain

Change: a drawn time before the first ask where a list is known, and growing drawn times after; event=listed and watch_ended after= tell an operator.

--- a/cmd/emberquay/main.go
+++ b/cmd/emberquay/main.go
@@ -46,7 +46,7 @@
 		return nil, nil, fmt.Errorf("settings: %w", err)
 	}
 	if conf.Known != nil {
-		if err := directory.New(conf.Discovery, conf.Limits, func(directory.News) {}).Known(conf.Known); err != nil {
+		if err := directory.New(conf.Discovery, conf.Seed, conf.Limits, func(directory.News) {}).Known(conf.Known); err != nil {
 			return nil, nil, fmt.Errorf("known: %w", err)
 		}
 	}
--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -53,7 +53,7 @@
 	}
 	// The list as last known goes in before anything that is owed is looked at.
 	tell := s.Known
-	list := directory.New(conf.Discovery, conf.Limits, func(n directory.News) { tell(n) })
+	list := directory.New(conf.Discovery, conf.Seed, conf.Limits, func(n directory.News) { tell(n) })
 	if conf.Known != nil {
 		if err := list.Known(conf.Known); err != nil {
 			slog.Warn("bad_known", "part", "config", "err", err)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -45,8 +45,8 @@
 	}))
 	t.Cleanup(s.Close)
 	news := make(chan News, 99)
-	d := New(s.Listener.Addr().String(), config.Limits{Mailbox: 64, ListSilence: 150 * time.Millisecond,
-		RetryLeast: time.Millisecond, RetryMost: 10 * time.Millisecond}, func(n News) { news <- n })
+	d := New(s.Listener.Addr().String(), 1, config.Limits{Mailbox: 64, ListSilence: 150 * time.Millisecond,
+		RetryLeast: time.Millisecond, ListApart: 10 * time.Millisecond}, func(n News) { news <- n })
 	if known != "" {
 		if err := d.Known([]byte(known)); err != nil {
 			t.Fatal(err)
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -26,12 +26,15 @@
 	numbers *numbers
 	version int64
 	whole   bool // the whole list is wanted: there is none yet, or a change was missed
+	heard   bool // the watch under way has brought something
+	pauses  *pauses
 	tell    func(News)
 }
 
-// New makes the actor; news goes to tell.
-func New(addr string, limits config.Limits, tell func(News)) *Directory {
+// New makes the actor; news goes to tell. The seed is for the times at which it asks again.
+func New(addr string, seed uint64, limits config.Limits, tell func(News)) *Directory {
 	return &Directory{base: base(addr), moves: make(chan string, 8), limits: limits, numbers: newNumbers(), whole: true, tell: tell,
+		pauses: newPauses(seed, limits.ListApart),
 		client: &http.Client{
 			Transport:     &http.Transport{DisableCompression: true},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -63,30 +66,35 @@
 	return nil
 }
 
-// Run follows the list until the context ends. A watch that ends or falls silent is made anew.
+// Run follows the list until the context ends. A watch that ends or falls silent is made anew. A sender that knows a
+// list need not ask at once: most of a fleet may have been started in the same moment.
 func (d *Directory) Run(ctx context.Context) {
-	pause := d.limits.RetryLeast
+	if !d.whole {
+		d.rest(ctx, d.pauses.next(false))
+	}
 	for ctx.Err() == nil {
+		d.heard = false
 		began := time.Now()
 		err := d.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		slog.Warn("watch_ended", "part", "directory", "version", d.version, "err", err)
-		if time.Since(began) > d.limits.RetryMost || err == errMoved {
-			pause = d.limits.RetryLeast
-		}
-		if err == errMoved {
-			continue
+		slog.Warn("watch_ended", "part", "directory", "version", d.version, "after", time.Since(began), "err", err)
+		pause := d.pauses.next(d.heard || err == errMoved)
+		if err != errMoved {
+			d.rest(ctx, pause)
 		}
-		select {
-		case <-ctx.Done():
-		case addr := <-d.moves:
-			d.move(addr)
-			pause = 0
-		case <-time.After(pause):
-		}
-		pause = min(max(2*pause, d.limits.RetryLeast), d.limits.RetryMost)
+	}
+}
+
+// rest waits, unless it is told to go to another address meanwhile.
+func (d *Directory) rest(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case addr := <-d.moves:
+		d.move(addr)
+		d.pauses.next(true)
+	case <-time.After(pause):
 	}
 }
 
@@ -112,6 +120,7 @@
 				return l.err
 			}
 			silence.Reset(d.limits.ListSilence)
+			d.heard = true
 			if err := d.take(l.text); err != nil {
 				d.whole = true // a change is lost with it
 				return err
@@ -132,6 +141,7 @@
 	if !l.Full && (d.whole || l.Version < d.version) { // changes to a list that is not this one
 		return fmt.Errorf("a change to version %d after version %d", l.Version, d.version)
 	}
+	slog.Info("listed", "part", "directory", "version", l.Version, "after", d.version, "whole", l.Full, "entries", len(l.hosts))
 	d.version = l.Version
 	if l.Full {
 		d.whole = false
