A wake asked for while an earlier one is due is set, so that a held text cannot pass its end

Ruled out: notices refused, a restart, the ledger. Change: a wake whose time has come is waited for no more.

--- a/internal/sender/outlet.go
+++ b/internal/sender/outlet.go
@@ -121,11 +121,13 @@
 	}
 }
 
-// Wake sets the timer, if nothing earlier is waited for. The module needs no more than one wake.
+// Wake sets the timer, if nothing earlier is waited for. The module needs no more than one wake. One whose time has come
+// is waited for no more, even if the timer has not been heard: what came in with it has had the module plan anew, and
+// it would not ask a second time.
 func (s *Sender) Wake(at control.Time, _ int64) {
-	if s.wakeAt == 0 || at < s.wakeAt {
+	if now := s.now(); s.wakeAt <= now || at < s.wakeAt {
 		s.wakeAt = at
-		s.timer.Reset(protocol.Span(max(0, at-s.now())))
+		s.timer.Reset(protocol.Span(max(0, at-now)))
 	}
 }
 
