Calls on an allowance that many read are spaced by what is left of it; looks after a refusal are rare

Ruled out: connections, receivers' queues, told waits, the list. Change: where less than a call for each other sender is left, spacing by the share left; one pause of a part, more or less by half, doubled once. Both tests seen failing without it.

--- a/control/control.go
+++ b/control/control.go
@@ -26,6 +26,7 @@
 	bucketCap    = 1024        // buckets remembered, as many as the document keeps bearer queues
 	firstWindow  = 8.0         // calls at once where nothing else bounds them, until experience does
 	smoothing    = 0.2         // weight of the newest of a series: about the last ten count
+	spare        = 0.125       // share of a limit left for the calls of others that a sender has not seen yet
 	goneFor      = 60 * Second // what is listed no more is remembered so long, if it may matter again
 )
 
@@ -741,26 +742,33 @@
 	}
 }
 
-// pause is how long a bucket holds after a refusal, past the wait that it told, which is trusted once: a
-// random part of the time in which this sender's part of the limit frees a call, or a usual call where there
-// is no limit; twice that each further time, as others take what frees and refused calls may use it up.
+// pause is how long a bucket holds after a refusal, past the wait that it told, which is trusted once: the
+// time in which this sender's part of the limit frees a call, more or less by half, twice that from the
+// second on; a usual call where there is no limit, doubled each time. Refused calls may use the limit up:
+// were it a short time for some, all senders' looks together would take what frees, and the next look
+// would find nothing either.
 func (s *Sender) pause(r *receiver, told bool) Time {
 	b := r.bucket
 	switch {
 	case told && (b.fulls < 2 || b.limit == 0):
 		return 0
 	case b.limit > 0:
-		return Time(s.chance.unit() * float64(s.freeing(b, 1)<<min(b.fulls-1, 4)))
+		return Time((0.5 + s.chance.unit()) * float64(s.freeing(b, 1)<<min(b.fulls-1, 1)))
 	}
 	return backOff(r, b.fulls-1)
 }
 
 // holdAtNought holds a bucket that has no whole call left, until this sender's part of the limit has freed
 // one: were all to look each second, many senders would use up a small limit by looking. As far as calls
-// are being refused it spaces them too: several senders read the same allowance, and refused calls may
-// use it up.
+// are being refused it spaces them too. And where less is left than a call for each other sender, it
+// spaces them by what is left, up to the time of its part once that is the spare: else all would send
+// until they are refused, as none sees the others' calls before its next answer.
 func (s *Sender) holdAtNought(b *bucket) {
-	if need := max(1-b.left, 2*b.strain); b.limit > 0 && need > 0 {
+	need := max(1-b.left, 2*b.strain)
+	if b.left < s.senders()-1 {
+		need = max(need, spare/max(spare, b.share))
+	}
+	if b.limit > 0 && need > 0 {
 		b.heldUntil = max(b.heldUntil, s.now+s.freeing(b, need))
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -282,6 +282,41 @@
 	expect(t, w, "rounds counted", w.s.receivers[11].bucket.fulls, 1)
 }
 
+// Many senders read the same allowance: each sent until it was refused, and refused calls used the limit up.
+func TestWhatIsLeftForManyIsSpaced(t *testing.T) {
+	for _, c := range []struct {
+		senders string
+		share   float64
+		after   Time // the second of two texts leaves
+	}{{"2", 0.5, 0}, {"41", 1, 0}, {"121", 1, 1890}, {"121", 0.25, 7562}, {"121", 0.1, 15125}} {
+		w := newWorld(1, Settings{"Instances": c.senders})
+		w.answer(w.take("first", "free", 1, "", 8*Second), Delivered, 0, c.share, 80)
+		w.take("second", "free", 1, "", 8*Second)
+		w.take("third", "free", 1, "", 8*Second)
+		if c.after > 0 {
+			w.advance(c.after - 1)
+			expect(t, w, fmt.Sprintf("out among %s, %v left, at first", c.senders, c.share), len(w.outs()), 1)
+			w.advance(2)
+		}
+		expect(t, w, fmt.Sprintf("out among %s, %v left", c.senders, c.share), len(w.outs()), 2)
+	}
+}
+
+// All looked again within a short time of a refusal, and refused looks alone kept a limit used up.
+func TestLooksAfterARefusalAreRare(t *testing.T) {
+	least, most := Time(math.MaxInt64), Time(0)
+	for seed := range uint64(50) {
+		w := newWorld(seed, Settings{"Instances": "80"})
+		fill(w, 1, "free", 1)
+		w.answer(w.outs()[0], Full, 0, 0, 80)
+		held := w.s.receivers[11].bucket.heldUntil - w.now
+		least, most = min(least, held), max(most, held)
+	}
+	if least < 3*Second/2 || most > 5*Second/2 || most-least < Second/2 { // a part, and half to one and a half
+		t.Errorf("looks come again after %d to %d", least, most)
+	}
+}
+
 // Every batch walked the whole list: the two largest days were cut off for their CPU.
 func TestABatchWalksWhatItTouches(t *testing.T) {
 	w := newWorld(1, nil)
@@ -312,7 +347,7 @@
 	give := func() *sent { return w.take(fmt.Sprint("x", len(w.order)), "free", 1, "", 8*Second) }
 	for range 40 { // often enough for the next text to come before the connection would close by itself
 		w.closed = nil
-		w.answer(give(), Delivered, 0, 1, 50)
+		w.answer(give(), Delivered, 0, 1, 500)
 	}
 	expect(t, w, "connections closed where none was refused", len(w.closed), 0)
 	x := give()
@@ -320,7 +355,7 @@
 	w.answer(x, Full, 0)
 	other := x.out
 	expect(t, w, "goes to the other receiver at once", other != 0 && other != first, true)
-	w.answer(x, Delivered, 0, 1, 50)
+	w.answer(x, Delivered, 0, 1, 500)
 	expect(t, w, "closed at the other, which refused none", w.closed[len(w.closed)-1], other)
 
 	x = give()
