A receiver where nobody listens is not taken for one whose connections are all taken

Cause: control.go, learn: any connection that is not made marks the kind as clogged, for good; hangUp then closes after each call. Ruled out: connections broken while idle, our own cap, the idle time. Change: the network code says where a connection is refused (Result.Nobody); that marks no kind. Seen failing without it.

--- a/control/control.go
+++ b/control/control.go
@@ -693,11 +693,11 @@
 		b.window += 1 / b.window
 		b.strain -= smoothing * b.strain
 	case NoConnection:
-		if r.answered >= sent { // it answers others: its connections are all taken
+		if !res.Nobody && r.answered >= sent { // it answers others: its connections are all taken
 			s.crowd(r)
 			return
 		}
-		s.crowded[r.kind] = true
+		s.crowded[r.kind] = s.crowded[r.kind] || !res.Nobody // perhaps taken; who is down holds none
 		s.failed(r)
 	default:
 		if res.Outcome == NoAnswer && r.answered > sent { // it answers others, so it is not silent
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -366,6 +366,24 @@
 	expect(t, w, "nacked", w.nacks, 0)
 }
 
+// A receiver that was down was taken for one without a place for a connection: from then on every sender that had met
+// one closed its connections to the whole kind, and made a handshake for each text.
+func TestAReceiverThatIsDownHoldsNoPlaces(t *testing.T) {
+	for _, nobody := range []bool{true, false} {
+		w := newWorld(1, Settings{"Instances": "300", "Permissions.ConnIdleUs": "5000000"})
+		w.nobody = nobody
+		give := func() *sent { return w.take(fmt.Sprint("x", len(w.order)), "free", 1, "", 8*Second) }
+		for range 40 {
+			w.answer(give(), Delivered, 0, 1, 500)
+		}
+		x := give()
+		w.answer(x, NoConnection, 0)
+		w.closed = nil
+		w.answer(x, Delivered, 0, 1, 500) // at the other, or later
+		expect(t, w, fmt.Sprint("closed where nobody listens: ", nobody), len(w.closed) > 0, !nobody)
+	}
+}
+
 // All senders chose the first receiver that the list names for their first text, and stayed with it.
 func TestSendersChooseDifferentReceivers(t *testing.T) {
 	first := 0
--- a/control/helper_test.go
+++ b/control/helper_test.go
@@ -24,6 +24,7 @@
 	lastNack Time
 	kept     bool // what ends just now was on kept connections
 	crowded  bool // and what is full is so for want of connections
+	nobody   bool // and where no connection is made nobody listens
 }
 
 // sent is what the world knows of a text.
@@ -153,7 +154,7 @@
 	w.hear(p, o, wait, at)
 	w.step(func() {
 		w.s.Ended(t.id, t.submits-1, Result{Outcome: o, Closed: t.over, Took: w.now - at, Wait: wait, Kept: w.kept,
-			Crowded: w.crowded && o == Full, Report: report})
+			Crowded: w.crowded && o == Full, Nobody: w.nobody && o == NoConnection, Report: report})
 	})
 }
 
--- a/control/interface.go
+++ b/control/interface.go
@@ -86,6 +86,7 @@
 	Closed  bool      // the text has its final answer
 	Kept    bool      // it broke with a connection kept from an earlier call, before any answer
 	Crowded bool      // full, as no connection was left for this sender
+	Nobody  bool      // no connection, as nobody listens there
 	Took    Time      // since it was sent
 	Wait    Time      // told wait, with Full
 	Report  []float64 // in the order of the setting Report.Names; nil if none came, NaN if left out
--- a/internal/receivers/call.go
+++ b/internal/receivers/call.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"emberquay/control"
@@ -160,6 +161,8 @@
 		r.Outcome = failure(context.Cause(c.ctx), t.on != nil, t.wrote.Load() || answered, t.cut.Load())
 		broke := r.Outcome == control.Lost || r.Outcome == control.NoConnection
 		r.Kept = kept && broke && !answered
+		// One whose places are all taken says so in an answer.
+		r.Nobody = r.Outcome == control.NoConnection && errors.Is(err, syscall.ECONNREFUSED)
 	}
 	if !errors.Is(err, errCancelled) {
 		slog.Warn("call_failed", "part", "receivers", "text", c.Text, "addr", c.addr, "outcome", r.Outcome, "kept", r.Kept, "err", err)
--- a/internal/receivers/call_test.go
+++ b/internal/receivers/call_test.go
@@ -203,7 +203,7 @@
 		t.Fatal(err)
 	}
 	l.Close()
-	if r := submit(t, fleet(l.Addr().String()), []byte("x"), time.Second); r.Outcome != control.NoConnection {
+	if r := submit(t, fleet(l.Addr().String()), []byte("x"), time.Second); r.Outcome != control.NoConnection || !r.Nobody {
 		t.Error(r)
 	}
 }
