--- a/cmd/quaylab/main_test.go
+++ b/cmd/quaylab/main_test.go
@@ -156,3 +156,17 @@
 		}
 	}
 }
+
+// A whole fleet's day, by hand.
+func TestFleet(t *testing.T) {
+	lab := filepath.Join(build(t), "quaylab")
+	out, err := exec.Command(lab, "fleet", "../../docs/worlds/days-at-size.toml", "--seed", "2").CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "seed 2, 80 senders, 20 receivers") || strings.Contains(string(out), "BROKEN") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	os.WriteFile(bad, []byte("[[trouble]]\nwhat = \"cut\"\nfor_s = 1\nfactor = 2\n"), 0o600)
+	if out, err := exec.Command(lab, "fleet", bad).CombinedOutput(); err == nil || !strings.Contains(string(out), "factor: 2 is no share of a limit") {
+		t.Errorf("%v\n%s", err, out)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -159,7 +159,7 @@
 		}
 		c.Seed = seed
 	}
-	settings, err := flatten(f.Settings)
+	settings, err := Flatten(f.Settings)
 	if err != nil {
 		return nil, err
 	}
@@ -271,7 +271,8 @@
 
 // flatten turns nested settings into the wire's plain map: paths joined by dots, plain lists by commas,
 // lists of objects counted and numbered.
-func flatten(raw json.RawMessage) (control.Settings, error) {
+// Flatten reads settings, nested as the platform writes them, into the wire's plain map.
+func Flatten(raw json.RawMessage) (control.Settings, error) {
 	if len(raw) == 0 {
 		return nil, errors.New("settings: missing")
 	}
--- a/internal/standin/senders.go
+++ b/internal/standin/senders.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,8 +12,6 @@
 	"strings"
 	"syscall"
 	"time"
-
-	"emberquay/internal/world"
 )
 
 // sender is one real sender: its process, started anew as the day has it.
@@ -54,55 +51,13 @@
 	return o.down
 }
 
-// Settings are the module's settings for a world, as the platform writes them.
-func Settings(w *world.World, d *world.Day) map[string]any {
-	us := func(ms float64) float64 { return math.Round(ms * 1000) }
-	var kinds []string
-	var apart []bool
-	var bundles []int
-	reports := false
-	for _, k := range w.Kind {
-		kinds, apart, bundles = append(kinds, k.Name), append(apart, false), append(bundles, 1)
-		reports = reports || k.Reports
-	}
-	var classes []map[string]any
-	for _, p := range w.Product {
-		kind := map[string]string{"resendable": "safe", "referenced": "keyed", "once-only": "unsafe"}[p.Repeat]
-		classes = append(classes, map[string]any{"Name": p.Name, "Repeat": kind, "Group": "all", "RepeatWindowUs": us(p.WindowS * 1000),
-			"SerialByKey": p.Ordered, "ObjectiveUs": us(p.SLAS * 1000), "HardLimitUs": us(p.ValidityS * 1000), "Value": p.Revenue,
-			"LateShare": p.LateShare, "Streaming": false})
-	}
-	busy := 0.0
-	for _, dest := range d.Destinations {
-		busy += dest.Traffic * dest.Receivers[0].Service.Seconds()
-	}
-	part := 1 / float64(w.Senders)
-	set := map[string]any{
-		"Instances": w.Senders, "Kinds": kinds, "Workload": "deliver", "RequestClasses": classes,
-		"WeightSource": map[string]string{"none": "silent", "nominal": "nominal", "rough": "rough"}[w.List.Rate],
-		"Specifics": map[string]any{"MaxCalls": max(4, int(math.Ceil(w.Sender.SlotsRoom*busy*part))), "Fades": "halves",
-			"RoutesApart": apart, "BundleMax": bundles},
-		"Permissions": map[string]any{"MayCancel": true, "TryLimit": w.Sender.Submits, "RetryAfter": w.Sender.AdviceS > 0,
-			"MaxRetryAfterUs": us(w.Sender.AdviceS * 1000), "ConnIdleUs": us(w.Sender.ConnIdleS * 1000), "DialTimeoutUs": us(w.Sender.DialMs),
-			"MaxOpen": max(16, int(w.Sender.HoldS*w.Load.PerSecond*part)), "Peers": false, "Probes": false, "MayDuplicate": false},
-		"Contract": map[string]any{"AnswerSlackUs": us(w.Rules.EndMs), "ColdFrom": w.Rules.ColdFrom, "RampTimeUs": us(w.Rules.ColdS * 1000),
-			"StopSendingWithinUs": us(w.Rules.DrainMs), "FallMultiple": w.Rules.FallMultiple, "FallUs": us(w.Rules.FallS * 1000),
-			"KeyRestUs": us(w.Rules.KeyRestMs)},
-		"Clients": map[string]any{"MarksRetry": w.Clients.Marks},
-	}
-	if reports {
-		set["Report"] = map[string]any{"Names": []string{"x0", "x1"}, "How": "piggyback"}
-	}
-	return set
-}
-
 // configure writes the configuration that the sender is started with, or told to read anew.
 func (o *sender) configure() error {
 	s, w := o.stage, o.stage.day.World
 	conf := map[string]any{"name": o.name(), "listen": s.net.front(o.no), "discovery": o.discovery(), "state": filepath.Join(o.dir(), "state"),
 		"seed":     fmt.Sprintf("%x", s.day.Seed+uint64(o.no)),
 		"limits":   map[string]any{"cores": w.Sender.Cores, "memory_mb": w.Sender.MemoryMB, "sockets": w.Sender.Sockets, "disk_mb": w.Sender.DiskMB},
-		"settings": Settings(w, s.day)}
+		"settings": s.day.Settings()}
 	if w.List.Known {
 		conf["known"] = s.list(o.no, 0, s.day.Version(o.no, s.now()))
 	}
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -97,6 +97,7 @@
 	for i := range d.Fates {
 		d.Fates[i].AtS += d.Fates[i].LaterS * chance(seed, "fate", uint64(i)).Float64()
 	}
+	d.befall()
 	slices.SortStableFunc(d.Fates, func(a, b Fate) int { return cmp.Compare(a.AtS, b.AtS) })
 	longest := 0.0
 	for _, p := range w.Product {
@@ -106,6 +107,23 @@
 	return d, nil
 }
 
+// befall draws the senders of a fate that strikes a share of them.
+func (d *Day) befall() {
+	var all []Fate
+	for i, f := range d.Fates {
+		if f.Share == 0 {
+			all = append(all, f)
+			continue
+		}
+		struck := chance(d.Seed, "befall", uint64(i)).Perm(d.World.Senders)
+		for _, no := range struck[:int(math.Round(f.Share*float64(d.World.Senders)))] {
+			f.Sender = no
+			all = append(all, f)
+		}
+	}
+	d.Fates = all
+}
+
 // mostTexts bounds a day.
 const mostTexts = 2_000_000
 
@@ -201,6 +219,11 @@
 	}
 	slices.SortStableFunc(d.Strikes, func(a, b Strike) int { return cmp.Compare(a.From, b.From) })
 	for i, s := range d.Strikes {
+		for _, no := range s.Destinations {
+			if l := d.Destinations[no].Limit; s.What == "cut" && l != nil {
+				l.cuts = append(l.cuts, &d.Strikes[i])
+			}
+		}
 		for _, no := range s.Receivers {
 			r := d.Receivers[no]
 			switch s.What {
--- a/internal/world/limit.go
+++ b/internal/world/limit.go
@@ -11,6 +11,7 @@
 	count float64       // calls a second, or in each span
 	span  time.Duration // 0: a plain rate
 	phase time.Duration // spans begin then
+	cuts  []*Strike     // while it is lower
 
 	left float64
 	at   time.Duration // of left
@@ -22,23 +23,36 @@
 		l.span = seconds(k.SpanS)
 		l.count = max(1, math.Round(perSecond*k.SpanS))
 	}
-	l.left = l.burst()
+	l.left = l.burst(0)
 	return l
 }
 
-// PerSecond is the limit in calls a second.
-func (l *Limit) PerSecond() float64 {
+// PerSecond is the limit in calls a second, as it is on a good day.
+func (l *Limit) PerSecond() float64 { return l.each(l.count) }
+
+func (l *Limit) each(count float64) float64 {
 	if l.span > 0 {
-		return l.count / l.span.Seconds()
+		return count / l.span.Seconds()
 	}
-	return l.count
+	return count
 }
 
-func (l *Limit) burst() float64 {
+// countAt is the count of an instant.
+func (l *Limit) countAt(now time.Duration) float64 {
+	count := l.count
+	for _, s := range l.cuts {
+		if now >= s.From && now < s.To {
+			count *= s.Factor
+		}
+	}
+	return count
+}
+
+func (l *Limit) burst(now time.Duration) float64 {
 	if l.span > 0 {
-		return l.count
+		return l.countAt(now)
 	}
-	return max(1, l.count)
+	return max(1, l.countAt(now))
 }
 
 // number counts the spans up to an instant.
@@ -52,11 +66,11 @@
 	case at <= l.at:
 		return l.left
 	case l.span > 0 && l.number(at) != l.number(l.at):
-		return l.count
+		return l.countAt(at)
 	case l.span > 0:
-		return l.left
+		return min(l.left, l.countAt(at))
 	}
-	return min(l.burst(), l.left+l.count*(at-l.at).Seconds())
+	return min(l.burst(at), l.left+l.countAt(at)*(at-l.at).Seconds())
 }
 
 // take lets one call through, or not; refused ones may use it up as well.
@@ -67,7 +81,7 @@
 		return true
 	}
 	if refusedCount && l.span == 0 {
-		l.left = max(-l.burst(), l.left-0.5) // what was refused pushes the next free call back, bounded
+		l.left = max(-l.burst(now), l.left-1) // what was refused pushes the next free call back, bounded
 	}
 	return false
 }
@@ -82,5 +96,5 @@
 		next := l.phase + (l.number(now)+1-1000)*l.span
 		return next - now
 	}
-	return seconds((1 - left) / l.count)
+	return seconds((1 - left) / l.countAt(now))
 }
--- a/internal/world/receiver.go
+++ b/internal/world/receiver.go
@@ -58,8 +58,8 @@
 	made := now - (now-d.phase+1000*d.reportEvery)%d.reportEvery
 	if !d.report.OK || made > d.reported {
 		d.reported = made
-		left := d.Limit.leftAt(max(made, d.Limit.at)) / d.Limit.burst()
-		d.report = Report{Share: max(0, min(1, left)), PerSecond: d.Limit.PerSecond(), OK: true}
+		left := d.Limit.leftAt(max(made, d.Limit.at)) / d.Limit.burst(made)
+		d.report = Report{Share: max(0, min(1, left)), PerSecond: d.Limit.each(d.Limit.countAt(made)), OK: true}
 	}
 	return d.report
 }
@@ -139,9 +139,6 @@
 	BySender map[int]int
 }
 
-// Destination is whose receiver it is.
-func (r *Receiver) Destination() *Destination { return r.dest }
-
 // strike finds a trouble that lasts.
 func (r *Receiver) strike(now time.Duration, what ...string) *Strike {
 	for _, s := range r.strikes {
@@ -200,6 +197,9 @@
 	return c * r.Warmth(now)
 }
 
+// Destination is whose receiver it is.
+func (r *Receiver) Destination() *Destination { return r.dest }
+
 // Connect takes a place in the connection table; false if there is none.
 func (r *Receiver) Connect() bool {
 	if r.mostConns > 0 && r.conns >= r.mostConns {
--- a/internal/world/spec.go
+++ b/internal/world/spec.go
@@ -12,7 +12,7 @@
 type World struct {
 	Seed    uint64    `toml:"seed" comment:"of the day, where none is given on the command line"`
 	Seconds float64   `toml:"seconds" range:"1 3600" comment:"for which texts arrive; then what is held may end"`
-	Senders int       `toml:"senders" range:"1 16"`
+	Senders int       `toml:"senders" range:"1 1000"`
 	Load    Load      `toml:"load" comment:"what clients hand in"`
 	Clients Clients   `toml:"clients" comment:"how clients behave"`
 	List    List      `toml:"list" comment:"the list of receivers, as the platform tells it"`
@@ -125,19 +125,20 @@
 
 // Trouble is one thing that goes wrong.
 type Trouble struct {
-	What   string  `toml:"what" oneof:"refuse reset silent errors full slow pause drain replace list_silent list_cut flash hot"`
+	What   string  `toml:"what" oneof:"refuse reset silent errors full slow pause cut drain replace list_silent list_cut flash hot"`
 	AtS    float64 `toml:"at_s" range:"0 3600"`
 	ForS   float64 `toml:"for_s" range:"0 3600"`
 	Kind   string  `toml:"kind" comment:"struck is a destination of this kind; empty: of any"`
 	Share  float64 `toml:"share" range:"0 1" comment:"of the traffic that is struck, at least one destination"`
 	LaterS float64 `toml:"later_s" range:"0 3600" comment:"it comes so much later at most, drawn"`
-	Factor float64 `toml:"factor" range:"0 1000" comment:"errors: share that fails; slow: times as long; flash, hot: share more; pause: ms each second"`
+	Factor float64 `toml:"factor" range:"0 1000" comment:"errors: share that fails; slow: times as long; cut: share of the limit that is left; flash, hot: share more; pause: ms each second"`
 }
 
 // Fate is what befalls a sender.
 type Fate struct {
 	What   string  `toml:"what" oneof:"term kill hup"`
-	Sender int     `toml:"sender" range:"0 15"`
+	Sender int     `toml:"sender" range:"0 999"`
+	Share  float64 `toml:"share" range:"0 1" comment:"of the senders, drawn, in place of the one"`
 	AtS    float64 `toml:"at_s" range:"0 3600"`
 	LaterS float64 `toml:"later_s" range:"0 3600" comment:"it comes so much later at most, drawn"`
 	DownS  float64 `toml:"down_s" range:"0 60" comment:"until it is started again"`
@@ -206,6 +207,9 @@
 		if !slices.Contains(kinds, t.Kind) {
 			return fmt.Errorf("trouble %d (%s): kind: %q is not described; allowed: %q", i+1, t.What, t.Kind, kinds[1:])
 		}
+		if t.What == "cut" && (t.Factor <= 0 || t.Factor > 1) {
+			return fmt.Errorf("trouble %d (cut): factor: %v is no share of a limit", i+1, t.Factor)
+		}
 		if t.What == "errors" && t.Factor > 1 {
 			return fmt.Errorf("trouble %d (errors): factor: %v is no share", i+1, t.Factor)
 		}
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -95,7 +95,7 @@
 }
 
 // any draws a world that has all kinds of limits and troubles.
-func any(t *rapid.T) *World {
+func anyOf(t *rapid.T) *World {
 	w := Default()
 	w.Seconds, w.Fate = 5, nil
 	w.Load.PerSecond = rapid.Float64Range(1, 200).Draw(t, "rate")
@@ -120,7 +120,7 @@
 // No receiver gives out more than its limit, no queue or table is over its size, and a told wait is honest.
 func TestModelsKeepTheirBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := any(t)
+		w := anyOf(t)
 		d, err := w.Draw(rapid.Uint64().Draw(t, "seed"))
 		if err != nil {
 			t.Fatal(err)
@@ -164,7 +164,7 @@
 			if l == nil {
 				continue
 			}
-			span, most := time.Second, 2*l.burst()
+			span, most := time.Second, 2*l.burst(0)
 			if l.span > 0 {
 				span = l.span // any window as long lies in two spans
 			}
