What a fleet did, second by second: senders count texts and calls by outcome, quaylab count adds up

Change: /status tells calls by outcome and connections asked for; with [log] count_s (off by default, so off on the platform) a sender logs event=counted, what was done since the last such line; 'quaylab count DIR' adds up all logs below a folder by the second, with lists, tries in vain, repeats and starts.

--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -51,6 +51,7 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	s.Tally(time.Duration(own.Log.CountS * float64(time.Second)))
 	// The list as last known goes in before anything that is owed is looked at.
 	tell := s.Known
 	list := directory.New(conf.Discovery, conf.Seed, conf.Limits, func(n directory.News) { tell(n) })
--- a/cmd/quaylab/main.go
+++ b/cmd/quaylab/main.go
@@ -16,6 +16,7 @@
 	Try   tryCmd   `cmd:"" help:"Play a short rough day round two senders and say whether the rules were kept."`
 	World worldCmd `cmd:"" help:"Play a described world, or print the default one as a file."`
 	Fleet fleetCmd `cmd:"" help:"Play a described world with the module alone in place of each sender: hundreds of them, no sockets, in seconds."`
+	Count countCmd `cmd:"" help:"Add up what the senders of a fleet logged, second by second."`
 	Stand standCmd `cmd:"" help:"Keep the stand-ins up for a sender that you start yourself."`
 }
 
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -20,8 +20,9 @@
 
 // Options say how logs are written; the zero value is key=value text from level info on.
 type Options struct {
-	Format string `toml:"format" oneof:"text json" comment:"text: key=value; json: one object a line"`
-	Level  string `toml:"level" oneof:"debug info warn error" comment:"the least that is written"`
+	Format string  `toml:"format" oneof:"text json" comment:"text: key=value; json: one object a line"`
+	Level  string  `toml:"level" oneof:"debug info warn error" comment:"the least that is written"`
+	CountS float64 `toml:"count_s" range:"0 3600" comment:"a line of what was done each so many seconds; 0: none"`
 }
 
 // Defaults are the options where no file says otherwise.
--- a/internal/receivers/call.go
+++ b/internal/receivers/call.go
@@ -270,6 +270,7 @@
 	if !p.fleet.take(p) {
 		return nil, fmt.Errorf("%w: %d", errTooMany, p.fleet.limits.ReceiverConns)
 	}
+	p.fleet.dials.Add(1)
 	d := net.Dialer{Timeout: p.fleet.limits.Dial, KeepAlive: -1}
 	c, err := d.DialContext(ctx, network, addr)
 	if err != nil {
--- a/internal/receivers/receivers.go
+++ b/internal/receivers/receivers.go
@@ -21,6 +21,7 @@
 	names  []string // of the values of a report, in order
 	calls  atomic.Int64
 	open   atomic.Int64 // connections, all receivers together
+	dials  atomic.Int64 // asked for so far
 
 	mu    sync.Mutex // only the module's actor writes; a call that makes room reads
 	peers map[control.ReceiverID]*peer
@@ -104,6 +105,9 @@
 // Open counts the connections to all receivers.
 func (f *Fleet) Open() int { return int(f.open.Load()) }
 
+// Dials counts the connections that were asked for so far.
+func (f *Fleet) Dials() int { return int(f.dials.Load()) }
+
 // peer is one receiver. Its actor takes what is posted in order; each call then has a goroutine, which the
 // module's slots bound.
 type peer struct {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -57,6 +57,7 @@
 	unsynced bool                          // it was not: the fresh ones must not be taken on
 	owed     int                           // notices
 	counts   Counts
+	tally    tally
 	stopping bool
 	frozen   bool // nothing new goes out
 	idle     chan struct{}
@@ -70,6 +71,7 @@
 	Nacked        int `json:"nacked"` // later
 	Undeliverable int `json:"undeliverable"`
 	Submits       int `json:"submits"`
+	Calls
 
 	Held      int `json:"held"`
 	Out       int `json:"out"`  // submits
@@ -138,6 +140,7 @@
 			s.wakeAt = 0
 		}
 		s.settle()
+		s.count()
 	}
 }
 
@@ -367,6 +370,7 @@
 
 // answered hands the result of a submit to the module.
 func (s *Sender) answered(id string, no int, r control.Result) {
+	s.counts.add(r)
 	if h := s.texts[id]; h != nil && h.call != nil && h.no == no+1 {
 		h.call = nil
 		if r.Outcome == control.Delivered {
@@ -395,9 +399,7 @@
 	counts := make(chan Counts, 1)
 	select {
 	case s.mail <- func() {
-		c := s.counts
-		c.Held, c.Owed, c.Receivers, c.Open = len(s.texts), s.owed, len(s.listed), s.fleet.Open()
-		counts <- c
+		counts <- s.counted()
 	}:
 		return <-counts, true
 	default:
