--- a/cmd/quaylab/count.go
+++ b/cmd/quaylab/count.go
@@ -116,17 +116,20 @@
 		row = make([]int, len(columns))
 		t.seconds[when.Unix()] = row
 	}
-	values := map[string]int{}
-	if event[1] == "counted" {
-		t.counted = true
-		for _, p := range pairs.FindAllStringSubmatch(line, -1) {
-			values[p[1]], _ = strconv.Atoi(p[2])
-		}
-	}
 	for i, c := range columns {
-		if c.event != "" && c.event == event[1] {
+		if c.event == event[1] {
 			row[i]++
 		}
+	}
+	if event[1] != "counted" {
+		return
+	}
+	t.counted = true
+	values := map[string]int{}
+	for _, p := range pairs.FindAllStringSubmatch(line, -1) {
+		values[p[1]], _ = strconv.Atoi(p[2])
+	}
+	for i, c := range columns {
 		for _, key := range strings.Split(c.key, "+") {
 			row[i] += values[key]
 		}
@@ -143,11 +146,7 @@
 	sums := make([]int, len(columns))
 	row := func(name string, values []int) {
 		fmt.Fprintf(to, "%6s", name)
-		for i := range columns {
-			n := 0
-			if values != nil {
-				n = values[i]
-			}
+		for _, n := range values {
 			fmt.Fprintf(to, "  %9d", n)
 		}
 		fmt.Fprintln(to)
@@ -156,7 +155,7 @@
 	for i, at := range slices.Sorted(maps.Keys(t.seconds)) {
 		switch { // a gap of hours is not an hour of rows
 		case i > 0 && at == before+2:
-			row(strconv.FormatInt(at-1-t.first.Unix(), 10), nil)
+			row(strconv.FormatInt(at-1-t.first.Unix(), 10), make([]int, len(columns)))
 		case i > 0 && at > before+2:
 			fmt.Fprintln(to, "   ...")
 		}
--- a/cmd/quaylab/fleet.go
+++ b/cmd/quaylab/fleet.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 
 	"emberquay/internal/fleet"
-	"emberquay/internal/world"
 )
 
 type fleetCmd struct {
@@ -17,18 +15,11 @@
 
 // Run plays a day with modules in place of senders, and prints what the whole fleet did second by second.
 func (c *fleetCmd) Run() error {
-	raw, err := os.ReadFile(c.File)
+	w, err := readWorld(c.File)
 	if err != nil {
 		return err
 	}
-	w, err := world.Read(raw)
-	if err != nil {
-		return fmt.Errorf("%s: %w", filepath.Base(c.File), err)
-	}
-	if c.Seed != 0 {
-		w.Seed = c.Seed
-	}
-	day, err := w.Draw(w.Seed)
+	day, err := draw(w, c.Seed)
 	if err != nil {
 		return err
 	}
@@ -43,18 +34,10 @@
 			fmt.Printf("%6d  %9d  %9d  %8d  %5d  %7d  %13d\n", i, s.HandedIn, s.Delivered, s.GivenUp, s.Calls, s.Full, s.NoConnection)
 		}
 	}
-	best := 0.0
-	for _, worth := range day.Best() {
-		best += worth
-	}
 	in, late, asked := p.Referee.Account().Revenue()
 	fmt.Printf("\nseed %d, %d senders, %d receivers: %.3f of the revenue earned in time, %.3f late; %.3f by capacity alone\n%s",
-		w.Seed, w.Senders, len(day.Receivers), in/asked, late/asked, best/asked, p.Referee.Verdict())
-	for i, b := range p.Referee.Breaches {
-		if i < c.Show {
-			fmt.Println(b)
-		}
-	}
+		day.Seed, w.Senders, len(day.Receivers), in/asked, late/asked, total(day.Best())/asked, p.Referee.Verdict())
+	breaches(os.Stdout, p.Referee.Breaches, p.Referee.More, c.Show)
 	if len(p.Referee.Breaches) > 0 {
 		return errBroken
 	}
--- a/cmd/quaylab/play.go
+++ b/cmd/quaylab/play.go
@@ -58,11 +58,7 @@
 
 // play plays one day and reports it.
 func (h how) play(ctx context.Context, w *world.World) error {
-	seed := h.Seed
-	if seed == 0 {
-		seed = w.Seed
-	}
-	day, err := w.Draw(seed)
+	day, err := draw(w, h.Seed)
 	if err != nil {
 		return err
 	}
@@ -71,7 +67,7 @@
 		return err
 	}
 	fmt.Printf("day of seed %d: %d texts in %.0f s, %d senders, %d receivers of %d destinations, %d troubles, %d fates of senders\n",
-		seed, len(day.Texts), day.Length.Seconds(), w.Senders, len(day.Receivers), len(day.Destinations), len(day.Strikes), len(day.Fates))
+		day.Seed, len(day.Texts), day.Length.Seconds(), w.Senders, len(day.Receivers), len(day.Destinations), len(day.Strikes), len(day.Fates))
 	live := terminal(os.Stderr)
 	if live {
 		opt.Progress = func(p standin.Progress) {
@@ -142,6 +138,14 @@
 	return c.play(ctx, w)
 }
 
+// draw draws the day of a seed, or of the world's own for 0.
+func draw(w *world.World, seed uint64) (*world.Day, error) {
+	if seed == 0 {
+		seed = w.Seed
+	}
+	return w.Draw(seed)
+}
+
 func readWorld(path string) (*world.World, error) {
 	if path == "" {
 		return nil, errors.New("which world? name a file (quaylab world --print > FILE writes one)")
@@ -173,10 +177,7 @@
 			return err
 		}
 	}
-	if c.Seed == 0 {
-		c.Seed = w.Seed
-	}
-	day, err := w.Draw(c.Seed)
+	day, err := draw(w, c.Seed)
 	if err != nil {
 		return err
 	}
--- a/cmd/quaylab/report.go
+++ b/cmd/quaylab/report.go
@@ -6,6 +6,7 @@
 	"text/tabwriter"
 	"time"
 
+	"emberquay/internal/referee"
 	"emberquay/internal/standin"
 	"emberquay/internal/world"
 )
@@ -41,12 +42,8 @@
 	}
 	t.Flush()
 	inTime, late, asked := a.Revenue()
-	best := 0.0
-	for _, b := range r.Best {
-		best += b
-	}
 	fmt.Fprintf(out, "\nrevenue %.1f in time and %.1f late of %.1f asked for: %.3f; by capacity alone about %.3f\n", inTime, late, asked,
-		(inTime+late)/max(1e-9, asked), best/max(1e-9, asked))
+		(inTime+late)/max(1e-9, asked), total(r.Best)/max(1e-9, asked))
 	fmt.Fprintf(out, "%d hand-ins, %d submits (%d worked on for nothing), %d refusals, %d waits told\n", a.HandIns, a.Submits, a.Wasted, a.Refusals, a.Waits)
 	fmt.Fprintf(out, "took %.1f s; CPU of the senders %.2f s, of the stand-ins %.2f s; senders' peak memory %v KB; texts at most %s late\n",
 		r.Took.Seconds(), r.CPU.Seconds(), r.OwnCPU.Seconds(), r.MemoryKB, r.Late.Round(100*time.Microsecond))
@@ -57,9 +54,22 @@
 	for _, c := range r.Crashes {
 		fmt.Fprintf(out, "CRASHED: %s\n", c)
 	}
-	for i, b := range r.Breaches {
+	breaches(out, r.Breaches, r.More, show)
+}
+
+// total adds up what products earned.
+func total(earned map[string]float64) (sum float64) {
+	for _, e := range earned {
+		sum += e
+	}
+	return sum
+}
+
+// breaches prints so many of the broken rules; more: beyond those kept.
+func breaches(out io.Writer, broken []referee.Breach, more, show int) {
+	for i, b := range broken {
 		if i >= show {
-			fmt.Fprintf(out, "... and %d more\n", len(r.Breaches)-show+r.More)
+			fmt.Fprintf(out, "... and %d more\n", len(broken)-show+more)
 			break
 		}
 		fmt.Fprintln(out, b)
--- a/control/control.go
+++ b/control/control.go
@@ -693,11 +693,13 @@
 		b.window += 1 / b.window
 		b.strain -= smoothing * b.strain
 	case NoConnection:
-		if !res.Nobody && r.answered >= sent { // it answers others: its connections are all taken
-			s.crowd(r)
-			return
+		if !res.Nobody { // its connections may all be taken, and are if it answers others; who is down holds none
+			s.crowded[r.kind] = true
+			if r.answered >= sent {
+				s.crowd(r)
+				return
+			}
 		}
-		s.crowded[r.kind] = s.crowded[r.kind] || !res.Nobody // perhaps taken; who is down holds none
 		s.failed(r)
 	default:
 		if res.Outcome == NoAnswer && r.answered > sent { // it answers others, so it is not silent
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -226,7 +226,7 @@
 		ClientIdle: 4 * time.Second,                    // some keep a connection for good
 		Dial:       dial, ReceiverIdle: idle * 19 / 20, // a request that crosses the receiver's own close is lost
 		Drain: 100 * time.Millisecond, ListSilence: 4500 * time.Millisecond, Notice: 500 * time.Millisecond,
-		RetryLeast: 50 * time.Millisecond, RetryMost: time.Second, ListFirst: first, ListApart: listApart(c.Settings),
+		RetryLeast: 50 * time.Millisecond, RetryMost: time.Second, ListFirst: first, ListApart: c.listApart(),
 		StopListen: 1200 * time.Millisecond, StopSubmit: 2600 * time.Millisecond, StopEnd: 3400 * time.Millisecond,
 	}
 	return nil
@@ -234,9 +234,9 @@
 
 // listApart is the time within which senders that were all cut off in one moment ask for the list again: a tenth of a
 // second for each, less than the six within which what the list has to tell counts as told.
-func listApart(settings control.Settings) time.Duration {
-	senders, _ := strconv.ParseFloat(settings["Instances"], 64)
-	return time.Duration(min(5, max(1, senders)/10) * float64(time.Second))
+func (c *Config) listApart() time.Duration {
+	senders, _ := c.whole("Instances", 1) // one that makes no sense is one, as the module reads it
+	return min(5*time.Second, time.Duration(max(1, senders))*time.Second/10)
 }
 
 // listFirst is the time within which those that were all started in one moment ask first. The list that a sender is
@@ -244,7 +244,7 @@
 // it has to stop sending to a receiver that drains.
 func (c *Config) listFirst() (time.Duration, error) {
 	grace, err := c.micros("Contract.StopSendingWithinUs", time.Second)
-	return min(listApart(c.Settings), grace*3/4), err
+	return min(c.listApart(), grace*3/4), err
 }
 
 // clientConns leaves sockets for the receivers, which hold connections for longer, and for the list, notices
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -158,14 +158,3 @@
 		t.Errorf("%d numbers are kept", len(n.of))
 	}
 }
-
-// A sender that is started with a list asks for news of it within the time that it is given, not when a try in vain
-// would be made again: receivers may have begun to drain while it was down.
-func TestTheFirstAskComesSoon(t *testing.T) {
-	for seed := range uint64(50) {
-		p := newPauses(seed, time.Hour)
-		if first := p.first(time.Second); first >= time.Second {
-			t.Errorf("asks first after %s", first)
-		}
-	}
-}
--- a/internal/directory/pauses_test.go
+++ b/internal/directory/pauses_test.go
@@ -73,3 +73,14 @@
 		t.Errorf("pauses up to %s, %s in a row, %s once one has brought something", first, later, anew)
 	}
 }
+
+// A sender that is started with a list asks for news of it within the time that it is given, not when a try in vain
+// would be made again: receivers may have begun to drain while it was down.
+func TestTheFirstAskComesSoon(t *testing.T) {
+	for seed := range uint64(50) {
+		p := newPauses(seed, time.Hour)
+		if first := p.first(time.Second); first >= time.Second {
+			t.Errorf("asks first after %s", first)
+		}
+	}
+}
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -26,7 +26,6 @@
 	numbers *numbers
 	version int64
 	whole   bool // the whole list is wanted: there is none yet, or a change was missed
-	heard   bool // the watch under way has brought something
 	pauses  *pauses
 	tell    func(News)
 }
@@ -73,14 +72,13 @@
 		d.rest(ctx, d.pauses.first(d.limits.ListFirst))
 	}
 	for ctx.Err() == nil {
-		d.heard = false
 		began := time.Now()
-		err := d.follow(ctx)
+		heard, err := d.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		slog.Warn("watch_ended", "part", "directory", "version", d.version, "after", time.Since(began), "err", err)
-		pause := d.pauses.next(d.heard || err == errMoved)
+		pause := d.pauses.next(heard || err == errMoved)
 		if err != errMoved {
 			d.rest(ctx, pause)
 		}
@@ -98,8 +96,8 @@
 	}
 }
 
-// follow keeps one watch, with the whole list before it where that is wanted.
-func (d *Directory) follow(parent context.Context) error {
+// follow keeps one watch, with the whole list before it where that is wanted; heard: it has brought something.
+func (d *Directory) follow(parent context.Context) (heard bool, err error) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	mail := make(chan line, d.limits.Mailbox/16)
@@ -109,21 +107,21 @@
 	for {
 		select {
 		case <-silence.C:
-			return errors.New("silent")
+			return heard, errors.New("silent")
 		case addr := <-d.moves:
-			return d.move(addr)
+			return heard, d.move(addr)
 		case l, more := <-mail:
 			if !more {
-				return io.EOF
+				return heard, io.EOF
 			}
 			if l.err != nil {
-				return l.err
+				return heard, l.err
 			}
 			silence.Reset(d.limits.ListSilence)
-			d.heard = true
+			heard = true
 			if err := d.take(l.text); err != nil {
 				d.whole = true // a change is lost with it
-				return err
+				return heard, err
 			}
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,8 +7,8 @@
 //	fmt.Println(p.Referee.Verdict(), p.Seconds)
 //
 // What lies between a module and the world is kept plain: each way takes a hop, every connection comes up at once where
-// the receiver listens, a started sender knows its list, and what a sender has taken on outlasts it. The same day plays
-// alike each time.
+// the receiver listens, a started sender knows its list, what a sender has taken on outlasts it, and every fate is a kill.
+// The same day plays alike each time.
 package fleet
 
 import (
@@ -30,7 +30,6 @@
 type Second struct {
 	HandedIn, Delivered, GivenUp int
 	Calls, Full, NoConnection    int
-	Destinations                 []int // delivered, each
 }
 
 // Play is one day under way.
@@ -61,9 +60,6 @@
 	}
 	p := &Play{day: day, set: set, chance: rand.New(rand.NewPCG(day.Seed, 1)), submits: map[*world.Text]int{},
 		Seconds: make([]Second, int(day.End/time.Second)+2)}
-	for i := range p.Seconds {
-		p.Seconds[i].Destinations = make([]int, len(day.Destinations))
-	}
 	of := func(receiver int) int { return day.Receivers[receiver].Destination().No }
 	p.Referee = referee.New(day.World.Rules, day.World.Senders, of)
 	for no := range day.World.Senders {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -93,9 +93,12 @@
 				if share < c.least || refused > c.refused {
 					t.Errorf("seed %d: %.3f of the revenue earned in time, %.3f calls refused for each text", seed, share, refused)
 				}
+				if c.after == 0 {
+					continue
+				}
 				// Looks after a refusal come within three parts of a limit, about a second here: two are enough.
 				calm, _ := play(t, many(t), seed)
-				if back, usual := delivered(p, c.after+2, c.after+6), delivered(calm, c.after+2, c.after+6); c.after > 0 && back < 0.8*usual {
+				if back, usual := delivered(p, c.after+2, c.after+6), delivered(calm, c.after+2, c.after+6); back < 0.8*usual {
 					t.Errorf("seed %d: %.0f texts a second once it is over, %.0f on a day without it", seed, back, usual)
 				}
 			}
@@ -109,7 +112,7 @@
 	w.Seconds, w.Fate = 6, []world.Fate{{What: "kill", Share: 0.5, AtS: 2, DownS: 1}}
 	one, _ := play(t, w, 3)
 	two, _ := play(t, w, 3)
-	if !reflect.DeepEqual(one.Seconds, two.Seconds) || one.calls != two.calls || one.calls == 0 {
+	if !reflect.DeepEqual(one.Seconds, two.Seconds) || !reflect.DeepEqual(one.Referee.Account(), two.Referee.Account()) || one.calls != two.calls || one.calls == 0 {
 		t.Errorf("%d calls the first time, %d the second", one.calls, two.calls)
 	}
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"emberquay/control"
+	"emberquay/internal/protocol"
 	"emberquay/internal/world"
 )
 
@@ -30,7 +31,6 @@
 	no       int // of the next submit in this life, as the module counts
 	submits  int // in all
 	ranSince control.Time
-	ranZone  string
 	out      *call
 	fresh    bool // its client has yet to hear
 	ended    bool
@@ -51,12 +51,11 @@
 	receiver world.Call
 }
 
-// The module's clock begins well above nought, as a sender's does.
-func ticks(at time.Duration) control.Time {
-	return 1000*control.Second + control.Time(at/(100*time.Microsecond))
-}
+// epoch is the module's time at the start of the day: well above nought, as a sender's is.
+const epoch = 1000 * control.Second
 
-func span(t control.Time) time.Duration { return time.Duration(t) * 100 * time.Microsecond }
+// ticks is the module's time at an instant of the day.
+func ticks(at time.Duration) control.Time { return epoch + protocol.Ticks(at) }
 
 // start gives the sender a new module, its list and what it had taken on before.
 func (n *node) start() error {
@@ -78,8 +77,7 @@
 	}
 	n.step(func() {
 		n.module.Listed(true, list)
-		before := slices.SortedFunc(maps.Values(n.texts), func(a, b *held) int { return cmp.Or(a.text.No-b.text.No, a.n-b.n) })
-		for _, h := range before {
+		for _, h := range n.inHand() {
 			n.take(h, false)
 		}
 	})
@@ -87,12 +85,17 @@
 	return nil
 }
 
+// inHand lists the texts that it holds, alike each time.
+func (n *node) inHand() []*held {
+	return slices.SortedFunc(maps.Values(n.texts), func(a, b *held) int { return cmp.Or(a.text.No-b.text.No, a.n-b.n) })
+}
+
 // kill ends the sender as SIGKILL does; its texts stay in its folder, and its connections are reset.
 func (n *node) kill() {
 	n.play.Referee.SenderDown(n.play.now, n.no)
 	n.life++
 	n.down, n.downAt = true, n.play.now
-	for _, h := range n.texts {
+	for _, h := range n.inHand() {
 		if c := h.out; c != nil {
 			if h.ranSince == 0 {
 				h.ranSince = ticks(c.sent)
@@ -118,7 +121,7 @@
 	d := r.Destination()
 	listing := map[string]control.Listing{world.Active: control.Up, world.Leaving: control.Draining, world.Left: control.Removed}[state]
 	return control.Entry{Receiver: control.ReceiverID(r.No + 1), Rate: r.Rate, Destination: int64(d.No), Kind: d.Kind.Name,
-		Zone: "a", Listing: listing}
+		Listing: listing}
 }
 
 // told hands on a change of the list.
@@ -147,7 +150,7 @@
 
 func (n *node) take(h *held, retry bool) {
 	n.module.Take(control.Arrival{ID: h.id, Product: h.text.Product.Name, Destination: int64(h.text.Destination), Key: h.text.Key,
-		TimeLeft: ticks(h.text.Validity()) - ticks(n.play.now), Retry: retry, Submits: h.submits, RanSince: h.ranSince, RanZone: h.ranZone})
+		TimeLeft: ticks(h.text.Validity()) - ticks(n.play.now), Retry: retry, Submits: h.submits, RanSince: h.ranSince})
 }
 
 // Submit sends a call on its way.
@@ -161,7 +164,7 @@
 	p.at(p.now+hop, func() { n.arrive(h, c, no) })
 	end := h.text.Validity()
 	if timeout > 0 {
-		end = min(end, p.now+span(timeout))
+		end = min(end, p.now+protocol.Span(timeout))
 	}
 	p.at(end, func() {
 		if h.out == c && n.life == c.life {
@@ -217,7 +220,7 @@
 	}
 	c.answered = true
 	p.Referee.CallAnswered(p.now, c.no, a.Status, a.Wait)
-	r := control.Result{Outcome: control.Errored, Wait: control.Time((a.Wait + 99*time.Microsecond) / (100 * time.Microsecond))}
+	r := control.Result{Outcome: control.Errored, Wait: protocol.Ticks(a.Wait + protocol.Tick - 1)}
 	switch a.Status {
 	case 200:
 		r.Outcome, r.Closed = control.Delivered, true
@@ -240,13 +243,11 @@
 	h.out = nil
 	r.Took = ticks(p.now) - ticks(c.sent)
 	if r.Outcome.MayHaveRun() && h.ranSince == 0 {
-		h.ranSince, h.ranZone = ticks(c.sent), "a"
+		h.ranSince = ticks(c.sent)
 	}
 	if r.Closed {
 		delete(n.texts, h.id)
-		s := p.second()
-		s.Delivered++
-		s.Destinations[h.text.Destination]++
+		p.second().Delivered++
 	}
 	n.step(func() { n.module.Ended(h.id, no, r) })
 }
@@ -261,7 +262,9 @@
 }
 
 // Nack ends a text that may be handed in again.
-func (n *node) Nack(id string, comeBack control.Time) { n.end(id, world.Nacked, span(comeBack)) }
+func (n *node) Nack(id string, comeBack control.Time) {
+	n.end(id, world.Nacked, protocol.Span(comeBack))
+}
 
 // Undeliverable ends a text for good.
 func (n *node) Undeliverable(id string) { n.end(id, world.Failed, 0) }
@@ -284,7 +287,7 @@
 // Wake has the module called again.
 func (n *node) Wake(at control.Time, _ int64) {
 	life := n.life
-	n.play.at(span(at-1000*control.Second), func() {
+	n.play.at(protocol.Span(at-epoch), func() {
 		if n.life == life && !n.down {
 			n.step(func() {})
 		}
--- a/internal/world/best.go
+++ b/internal/world/best.go
@@ -79,7 +79,7 @@
 			}
 		}
 		if d.Limit != nil {
-			served = min(served, d.Limit.each(d.Limit.countAt(mid)))
+			served = min(served, d.Limit.PerSecond(mid))
 		}
 		credit += served * step.Seconds()
 		n := math.Floor(credit + 1e-9)
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -155,7 +155,7 @@
 		dest.PerSecond = served
 		if kind.Limit != "none" {
 			dest.Limit = newLimit(kind, max(kind.LeastPerS, between(c, kind.Headroom)*traffic), dest.phase)
-			dest.PerSecond = min(served, dest.Limit.PerSecond())
+			dest.PerSecond = min(served, dest.Limit.PerSecond(0))
 		}
 		dest.reportEvery = max(time.Millisecond, millis(between(c, kind.ReportMs)))
 		for range n {
--- a/internal/world/limit.go
+++ b/internal/world/limit.go
@@ -27,14 +27,12 @@
 	return l
 }
 
-// PerSecond is the limit in calls a second, as it is on a good day.
-func (l *Limit) PerSecond() float64 { return l.each(l.count) }
-
-func (l *Limit) each(count float64) float64 {
+// PerSecond is the limit of an instant in calls a second.
+func (l *Limit) PerSecond(now time.Duration) float64 {
 	if l.span > 0 {
-		return count / l.span.Seconds()
+		return l.countAt(now) / l.span.Seconds()
 	}
-	return count
+	return l.countAt(now)
 }
 
 // countAt is the count of an instant.
--- a/internal/world/receiver.go
+++ b/internal/world/receiver.go
@@ -59,7 +59,7 @@
 	if !d.report.OK || made > d.reported {
 		d.reported = made
 		left := d.Limit.leftAt(max(made, d.Limit.at)) / d.Limit.burst(made)
-		d.report = Report{Share: max(0, min(1, left)), PerSecond: d.Limit.each(d.Limit.countAt(made)), OK: true}
+		d.report = Report{Share: max(0, min(1, left)), PerSecond: d.Limit.PerSecond(made), OK: true}
 	}
 	return d.report
 }
@@ -139,6 +139,9 @@
 	BySender map[int]int
 }
 
+// Destination is whose receiver it is.
+func (r *Receiver) Destination() *Destination { return r.dest }
+
 // strike finds a trouble that lasts.
 func (r *Receiver) strike(now time.Duration, what ...string) *Strike {
 	for _, s := range r.strikes {
@@ -192,14 +195,11 @@
 func (r *Receiver) Capacity(now time.Duration) float64 {
 	c := float64(r.Cores) / r.Service.Seconds()
 	if r.dest.Limit != nil {
-		c = min(c, r.dest.Limit.PerSecond()/float64(len(r.dest.Receivers)))
+		c = min(c, r.dest.Limit.PerSecond(now)/float64(len(r.dest.Receivers)))
 	}
 	return c * r.Warmth(now)
 }
 
-// Destination is whose receiver it is.
-func (r *Receiver) Destination() *Destination { return r.dest }
-
 // Connect takes a place in the connection table; false if there is none.
 func (r *Receiver) Connect() bool {
 	if r.mostConns > 0 && r.conns >= r.mostConns {
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// any draws a world that has all kinds of limits and troubles.
+// anyOf draws a world that has all kinds of limits and troubles.
 func anyOf(t *rapid.T) *World {
 	w := Default()
 	w.Seconds, w.Fate = 5, nil
