A text's key and brand are read from the headers that they come in; names as the settings hold them

Ruled out: the module (rule 5 holds in its random runs), the ledger. At fault: clients.text and envelope, which took key= and brand= from X-Envelope, a form of our own. The emulator's clients spoke the same form, so it could not see it; they send the header now. Also: names are flattened in the settings (spaces and commas become _) but were compared raw: product, brand, kind, zone. Test: TestKeyAndBrandComeInHeaders, failed before (key, brand empty; 400 for the name with a space).

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -34,6 +34,8 @@
 	productHeader  = "X-Call-Class"
 	envelopeHeader = "X-Envelope"
 	againHeader    = "X-Again"
+	keyHeader      = "X-Route-Hash" // texts of one key go in order, where their product asks for it
+	brandHeader    = "X-Caller"     // whose the text is, where brands have shares
 )
 
 // Taker takes texts on.
@@ -188,8 +190,9 @@
 	bad := func(header, what string) (*ledger.Text, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf("%s: %s", header, what)
 	}
-	t := &ledger.Text{ID: r.Header.Get(protocol.ID), Product: r.Header.Get(productHeader),
-		Mark: r.Header.Get(protocol.Mark)}
+	// Names are those of the settings, which are kept without the characters that part them.
+	t := &ledger.Text{ID: r.Header.Get(protocol.ID), Product: config.Word(r.Header.Get(productHeader)),
+		Mark: r.Header.Get(protocol.Mark), Key: r.Header.Get(keyHeader), Brand: config.Word(r.Header.Get(brandHeader))}
 	// Both are written down as text; bytes that are none would not come back the same.
 	if t.ID == "" || !kept(t.ID) {
 		return bad(protocol.ID, "missing, too long or no text")
@@ -238,8 +241,8 @@
 // kept: it can be written down and comes back the same.
 func kept(word string) bool { return len(word) <= mostID && utf8.ValidString(word) }
 
-// envelope finds dest=N, key=TEXT where texts of one key go in order, and brand=NAME where brands have shares (the
-// last two are not the platform's; other installations may ask for them).
+// envelope finds dest=N, and key=TEXT and brand=NAME for installations whose clients have no headers for them: where
+// the headers came they count.
 func envelope(envelope string, t *ledger.Text) (err error) {
 	found := false
 	for _, part := range strings.FieldsFunc(envelope, func(r rune) bool { return strings.ContainsRune(",; ", r) }) {
@@ -253,7 +256,7 @@
 		case name == "key" && t.Key == "":
 			t.Key = v
 		case name == "brand" && t.Brand == "":
-			t.Brand = v
+			t.Brand = config.Word(v)
 		}
 	}
 	switch {
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	k := &taker{answer: answer, texts: make(chan *ledger.Text, 99), withdrawn: make(chan string, 9)}
-	s := New(&config.Config{Products: map[string]bool{"order": true}, Limits: config.Limits{
+	s := New(&config.Config{Products: map[string]bool{"order": true, "late_order": true}, Limits: config.Limits{
 		ClientConns: most, Body: 64 << 10, Header: 16 << 10, ReadHeader: time.Second, ClientIdle: time.Minute,
 		Answer: 300 * time.Millisecond, Speak: 20 * time.Millisecond}}, k)
 	go s.Serve(l)
@@ -112,6 +112,21 @@
 	}
 }
 
+// Key and brand come in headers of their own; those in the envelope are for clients that have none. Names are put as the
+// settings hold them: one with a space would else be unknown, or another brand's share would count.
+func TestKeyAndBrandComeInHeaders(t *testing.T) {
+	_, k, addr := serve(t, 9, &sender.Answer{Verdict: sender.Taken})
+	for envelope, want := range map[string]string{"dest=7": "k1 late_order b_1", "dest=7,key=k2,brand=b2": "k1 late_order b_1"} {
+		h := strings.Replace(heads, "dest=7", envelope, 1) + "X-Route-Hash: k1\r\nX-Caller: b 1\r\n"
+		if r := ask(t, dial(t, addr), strings.Replace(h, "Class: order", "Class: late order", 1), ""); r.StatusCode != 202 {
+			t.Fatal(r)
+		}
+		if x := <-k.texts; x.Key+" "+x.Product+" "+x.Brand != want {
+			t.Errorf("%s: %+v", envelope, x)
+		}
+	}
+}
+
 func TestBadInput(t *testing.T) {
 	_, k, addr := serve(t, 99, &sender.Answer{})
 	for old, new := range map[string]string{
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -350,14 +350,13 @@
 	case nil:
 		return "", nil
 	case string:
-		return string(bytes.Map(func(r rune) rune {
-			if r == ' ' || r == ',' {
-				return '_'
-			}
-			return r
-		}, []byte(v))), nil
+		return Word(v), nil
 	case bool, json.Number:
 		return fmt.Sprint(v), nil
 	}
 	return "", fmt.Errorf("settings.%s: a list in a list", path)
 }
+
+// Word is a name as the plain map holds it, without the characters that part names there. What is compared with a
+// name of the settings has to be put so too.
+func Word(name string) string { return strings.NewReplacer(" ", "_", ",", "_").Replace(name) }
--- a/internal/directory/list.go
+++ b/internal/directory/list.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"emberquay/control"
+	"emberquay/internal/config"
 )
 
 // list is the list, or what changed of it, as it is written on the wire.
@@ -106,7 +107,7 @@
 	news := News{Whole: l.Full}
 	named := map[string]bool{}
 	for _, h := range l.hosts {
-		e := control.Entry{Receiver: n.number(h.ID), Rate: h.Weight, Destination: h.Cell, Kind: h.Kind, Zone: h.Zone}
+		e := control.Entry{Receiver: n.number(h.ID), Rate: h.Weight, Destination: h.Cell, Kind: config.Word(h.Kind), Zone: config.Word(h.Zone)}
 		switch h.State {
 		case "leaving":
 			e.Listing = control.Draining
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -192,11 +192,10 @@
 		req.Header["X-Call-Id"] = []string{h.id}
 		req.Header["X-Call-Class"] = []string{h.text.Product.Name}
 		req.Header["X-Budget"] = []string{strconv.FormatFloat(max(0, left.Seconds()), 'f', 4, 64)}
-		envelope := fmt.Sprintf("dest=%d", h.text.Destination)
+		req.Header["X-Envelope"] = []string{fmt.Sprintf("dest=%d", h.text.Destination)}
 		if h.text.Key != "" {
-			envelope += ",key=" + h.text.Key
+			req.Header["X-Route-Hash"] = []string{h.text.Key}
 		}
-		req.Header["X-Envelope"] = []string{envelope}
 		if h.text.Mark != "" {
 			req.Header["Idempotency-Key"] = []string{h.text.Mark}
 		}
