A key waits until the platform has heard; what a restart finds untried is tried

Two causes, one change of the module (Arrival.Owed, Untold, Told).

The text was over for the module and not for the platform, which hears by a notice on another connection. At fault: finish() after giveUp() let the next of the key go in that Settle. Ruled out: the order in which the ledger gives texts back, withdrawals. Now hisTurn waits for Told; notices carry the key, so a restart waits as well. Also: a text that was out when the process ended lets its key rest.

What a restart finds taken on and untried. At fault: refuseLate (contended), shed and Take (destination not in the old list) gave such texts up with no call. They are exempt until their first submit; what comes after them gives way, arrival order stays.

--- a/cmd/emberquay/main_test.go
+++ b/cmd/emberquay/main_test.go
@@ -307,6 +307,32 @@
 	}
 }
 
+// A sender that takes texts on and has nowhere to send them is ended, with warning or without; the next one finds a backlog
+// far longer than what it knows of its destination. Each text is tried: the receiver is called for every one of them.
+func TestABacklogIsTriedAfterARestart(t *testing.T) {
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL} {
+		p := newProgram(t)
+		listed, _ := os.ReadFile(p.config)
+		slow := bytes.Replace(bytes.Replace(listed, []byte(`"weight":100`), []byte(`"weight":4`), 1),
+			[]byte(`"Instances"`), []byte(`"WeightSource":"nominal","Instances"`), 1)
+		os.WriteFile(p.config, bytes.Replace(slow, []byte(`"active"`), []byte(`"left"`), 1), 0o600)
+		p.start()
+		for i := range 20 { // the SLA time is half a second: at four texts a second, all but a few would be shed
+			if status := p.hand(fmt.Sprint(i), 9); status != http.StatusAccepted {
+				t.Fatal(status)
+			}
+		}
+		if err := p.end(s); s == syscall.SIGTERM && err != nil {
+			t.Error(err)
+		}
+		os.WriteFile(p.config, slow, 0o600)
+		p.start()
+		for i := range 20 {
+			p.until(fmt.Sprint(s, ": ", i, " is not tried"), func() bool { _, ok := p.delivered.Load(fmt.Sprint(i)); return ok })
+		}
+	}
+}
+
 // What cannot be delivered before the end is left to the next start.
 func TestStoppedWithCallsOut(t *testing.T) {
 	p := newProgram(t)
--- a/control/control.go
+++ b/control/control.go
@@ -179,9 +179,10 @@
 }
 
 // Take takes a text in; from here on it is owed one final answer. Where the list names other destinations but
-// not its own, it is refused before anything is kept of it, unless it may have run already.
+// not its own, it is refused before anything is kept of it, unless it was taken on before a restart, with a list
+// that may be older.
 func (s *Sender) Take(a Arrival) {
-	if s.destinations[a.Destination] == nil && len(s.receivers) > 0 && a.RanSince == 0 {
+	if s.destinations[a.Destination] == nil && len(s.receivers) > 0 && !a.Owed {
 		s.out.Nack(a.ID, s.advice(defaultPause))
 		return
 	}
@@ -194,15 +195,16 @@
 	t := &text{id: a.ID, seq: s.seq, product: p, dest: s.destination(a.Destination), key: a.Key,
 		validUntil: s.now + a.TimeLeft, wantedBy: s.now + p.sla - max(0, p.validity-a.TimeLeft),
 		submits: a.Submits, mayHaveRun: a.RanSince > 0, ranSince: a.RanSince, ranZone: a.RanZone,
-		within: s.within(s.brands[a.Brand])}
+		within: s.within(s.brands[a.Brand]), owed: a.Owed}
 	s.texts[t.id] = t
 	t.dest.arrived++
 	smooth(&s.meanValue, p.value)
 	if p.inOrder && t.key != "" {
-		if s.keys[t.key] == nil {
-			s.keys[t.key] = &keyLine{}
+		k := s.line(t.key)
+		k.texts = append(k.texts, t)
+		if t.mayHaveRun { // its call broke with the process before
+			k.restUntil = s.now + s.span("Contract.KeyRestUs", 0) + 1
 		}
-		s.keys[t.key].texts = append(s.keys[t.key].texts, t)
 	}
 	s.hold(t)
 }
@@ -254,9 +256,8 @@
 	delete(s.texts, t.id)
 	if k := s.keys[t.key]; k != nil && t.product.inOrder {
 		k.texts = slices.DeleteFunc(k.texts, func(o *text) bool { return o == t })
-		if len(k.texts) == 0 { // its rest may still run
-			over := func(_ string, k *keyLine) bool { return len(k.texts) == 0 && s.now >= k.restUntil }
-			maps.DeleteFunc(s.keys, over)
+		if len(k.texts) == 0 {
+			s.forgetKeys()
 		}
 	}
 }
@@ -294,10 +295,12 @@
 	return math.MaxInt64
 }
 
-// hisTurn is rule 5, for every send: texts of a key one at a time, in order, with the rest between them.
+// hisTurn is rule 5, for every send: texts of a key one at a time, in order, with the rest between them, and
+// none before the platform has heard how the one before it ended.
 func (s *Sender) hisTurn(t *text) bool {
 	k := s.keys[t.key]
-	return !t.product.inOrder || k == nil || k.texts[0] == t && (s.now >= k.restUntil || t.submits > 0)
+	rested := k == nil || k.untold == 0 && (s.now >= k.restUntil || t.submits > 0)
+	return !t.product.inOrder || k == nil || k.texts[0] == t && rested
 }
 
 // mayReach is the gate of rules 3, 4 and 6 that every call passes: nothing to a receiver that
@@ -465,7 +468,7 @@
 	}
 	for _, t := range slices.Clone(d.queue) {
 		end := t.validUntil
-		if contended {
+		if contended && !t.untried() {
 			end = min(end, t.wantedBy)
 		}
 		if s.now+wait+s.usual(t) > end || !s.mayRepeat(t, nil) || s.now+wait >= s.repeatEnd(t) {
@@ -475,6 +478,10 @@
 	s.shed(d, wait)
 }
 
+// untried: a restart found it taken on, and nothing was sent for it yet: it is tried for as long as its time
+// allows, as its client has been told that it will be.
+func (t *text) untried() bool { return t.owed && t.submits == 0 }
+
 // contended: the last call was refused, and this sender's part of the limit is under a call an SLA time, so
 // that what frees goes to others as a rule.
 func (s *Sender) contended(r *receiver) bool {
@@ -507,11 +514,11 @@
 			}
 			queued++
 			at := s.now + wait + Time(float64(queued)/rate*float64(Second)) + s.usual(t)
-			if w := s.worth(t, at); w <= worth {
+			if w := s.worth(t, at); w <= worth && !t.untried() {
 				least, worth = t, w
 			}
 		}
-		if queued-free < 2 || float64(queued-free) <= rate*float64(s.longestSLA)/float64(Second) {
+		if least == nil || queued-free < 2 || float64(queued-free) <= rate*float64(s.longestSLA)/float64(Second) {
 			return
 		}
 		s.giveUp(least, wait+Time(float64(queued)/rate*float64(Second))-s.longestSLA)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -489,6 +489,46 @@
 	}
 }
 
+// A restart found eighteen texts for one destination, which it had promised to deliver, and gave them up before its first
+// call: the backlog was longer than what it knew the destination to take, or the old list lacked it.
+func TestWhatARestartFindsUntriedIsTried(t *testing.T) {
+	w := newWorld(1, nil)
+	owed := func(id, product string, dest int64) Arrival {
+		return Arrival{ID: id, Product: product, Destination: dest, TimeLeft: 8 * Second, Owed: true}
+	}
+	all := []Arrival{owed("far", "free", 99)}
+	for i := range 18 {
+		all = append(all, owed(fmt.Sprint("a", i), []string{"free", "once"}[i%2], 1))
+	}
+	w.hand(all...)
+	fill(w, 9, "free", 1) // these came now: they are what gives way
+	expect(t, w, "given up of what came after", w.nacks > 0, true)
+	for i := range 18 {
+		x := w.texts[fmt.Sprint("a", i)]
+		if x.out != 0 { // the first is refused, and the second is late: from there the destination is contended
+			w.answer(x, Full, 0)
+		}
+		expect(t, w, "given up with no call", x.over && x.submits == 0, false)
+	}
+	w.to[99] = &place{Entry: Entry{99, 10, 99, "one", "z1", Up}}
+	w.step(func() { w.s.Listed(false, []Entry{w.to[99].Entry}) })
+	expect(t, w, "submits once its destination is listed", w.texts["far"].submits, 1)
+}
+
+// On sockets a text's end reaches the platform after the next text of its key has left, if that is let go at once.
+func TestAKeyWaitsUntilThePlatformHasHeard(t *testing.T) {
+	w := newWorld(1, nil)
+	w.s.Untold("a")
+	w.take("k1", "queued", 1, "a", 8*Second)
+	w.take("k2", "queued", 2, "b", 8*Second)
+	expect(t, w, "submits of another key alone", w.sends, 1)
+	w.step(func() { w.s.Told("a") })
+	expect(t, w, "submits once it has heard", w.sends, 2)
+	w.s.Untold("c")
+	w.s.Told("c")
+	expect(t, w, "keys kept", len(w.s.keys), 2)
+}
+
 func TestSettingsThatMakeNoSense(t *testing.T) {
 	for name, value := range map[string]string{"Specifics.MaxCalls": "0", "Contract.FallUs": "-1", "RequestClasses.count": "x", "RegistryMode": "pull"} {
 		set := Settings{}
--- a/control/interface.go
+++ b/control/interface.go
@@ -37,6 +37,8 @@
 	Retry       bool   // the client hands it in again
 	Returned    bool   // a sender died holding it
 
+	Owed bool // taken on before this process started
+
 	// What this sender had done for it before it restarted.
 	Submits  int
 	RanSince Time   // when the first submit that may have run was sent; 0: none
--- a/control/state.go
+++ b/control/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
@@ -40,6 +41,7 @@
 	next       func(Result) // what to do with the result of the step under way
 	within     float64      // how much of its revenue counts, by its brand's share
 	over       bool         // has its final answer, or is wanted no more
+	owed       bool         // taken on before this process started
 }
 
 // What lasts for one receiver, one limit, one destination.
@@ -148,6 +150,30 @@
 type keyLine struct {
 	texts     []*text // unfinished, in the order they were taken
 	restUntil Time
+	untold    int // ends that are on their way to the platform
+}
+
+// Untold: a text of the key has an end that the platform has yet to hear; until Told, nothing of the key may go.
+func (s *Sender) Untold(key string) { s.line(key).untold++ }
+
+// Told: it has heard.
+func (s *Sender) Told(key string) {
+	s.line(key).untold--
+	s.forgetKeys()
+}
+
+func (s *Sender) line(key string) *keyLine {
+	if s.keys[key] == nil {
+		s.keys[key] = &keyLine{}
+	}
+	return s.keys[key]
+}
+
+// forgetKeys drops the keys of which nothing is owed and whose rest is over.
+func (s *Sender) forgetKeys() {
+	maps.DeleteFunc(s.keys, func(_ string, k *keyLine) bool {
+		return len(k.texts)+k.untold == 0 && s.now >= k.restUntil
+	})
 }
 
 // Sender is one instance of the module.
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -37,6 +37,7 @@
 	ID    string       `json:"id"`
 	Nack  bool         `json:"nack,omitempty"`
 	Delay control.Time `json:"delay,omitempty"` // advice with a nack
+	Key   string       `json:"key,omitempty"`   // of the text
 	Order uint64       `json:"order,omitempty"`
 }
 
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +24,7 @@
 type Desk struct {
 	limits config.Limits
 	mail   chan *ledger.Notice
-	told   func(ids []string) // they have arrived
+	told   func([]*ledger.Notice) // they have arrived
 	client *http.Client
 
 	mu sync.Mutex
@@ -44,7 +45,7 @@
 }
 
 // New makes the actor; told hears of what has arrived. Owed notices fit in the mailbox beside the texts held.
-func New(addr string, limits config.Limits, told func([]string)) *Desk {
+func New(addr string, limits config.Limits, told func([]*ledger.Notice)) *Desk {
 	return &Desk{at: newPlace(addr), limits: limits, told: told,
 		mail: make(chan *ledger.Notice, 2*limits.Texts+limits.Mailbox),
 		client: &http.Client{
@@ -132,12 +133,9 @@
 			continue
 		}
 		pause = d.limits.RetryLeast
-		ids := make([]string, batch)
-		for i, n := range due[:batch] {
-			ids[i] = n.ID
-		}
+		arrived := slices.Clone(due[:batch])
 		due = append(due[:0], due[batch:]...)
-		d.told(ids)
+		d.told(arrived)
 	}
 }
 
--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -20,7 +20,13 @@
 	t.Cleanup(s.Close)
 	told := make(chan []string, 99)
 	return New(s.Listener.Addr().String(), config.Limits{Texts: texts, Mailbox: 4, Body: 1024, Notice: time.Second,
-		RetryLeast: time.Millisecond, RetryMost: 5 * time.Millisecond}, func(ids []string) { told <- ids }), told
+		RetryLeast: time.Millisecond, RetryMost: 5 * time.Millisecond}, func(all []*ledger.Notice) {
+		var ids []string
+		for _, n := range all {
+			ids = append(ids, n.ID)
+		}
+		told <- ids
+	}), told
 }
 
 func run(t *testing.T, d *Desk) {
--- a/internal/sender/outlet.go
+++ b/internal/sender/outlet.go
@@ -109,6 +109,9 @@
 			s.counts.Undeliverable++
 		}
 		delete(s.texts, n.ID)
+		if n.Key = h.Key; n.Key != "" { // at once: the module may let the next of the key go in this very batch
+			s.module.Untold(n.Key)
+		}
 		s.noted(n.ID, s.ledger.Untold(n))
 		s.leave(func() { s.post(n) }, nil)
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -121,9 +121,12 @@
 	texts, due := s.ledger.Owed()
 	for _, t := range texts {
 		s.texts[t.ID] = &held{Text: t, no: t.Submits}
-		s.take(t)
+		s.take(t, true)
 	}
 	for _, n := range due {
+		if n.Key != "" {
+			s.module.Untold(n.Key)
+		}
 		s.post(n)
 	}
 }
@@ -256,7 +259,7 @@
 	t.TakenAt = s.now()
 	full := len(s.texts) > s.limits.Texts || s.owed >= s.limits.Texts
 	if !full {
-		if s.take(t); s.texts[t.ID] != h {
+		if s.take(t, false); s.texts[t.ID] != h {
 			return // refused before it cost anything
 		}
 		if err := s.ledger.Taken(t); err != nil {
@@ -274,11 +277,11 @@
 	s.fresh = append(s.fresh, h)
 }
 
-// take tells the module of a text and of all that was done for it.
-func (s *Sender) take(t *ledger.Text) {
+// take tells the module of a text and of all that was done for it; owed: a process before took it on.
+func (s *Sender) take(t *ledger.Text, owed bool) {
 	s.module.Take(control.Arrival{
 		ID: t.ID, Product: t.Product, Destination: t.Destination, TimeLeft: t.ValidUntil - s.now(), Key: t.Key, Brand: t.Brand,
-		Retry: t.Retry, Returned: t.Returned, Submits: t.Submits, RanSince: t.RanSince, RanZone: t.RanZone,
+		Retry: t.Retry, Returned: t.Returned, Owed: owed, Submits: t.Submits, RanSince: t.RanSince, RanZone: t.RanZone,
 	})
 }
 
@@ -396,11 +399,14 @@
 }
 
 // Told posts that notices have arrived.
-func (s *Sender) Told(ids []string) {
+func (s *Sender) Told(all []*ledger.Notice) {
 	s.Tell(func() {
-		for _, id := range ids {
+		for _, n := range all {
 			s.owed--
-			s.noted(id, s.ledger.Ended(id))
+			s.noted(n.ID, s.ledger.Ended(n.ID))
+			if n.Key != "" {
+				s.module.Told(n.Key)
+			}
 		}
 	})
 }
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -33,14 +33,15 @@
 var settings = control.Settings{
 	"Contract.ColdFrom": "0.2", "Contract.FallMultiple": "2.0", "Contract.FallUs": "100000", "Instances": "1",
 	"Contract.RampTimeUs": "200000", "Kinds": "one", "Permissions.MayCancel": "true", "Permissions.TryLimit": "4",
-	"Permissions.RetryAfter": "true", "Permissions.MaxRetryAfterUs": "3000000", "RequestClasses.count": "3",
+	"Permissions.RetryAfter": "true", "Permissions.MaxRetryAfterUs": "3000000", "RequestClasses.count": "4",
 	"RequestClasses.0.Name": "free", "RequestClasses.0.Repeat": "safe",
 	"RequestClasses.1.Name": "marked", "RequestClasses.1.Repeat": "keyed", "RequestClasses.1.Group": "all",
 	"RequestClasses.2.Name": "once", "RequestClasses.2.Repeat": "unsafe", "Specifics.MaxCalls": "8",
+	"RequestClasses.3.Name": "queued", "RequestClasses.3.Repeat": "safe", "RequestClasses.3.SerialByKey": "true",
 }
 
 func init() {
-	for i := range 3 {
+	for i := range 4 {
 		at := fmt.Sprintf("RequestClasses.%d.", i)
 		settings[at+"ObjectiveUs"], settings[at+"HardLimitUs"] = "100000", "2000000"
 		settings[at+"RepeatWindowUs"], settings[at+"Value"] = "1000000", "1"
@@ -135,6 +136,9 @@
 	reply := make(chan Answer, 1)
 	x := &ledger.Text{ID: id, Product: product, Destination: 3, Mark: id, Body: []byte(id),
 		ValidUntil: g.now() + protocol.Ticks(left)}
+	if product == "queued" {
+		x.Key = "k"
+	}
 	if !g.Hand(x, reply) {
 		g.t.Fatal("the mailbox is full")
 	}
@@ -246,7 +250,7 @@
 		if n := g.notice(); n.ID != "a" || n.Nack != nack {
 			t.Errorf("%s: %+v", product, n)
 		}
-		g.Told([]string{"a"})
+		g.Told([]*ledger.Notice{{ID: "a"}})
 		g.holds()
 		g.kill()
 		g.start()
@@ -314,6 +318,32 @@
 	}
 }
 
+// A text of a key was given up and the next one left in the same moment, ahead of the notice: the platform saw it sent
+// while the first was not over. Here the desk keeps the notice, over a kill too, until the test lets it arrive.
+func TestTheNextOfAKeyWaitsForTheNotice(t *testing.T) {
+	g := newRig(t, func(id string, w http.ResponseWriter, r *http.Request) {
+		if id == "a" {
+			<-r.Context().Done()
+		}
+	})
+	g.power = true // a call and a notice of one batch wait for the same sync
+	g.start()
+	g.hand("a", "queued", 200*time.Millisecond)
+	g.hand("b", "queued", 5*time.Second)
+	for range 2 {
+		n := g.notice() // a has its end, and b is the first of the key
+		g.hand("c", "free", 5*time.Second)
+		g.until("not delivered", func() bool { return g.called("c") > 0 && g.holds() == 1 }) // what may go has gone
+		if n.ID != "a" || n.Key != "k" || g.called("b") > 0 {
+			t.Errorf("%+v, and %d calls of b", n, g.called("b"))
+		}
+		g.kill()
+		g.start()
+	}
+	g.Told([]*ledger.Notice{g.notice()})
+	g.until("not delivered", func() bool { return g.called("b") == 1 && g.holds() == 0 })
+}
+
 // What waited for its connection is asked about with the news of meanwhile.
 func TestACallThatWaitedHearsOfTheDrain(t *testing.T) {
 	g := newRig(t, silent)
