Where answers hold no reports the listed rate says how long a refused bucket holds

At fault: pause(). Without reports b.limit is nought and each of 291 senders came back a usual call after a refusal, and at once after a told wait. Test: TestWithoutReportsTheListedRateSaysHowLongToHold, failed before.

--- a/control/control.go
+++ b/control/control.go
@@ -179,8 +179,7 @@
 }
 
 // Take takes a text in; from here on it is owed one final answer. Where the list names other destinations but
-// not its own, it is refused before anything is kept of it, unless it was taken on before a restart, with a list
-// that may be older.
+// not its own, it is refused before anything is kept of it, unless it was taken on before a restart.
 func (s *Sender) Take(a Arrival) {
 	if s.destinations[a.Destination] == nil && len(s.receivers) > 0 && !a.Owed {
 		s.out.Nack(a.ID, s.advice(defaultPause))
@@ -460,7 +459,7 @@
 	for _, r := range d.receivers {
 		if r.listing == Up {
 			wait = min(wait, max(0, r.bucket.waitUntil-s.now, r.bucket.heldUntil-s.now))
-			contended = contended && s.contended(r)
+			contended = contended && r.bucket.fulls > 0 && s.smallPart(r) // the last call was refused
 		}
 	}
 	if wait == math.MaxInt64 { // the list names no receiver now; a later one may
@@ -482,12 +481,7 @@
 // allows, as its client has been told that it will be.
 func (t *text) untried() bool { return t.owed && t.submits == 0 }
 
-// contended: the last call was refused, and this sender's part of the limit is under a call an SLA time, so
-// that what frees goes to others as a rule.
-func (s *Sender) contended(r *receiver) bool {
-	return r.bucket.fulls > 0 && s.smallPart(r)
-}
-
+// smallPart: this sender's part of the limit is under a call an SLA time: what frees mostly goes to others.
 func (s *Sender) smallPart(r *receiver) bool {
 	return s.capacity(r)*float64(s.longestSLA) < s.senders()*float64(Second)
 }
@@ -851,14 +845,16 @@
 // pause is how long a bucket holds after a refusal, past the wait that it told, which is trusted once: the
 // time in which this sender's part of the limit frees a call, more or less by half, twice that from the
 // second on; a usual call where there is no limit, doubled each time. Refused calls may use the limit up:
-// were it shorter for some, all senders' looks together would take what frees.
+// were it shorter for some, all senders' looks together would take what frees. Where answers hold no
+// reports the listed rate stands in for the limit.
 func (s *Sender) pause(r *receiver, told bool) Time {
-	b := r.bucket
+	b, limit := r.bucket, s.capacity(r)
+	limited := limit > 0 && (b.limit > 0 || !s.reports())
 	switch {
-	case told && (b.fulls < 2 || b.limit == 0):
+	case told && (b.fulls < 2 || !limited):
 		return 0
-	case b.limit > 0:
-		return Time((0.5 + s.chance.unit()) * float64(s.freeing(b, 1)<<min(b.fulls-1, 1)))
+	case limited:
+		return Time((0.5 + s.chance.unit()) * float64(s.freeing(limit, 1)<<min(b.fulls-1, 1)))
 	}
 	return backOff(r, b.fulls-1)
 }
@@ -874,16 +870,20 @@
 		need = max(need, spare/max(spare, b.share)-spare)
 	}
 	if b.limit > 0 && need > 0 {
-		b.heldUntil = max(b.heldUntil, s.now+s.freeing(b, need))
+		b.heldUntil = max(b.heldUntil, s.now+s.freeing(b.limit, need))
 	}
 }
 
 // freeing is the time in which this sender's even part of a limit frees so many calls, half of the shortest
 // SLA time at most, and up to all of it as calls are refused everywhere: where most senders have no text for
-// it far more than the part is free, and a small limit must not hold a bucket for ever.
-func (s *Sender) freeing(b *bucket, calls float64) Time {
+// it far more than the part is free, and a small limit must not hold a bucket for ever. Up to the longest
+// where nothing is reported: there a look is all that tells.
+func (s *Sender) freeing(limit, calls float64) Time {
 	most := min(1, 0.5+2*s.strain) * float64(s.shortestSLA)
-	return Time(min(most, calls*s.senders()/b.limit*float64(Second)))
+	if !s.reports() {
+		most = float64(s.longestSLA)
+	}
+	return Time(min(most, calls*s.senders()/limit*float64(Second)))
 }
 
 // failed notes a call that failed; two in a row, and the receiver is looked at before it gets more texts.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -515,6 +515,28 @@
 	expect(t, w, "submits once its destination is listed", w.texts["far"].submits, 1)
 }
 
+// Without reports refused calls came again after a usual call each, from hundreds of senders, and used up the limit that
+// they waited for: nine in ten texts were refused. The listed rate says how long to hold, told wait or none.
+func TestWithoutReportsTheListedRateSaysHowLongToHold(t *testing.T) {
+	for names, longer := range map[string]bool{"": true, "x0,x1": false} {
+		for _, told := range []Time{0, Second / 4} {
+			w := newWorld(1, Settings{"Instances": "40", "Report.Names": names})
+			first := w.give(1)
+			w.advance(500)
+			w.answer(first, Delivered, 0)
+			for range 2 {
+				x := w.give(1) // ten a second for forty senders: a call in four seconds, the SLA time is two
+				for x.out == 0 {
+					w.advance(Second / 4)
+				}
+				w.answer(x, Full, told)
+			}
+			held := w.s.buckets[bucketKey{dest: 1}].heldUntil - w.now
+			expect(t, w, fmt.Sprint("reports ", names, ", told ", told, ", held ", held), held > told+Second/2, longer)
+		}
+	}
+}
+
 // On sockets a text's end reaches the platform after the next text of its key has left, if that is let go at once.
 func TestAKeyWaitsUntilThePlatformHasHeard(t *testing.T) {
 	w := newWorld(1, nil)
@@ -671,11 +693,11 @@
 // A hold of the longest SLA time made every text late whose product is wanted sooner.
 func TestHoldsGoByTheShortestSLATime(t *testing.T) {
 	w := newWorld(1, Settings{"Instances": "200", "RequestClasses.0.ObjectiveUs": "1000000"})
-	small := &bucket{limit: 0.1}
+	const small = 0.1
 	expect(t, w, "while no calls are refused", w.s.freeing(small, 1), Second/2)
 	w.s.strain = 0.3
 	expect(t, w, "while many are", w.s.freeing(small, 1), Second)
-	expect(t, w, "at a larger limit", w.s.freeing(&bucket{limit: 1000}, 2), Time(4000))
+	expect(t, w, "at a larger limit", w.s.freeing(1000, 2), Time(4000))
 }
 
 // What a brand sent beyond its share, worth next to nothing, took the place of others' texts in a queue.
--- a/control/settings.go
+++ b/control/settings.go
@@ -99,6 +99,9 @@
 // senders is how many share what a destination takes.
 func (s *Sender) senders() float64 { return max(1, s.number("Instances", 1)) }
 
+// reports: answers may tell of the allowance.
+func (s *Sender) reports() bool { return s.set["Report.Names"] != "" }
+
 // reading finds share and limit in a report; false if they are not there.
 func (s *Sender) reading(report []float64) (share, limit float64, ok bool) {
 	names := strings.Split(s.set["Report.Names"], ",")
