A silent watch is opened again at once; lists may come over several lines

Run in directory/watch.go rested after a silence of 4.5 s for a drawn time of up to 5 s in a fleet of 50 or more, growing to 20 s after tries in vain. What a silent watch misses counts as told 6 s after the silence began, and what the agent gets when discovery is back counts at once, asked or not; a resting sender went on sending to what drains. Now a request is open all the time after a silence; a watch that ends or is refused still rests as before. Lists were read by lines: one over several lines was an error and its change was lost. Now one JSON value after another. Tests: TestASilentWatchIsOpenedAgainAtOnce and TestListsMayComeIndented, both failed before; -race -count=3 clean.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -21,6 +21,9 @@
 	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[`+server+`]}`, version, full, n, n, state) + "\n"
 }
 
+// apart is how long a test's directory rests at most before it asks again.
+var apart = 10 * time.Millisecond
+
 // follow runs a directory against a stand-in of the platform that answers each request in turn with lines;
 // "hold" keeps a watch open. It gives what is told and what was asked.
 func follow(t *testing.T, known string, answers ...string) (<-chan News, <-chan string) {
@@ -46,7 +49,7 @@
 	t.Cleanup(s.Close)
 	news := make(chan News, 99)
 	d := New(s.Listener.Addr().String(), 1, config.Limits{Mailbox: 64, ListSilence: 150 * time.Millisecond,
-		RetryLeast: time.Millisecond, ListApart: 10 * time.Millisecond}, func(n News) { news <- n })
+		RetryLeast: time.Millisecond, ListApart: apart}, func(n News) { news <- n })
 	if known != "" {
 		if err := d.Known([]byte(known)); err != nil {
 			t.Fatal(err)
@@ -126,6 +129,29 @@
 	wants(t, asked, "?stream=1&index=41", "?stream=1&index=41")
 }
 
+// A fleet of many rested up to five seconds after a silence of four and a half, and what came meanwhile counted as told.
+func TestASilentWatchIsOpenedAgainAtOnce(t *testing.T) {
+	before := apart
+	defer func() { apart = before }()
+	apart = time.Hour // a rest would outlast the test
+	_, asked := follow(t, told(41, true, 1, "active"), "hold", "hold", "hold")
+	wants(t, asked, "?stream=1&index=41", "?stream=1&index=41", "?stream=1&index=41", "?stream=1&index=41")
+}
+
+// A list over several lines was an error at its first one, and the change was lost.
+func TestListsMayComeIndented(t *testing.T) {
+	indented := strings.ReplaceAll(told(42, false, 2, "leaving"), ",", ",\n\n  ")
+	news, asked := follow(t, told(41, true, 1, "active"), "\n"+indented+"\n\n"+told(43, false, 3, "active")+"hold")
+	expect(t, news)
+	if n := expect(t, news); n.Hosts[0].Receiver != 2 || n.Hosts[0].Listing != control.Draining {
+		t.Errorf("%+v", n)
+	}
+	if n := expect(t, news); n.Hosts[0].Receiver != 3 {
+		t.Errorf("%+v", n)
+	}
+	wants(t, asked, "?stream=1&index=41")
+}
+
 // One entry that makes no sense must not cost the others.
 func TestBadEntriesAreLeftOut(t *testing.T) {
 	one, two := fmt.Sprintf(server, 1, 1, "active"), fmt.Sprintf(server, 2, 2, "active")
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -1,9 +1,9 @@
 package directory
 
 import (
-	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -51,7 +51,10 @@
 	return errMoved
 }
 
-var errMoved = errors.New("moved")
+var (
+	errMoved  = errors.New("moved")
+	errSilent = errors.New("silent")
+)
 
 // Known tells the list as this sender had it last, before Run.
 func (d *Directory) Known(raw []byte) error {
@@ -79,7 +82,9 @@
 		}
 		slog.Warn("watch_ended", "part", "directory", "version", d.version, "after", time.Since(began), "err", err)
 		pause := d.pauses.next(heard || err == errMoved)
-		if err != errMoved {
+		// After a silence one request stays open all the time: what the platform tells at its return, or told while
+		// the watch was broken, counts as told whether or not anybody asks.
+		if err != errMoved && err != errSilent {
 			d.rest(ctx, pause)
 		}
 	}
@@ -107,7 +112,7 @@
 	for {
 		select {
 		case <-silence.C:
-			return heard, errors.New("silent")
+			return heard, errSilent
 		case addr := <-d.moves:
 			return heard, d.move(addr)
 		case l, more := <-mail:
@@ -115,6 +120,9 @@
 				return heard, io.EOF
 			}
 			if l.err != nil {
+				if spoilt := (*json.SyntaxError)(nil); errors.As(l.err, &spoilt) {
+					d.whole = true // a change is lost with it
+				}
 				return heard, l.err
 			}
 			silence.Reset(d.limits.ListSilence)
@@ -186,16 +194,41 @@
 		return
 	}
 	defer body.Close()
-	in := bufio.NewScanner(body)
-	in.Buffer(make([]byte, 0, 4096), mostList)
-	for in.Scan() {
-		if !post(line{text: bytes.Clone(in.Bytes())}) {
+	// Lists follow each other, over several lines perhaps; what comes between them tells that the watch lives.
+	from := &bounded{Reader: body, left: mostList, came: func() { post(line{}) }}
+	in := json.NewDecoder(from)
+	for {
+		var one json.RawMessage
+		if err := in.Decode(&one); err == io.EOF {
+			return
+		} else if err != nil {
+			post(line{err: err})
+			return
+		}
+		from.left = mostList
+		if !post(line{text: one}) {
 			return
 		}
 	}
-	if err := in.Err(); err != nil {
-		post(line{err: err})
+}
+
+// bounded reads no more than so much for one list: one without end must not fill the memory.
+type bounded struct {
+	io.Reader
+	left int
+	came func()
+}
+
+func (b *bounded) Read(into []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errors.New("the list is too large")
+	}
+	n, err := b.Reader.Read(into)
+	b.left -= n
+	if n > 0 {
+		b.came()
 	}
+	return n, err
 }
 
 // mostList bounds what is read as one list.
