A client's connection is not closed under a request that was read on it

Found on reading net/http's Shutdown and SetKeepAlivesEnabled: both close a connection that they count as idle until the whole head was parsed, also when its next request is read already; the request is then handed on, submitted, and its answer written to nobody. makeRoom had the same between a read and its note. At fault: clients.Linger, Shutdown, conns.makeRoom, conn.Read. Now a read and its note are one step under the lock that decides what may close (conn.take), and the server's own closing of idle connections is not used. A next request of which a byte was read beside the answer counts as begun. A client that has gone goes before an answer ready in the same moment, always. Tests, real sockets, the read held until the close has happened: TestClosedAsARequestIsRead (failed in all three: unexpected EOF), TestAStopBesideAHalfRequest (failed: rest never read). -race -count=50 of these, -count=20 of all of clients: clean.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -52,7 +52,8 @@
 	taker    Taker
 	http     *http.Server
 	conns    *conns
-	stopping atomic.Bool
+	listener atomic.Pointer[net.Listener]
+	stopping atomic.Bool // each answer is the last of its connection
 }
 
 // New makes the server; the settings name the products.
@@ -76,7 +77,8 @@
 
 // Serve answers until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(s.conns.listen(l)); !errors.Is(err, http.ErrServerClosed) {
+	s.listener.Store(&l)
+	if err := s.http.Serve(s.conns.listen(l)); !errors.Is(err, http.ErrServerClosed) && !s.stopping.Load() {
 		return err
 	}
 	return nil
@@ -118,7 +120,7 @@
 			s.refuse(w, r, http.StatusBadRequest, errors.New("Content-Length beside Transfer-Encoding"))
 			return
 		}
-		if len(r.TransferEncoding) > 0 {
+		if len(r.TransferEncoding) > 0 || s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -149,7 +151,8 @@
 	}
 	select {
 	case a := <-reply:
-		if s.answer(w, a) != nil && a.Verdict == sender.Taken {
+		// A client that has gone before its answer hands the text in again: that goes before an answer ready just then.
+		if (r.Context().Err() != nil || s.answer(w, a) != nil) && a.Verdict == sender.Taken {
 			s.taker.Withdraw(t) // it never heard that the text was taken on
 		}
 	case <-r.Context().Done():
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -1,7 +1,10 @@
 package clients
 
 import (
+	"cmp"
 	"context"
+	"errors"
+	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -9,6 +12,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"emberquay/internal/config"
@@ -36,10 +40,11 @@
 type conns struct {
 	limits config.Limits
 
-	mu      sync.Mutex
-	open    map[*conn]bool
-	waiting bool      // a new one waits
-	told    time.Time // when the log last had that room was made
+	mu       sync.Mutex
+	open     map[*conn]bool
+	waiting  bool      // a new one waits
+	stopping bool      // none is kept between requests
+	told     time.Time // when the log last had that room was made
 }
 
 func newConns(limits config.Limits) *conns { return &conns{limits: limits, open: map[*conn]bool{}} }
@@ -53,8 +58,20 @@
 // changed is the server's hook.
 func (c *conns) changed(raw net.Conn, state http.ConnState) {
 	to := map[http.ConnState]stage{http.StateNew: silent, http.StateActive: partial, http.StateIdle: idle}
-	if at, ok := to[state]; ok {
-		raw.(*conn).reached(at)
+	at, ok := to[state]
+	if !ok {
+		return
+	}
+	o := raw.(*conn)
+	if at == idle && o.ahead.Load() {
+		at = partial // some of its next request was read beside the answer
+	}
+	o.reached(at)
+	c.mu.Lock()
+	goes := c.stopping && at == idle && c.giveUp(o)
+	c.mu.Unlock()
+	if goes {
+		o.hangUp()
 	}
 }
 
@@ -71,17 +88,23 @@
 // admit lets a connection in if there is room, or if room can be made.
 func (c *conns) admit(n *conn) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.waiting = len(c.open) >= c.limits.ClientConns && !c.makeRoom(); !c.waiting {
+	var goes *conn
+	if len(c.open) >= c.limits.ClientConns {
+		goes = c.makeRoom()
+	}
+	if c.waiting = len(c.open) >= c.limits.ClientConns; !c.waiting {
 		c.open[n] = true
 	}
-	return !c.waiting
+	admitted := !c.waiting
+	c.mu.Unlock()
+	goes.hangUp()
+	return admitted
 }
 
-// makeRoom closes the connection that is worth least. Those that say nothing, or never end what they say, may
+// makeRoom gives up the connection that is worth least; nil if none may go. It is closed once the lock is free. Those that say nothing, or never end what they say, may
 // have a quarter of the places: with more, what is idle would go for them, and with fewer the next client that
 // asks would wait behind them to be let in, as each has a moment to speak.
-func (c *conns) makeRoom() bool {
+func (c *conns) makeRoom() *conn {
 	now := time.Now()
 	var over, between, unheard, ripe []*conn
 	for _, o := range slices.SortedFunc(maps.Keys(c.open), func(a, b *conn) int { return a.since.Compare(b.since) }) {
@@ -101,18 +124,44 @@
 		over = append(over, between...)
 	}
 	for _, o := range append(over, ripe...) {
-		if unread, _ := protocol.Peek(o.Conn); unread && (o.at == silent || o.at == idle) {
+		if !c.giveUp(o) {
 			continue // its request has just come
 		}
 		if now.Sub(c.told) >= time.Second { // it may be every connection
 			c.told = now
 			slog.Info("made_room", "part", "clients", "from", o.RemoteAddr(), "at", o.at, "for", now.Sub(o.since))
 		}
-		delete(c.open, o)
-		o.Conn.Close()
-		return true
+		return o
+	}
+	return nil
+}
+
+// giveUp takes the place of a connection, unless a request has just come on it. What comes from here on is never
+// read, so its client hands it in once more: what was read on a connection that is closed under it would be sent
+// on, and nobody would hear of it. Under the lock.
+func (c *conns) giveUp(o *conn) bool {
+	if unread, _ := protocol.Peek(o.Conn); unread && (o.at == silent || o.at == idle) {
+		return false
+	}
+	delete(c.open, o)
+	o.over = true
+	return true
+}
+
+// rest closes the connections on which nothing is asked, from now on.
+func (c *conns) rest() {
+	c.mu.Lock()
+	c.stopping = true
+	var over []*conn
+	for o := range c.open {
+		if o.at == idle && c.giveUp(o) {
+			over = append(over, o)
+		}
+	}
+	c.mu.Unlock()
+	for _, o := range over {
+		o.hangUp()
 	}
-	return false
 }
 
 func (c *conns) listen(l net.Listener) net.Listener { return &listener{l, c} }
@@ -146,9 +195,11 @@
 
 	at    stage     // under the lock of conns
 	since time.Time // likewise
+	over  bool      // likewise: it has lost its place, nothing is read on it any more
 
 	request protocol.Message // the reader's alone
 	paired  atomic.Bool      // a length stood beside pieces; it never has a further request
+	ahead   atomic.Bool      // a request has begun and not all of it was read
 }
 
 // reached notes how far the connection has come.
@@ -158,20 +209,52 @@
 	c.at, c.since = at, time.Now()
 }
 
-// spoke notes the first bytes of a request.
-func (c *conn) spoke() {
-	c.conns.mu.Lock()
-	defer c.conns.mu.Unlock()
-	if c.at == silent || c.at == idle {
-		c.at, c.since = partial, time.Now()
+// take reads what has come and notes it in one step: whoever gives up an idle connection sees a request of which
+// nothing was read, or one that is under way. Between a read and its note it could be closed under a request.
+func (c *conn) take(b []byte) (n int, err error) {
+	tcp, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
 	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var fault error
+	err = raw.Read(func(fd uintptr) bool {
+		c.conns.mu.Lock()
+		defer c.conns.mu.Unlock()
+		if c.over {
+			n, fault = 0, net.ErrClosed
+			return true
+		}
+		for n, fault = syscall.Read(int(fd), b); fault == syscall.EINTR; {
+			n, fault = syscall.Read(int(fd), b)
+		}
+		if fault == syscall.EAGAIN {
+			return false
+		}
+		if n > 0 && (c.at == silent || c.at == idle) {
+			c.at, c.since = partial, time.Now()
+		}
+		return true
+	})
+	n = max(0, n)
+	switch {
+	case err == nil && fault == nil && n == 0 && len(b) > 0:
+		return 0, io.EOF
+	case err == nil && fault == nil:
+		return n, nil
+	}
+	// As a read of the connection would tell it, which net/http knows.
+	if wrapped := (*net.OpError)(nil); errors.As(err, &wrapped) {
+		err = wrapped.Err
+	}
+	return n, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: cmp.Or(err, fault)}
 }
 
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.spoke()
-	}
+	n, err := c.take(b)
 	for rest := b[:n]; len(rest) > 0; {
 		if c.request.Part == protocol.Over || !c.request.Request {
 			c.request = protocol.Message{Request: true}
@@ -181,6 +264,7 @@
 			c.paired.Store(true)
 		}
 	}
+	c.ahead.Store(c.request.Begun && c.request.Part != protocol.Over)
 	return n, err
 }
 
@@ -196,28 +280,40 @@
 func (c *conn) Close() error {
 	c.conns.mu.Lock()
 	delete(c.conns.open, c)
+	c.over = true
 	c.conns.mu.Unlock()
 	return c.Conn.Close()
 }
 
-// Linger: the process is to end. Connections close after their next answer; new ones still come.
+// hangUp closes what was given up: without the lock, as a close waits for whoever reads.
+func (c *conn) hangUp() {
+	if c != nil {
+		c.Conn.Close()
+	}
+}
+
+// Linger: the process is to end. Idle connections close, others after their next answer; new ones still come.
+// The server's own ways to close idle ones are not used: they close some on which a request has been read already.
 func (s *Server) Linger() {
 	s.stopping.Store(true)
-	s.http.SetKeepAlivesEnabled(false)
+	s.conns.rest()
 }
 
-// Shutdown takes no new connections and waits for the answers under way. The server's own shutdown misses a
-// connection that is accepted at that moment; its request must be answered like any other.
+// Shutdown takes no new connections and waits until those that are open have had their answers. The server's own
+// shutdown leaves a request unanswered whose connection is accepted at that moment.
 func (s *Server) Shutdown(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err != nil {
-		return err
+	if l := s.listener.Load(); l != nil {
+		(*l).Close()
 	}
-	for s.conns.count() > 0 {
+	for {
+		s.conns.rest()
+		if s.conns.count() == 0 {
+			return nil
+		}
 		select {
 		case <-time.After(s.limits.Speak / 4):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
-	return nil
 }
--- /dev/null
+++ b/internal/clients/crossing_test.go
@@ -0,0 +1,157 @@
+package clients
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"emberquay/internal/sender"
+)
+
+// pausing lets connections in whose reads stand still, once armed, between the bytes and whoever is to get them.
+type pausing struct {
+	net.Listener
+	armed    atomic.Bool
+	read, on chan struct{}
+}
+
+func (l *pausing) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &pausingConn{c.(*net.TCPConn), l}, nil
+}
+
+func (l *pausing) stop() {
+	if l.armed.CompareAndSwap(true, false) {
+		l.read <- struct{}{}
+		<-l.on
+	}
+}
+
+type pausingConn struct {
+	*net.TCPConn
+	l *pausing
+}
+
+func (c *pausingConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		c.l.stop()
+	}
+	return n, err
+}
+
+func (c *pausingConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return &pausingRaw{raw, c.l}, err
+}
+
+type pausingRaw struct {
+	syscall.RawConn
+	l *pausing
+}
+
+func (r *pausingRaw) Read(f func(uintptr) bool) error {
+	err := r.RawConn.Read(f)
+	if err == nil {
+		r.l.stop()
+	}
+	return err
+}
+
+// A connection rests; its next request is read just as the server gives it up. Closed under its request, the text was
+// taken on and sent, and its client never heard. Now it is answered first.
+func TestClosedAsARequestIsRead(t *testing.T) {
+	for moment, close := range map[string]func(*Server, string){
+		"asked to stop": func(s *Server, _ string) { s.Linger() },
+		"shut down": func(s *Server, _ string) {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			s.Linger()
+			s.Shutdown(ctx)
+		},
+		"makes room": func(s *Server, addr string) {
+			if c, err := net.Dial("tcp", addr); err == nil {
+				t.Cleanup(func() { c.Close() })
+			}
+			for full := false; !full; time.Sleep(time.Millisecond) { // until it was let in, or has to wait
+				s.conns.mu.Lock()
+				full = s.conns.waiting
+				for c := range s.conns.open {
+					full = full || c.at == silent
+				}
+				s.conns.mu.Unlock()
+			}
+		},
+	} {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := &pausing{Listener: inner, read: make(chan struct{}), on: make(chan struct{})}
+		s, _ := serveOn(t, l, 1, &sender.Answer{Verdict: sender.Taken})
+		c := dial(t, inner.Addr().String())
+		ask(t, c, heads, "")
+		for rests := false; !rests; time.Sleep(time.Millisecond) {
+			s.conns.mu.Lock()
+			for o := range s.conns.open {
+				rests = o.at == idle
+			}
+			s.conns.mu.Unlock()
+		}
+		l.armed.Store(true)
+		fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: a\r\n%sContent-Length: 0\r\n\r\n", heads)
+		<-l.read
+		close(s, inner.Addr().String())
+		l.on <- struct{}{}
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || r.StatusCode != 202 || !r.Close {
+			if err == nil {
+				err = fmt.Errorf("%s, close %v", r.Status, r.Close)
+			}
+			t.Errorf("%s: a request that was read has no answer: %v", moment, err)
+		}
+	}
+}
+
+// What was read of a next request beside the answer to the one before is not forgotten: the connection does not rest.
+func TestAStopBesideAHalfRequest(t *testing.T) {
+	s, k, addr := serve(t, 9, nil)
+	c := dial(t, addr)
+	request := "POST /api HTTP/1.1\r\nHost: a\r\n" + heads + "Content-Length: 0\r\n\r\n"
+	io.WriteString(c, request)
+	<-k.texts
+	io.WriteString(c, request[:1]) // net/http reads one byte beside a request that it works on
+	for began := false; !began; time.Sleep(time.Millisecond) {
+		s.conns.mu.Lock()
+		for o := range s.conns.open {
+			began = o.ahead.Load()
+		}
+		s.conns.mu.Unlock()
+	}
+	k.reply <- sender.Answer{Verdict: sender.Taken}
+	in := bufio.NewReader(c)
+	if r, err := http.ReadResponse(in, nil); err != nil || r.StatusCode != 202 {
+		t.Fatal(r, err)
+	}
+	s.Linger()
+	io.WriteString(c, request[1:])
+	select {
+	case <-k.texts:
+		k.reply <- sender.Answer{Verdict: sender.Taken}
+	case <-time.After(2 * time.Second):
+		t.Error("the rest of the request is not read")
+	}
+	if r, err := http.ReadResponse(in, nil); err != nil || r.StatusCode != 202 || !r.Close {
+		t.Error(r, err)
+	}
+}
