A hand-in that comes once more under its id is the same hand-in

Found on reading Hand and Withdraw: a client whose connection ends under its request sends that once more, id and all, on a new one. At fault, sender.hand and Withdraw: (1) the second was told 202 and the first, whose answer could not be written, then withdrew the text: lost, one submit made. (2) While the call of a withdrawn text was out, its id was taken anew and the old call's end was taken for the new one's: an undeliverable notice for a text whose call was out. (3) The id of a text that had its end was taken anew and submitted again, a once-only one too; and the notice of the old one, once told, wiped the new one from the ledger. Now a text goes only when none of its hand-ins was answered; an id whose call is still out is refused; ids of the latest texts that had their end (as many as may be held) are answered 202 and nothing is sent.

--- /dev/null
+++ b/internal/sender/crossing_test.go
@@ -0,0 +1,119 @@
+package sender
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"emberquay/control"
+	"emberquay/internal/ledger"
+)
+
+// again is the same hand-in once more, as a client sends it whose connection ended under its request.
+func again(x *ledger.Text) *ledger.Text {
+	return &ledger.Text{ID: x.ID, Product: x.Product, Destination: 3, Body: []byte("b"), ValidUntil: x.ValidUntil}
+}
+
+func (g *rig) text(id, product string) *ledger.Text {
+	return &ledger.Text{ID: id, Product: product, Destination: 3, Body: []byte("b"), ValidUntil: g.now() + 2*control.Second}
+}
+
+// handed hands one text in and waits for the verdict.
+func (g *rig) handed(x *ledger.Text) Verdict {
+	g.t.Helper()
+	reply := make(chan Answer, 1)
+	g.Hand(x, reply)
+	select {
+	case a := <-reply:
+		return a.Verdict
+	case <-time.After(3 * time.Second):
+		g.t.Fatal("no answer")
+	}
+	panic("unreachable")
+}
+
+// A hand-in comes once more on a new connection and is told that the text is taken on; only then is the first found to
+// have had no answer. The text was owed to the second, and was withdrawn with the first.
+func TestWithdrawnAfterItCameAgain(t *testing.T) {
+	release := make(chan bool)
+	g := newRig(t, func(_ string, w http.ResponseWriter, _ *http.Request) { <-release })
+	g.start()
+	first := g.text("a", "once")
+	second, third := again(first), again(first)
+	for _, x := range []*ledger.Text{first, second, third} {
+		if v := g.handed(x); v != Taken {
+			t.Fatal(v)
+		}
+	}
+	g.Withdraw(first)
+	g.Withdraw(third)
+	if g.holds() != 1 {
+		t.Error("the text is gone")
+	}
+	g.until("no call", func() bool { return g.called("a") == 1 })
+	close(release)
+	g.until("it stays held", func() bool { return g.holds() == 0 })
+	if g.called("a") != 1 || len(g.notices) > 0 {
+		t.Errorf("%d calls, %d notices", g.called("a"), len(g.notices))
+	}
+	// Where none has heard, nobody owns it.
+	fourth := g.text("b", "free")
+	fifth := again(fourth)
+	g.Tell(func() { g.Sender.hand(fourth, make(chan Answer, 1)); g.Sender.hand(fifth, make(chan Answer, 1)) })
+	g.Withdraw(fourth)
+	g.Withdraw(fifth)
+	g.until("a text is kept that nobody wants", func() bool { return g.holds() == 0 })
+}
+
+// A text is withdrawn and its id comes again while its call is still out: that call's end was taken for the new one's.
+func TestTheIDOfACallThatIsOut(t *testing.T) {
+	g := newRig(t, silent)
+	g.start()
+	first := g.text("a", "once")
+	if v := g.handed(first); v != Taken {
+		t.Fatal(v)
+	}
+	g.until("no call", func() bool { return g.called("a") == 1 })
+	reply := make(chan Answer, 1)
+	g.Tell(func() { // in one step, so that the end of the call comes after it
+		g.Sender.withdraw(g.texts["a"])
+		g.Sender.hand(again(first), reply)
+	})
+	if a := <-reply; a.Verdict != Nacked {
+		t.Errorf("%v while a call of that id is out", a)
+	}
+	n := make(chan int)
+	g.until("the call that was called off is not over", func() bool { g.Tell(func() { n <- len(g.left) }); return <-n == 0 })
+	if g.called("a") != 1 || len(g.notices) > 0 || g.holds() > 0 {
+		t.Errorf("%d calls, %d notices, %d held", g.called("a"), len(g.notices), g.holds())
+	}
+	if v := g.handed(again(first)); v != Taken { // all of it is over
+		t.Error(v)
+	}
+}
+
+// The id of a text that has its end comes once more: nothing is sent for it again, and its notice ends nothing else.
+func TestTheIDOfATextThatIsOver(t *testing.T) {
+	g := newRig(t, ok)
+	g.start()
+	x := g.text("a", "once")
+	g.handed(x)
+	g.until("it stays held", func() bool { return g.holds() == 0 })
+	if v := g.handed(again(x)); v != Taken || g.holds() > 0 || g.called("a") != 1 {
+		t.Errorf("%v, %d held, %d calls", v, g.holds(), g.called("a"))
+	}
+	g.mu.Lock()
+	g.answer = silent
+	g.mu.Unlock()
+	y := g.text("b", "once")
+	y.ValidUntil = g.now() + control.Second/5
+	g.handed(y)
+	g.notice() // it is owed, over a restart too
+	for range 2 {
+		if v := g.handed(again(y)); v != Taken || g.holds() > 0 || g.called("b") != 1 {
+			t.Errorf("%v, %d held, %d calls", v, g.holds(), g.called("b"))
+		}
+		g.kill()
+		g.start()
+	}
+}
--- a/internal/sender/outlet.go
+++ b/internal/sender/outlet.go
@@ -95,13 +95,11 @@
 	h := s.texts[n.ID]
 	switch {
 	case h == nil:
-	case h.reply != nil:
+	case h.waits != nil:
 		// Written before it is said: a process killed in between would else send what its client had back.
 		s.counts.Refused++
 		s.forget(n.ID)
-		reply := h.reply
-		h.reply = nil
-		s.leave(func() { reply <- a }, nil) // an end goes in any case
+		s.leave(func() { h.tell(a) }, nil) // an end goes in any case
 	default:
 		if n.Nack {
 			s.counts.Nacked++
@@ -109,6 +107,7 @@
 			s.counts.Undeliverable++
 		}
 		delete(s.texts, n.ID)
+		s.over.add(n.ID, s.limits.Texts)
 		if n.Key = h.Key; n.Key != "" { // at once: the module may let the next of the key go in this very batch
 			s.module.Untold(n.Key)
 		}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -52,6 +52,8 @@
 	desk   Desk
 
 	texts    map[string]*held
+	left     map[string]*held // withdrawn, and a call of theirs is out
+	over     recent           // ids of texts that were taken on and have their end
 	listed   map[control.ReceiverID]control.Entry
 	at       map[string]control.ReceiverID // by address, those listed
 	recall   map[string]learnt.Receiver    // of a process before, by address; until the list names them
@@ -89,7 +91,40 @@
 	*ledger.Text
 	no    int             // of the next submit, as the module counts
 	call  *receivers.Call // out; nil if none
-	reply chan<- Answer   // the client waits; nil once it has heard
+	waits []chan<- Answer // clients that wait; none once they have heard
+	from  []*ledger.Text  // its hand-ins that hear that it is taken on
+}
+
+// mostFrom bounds the hand-ins of one id that are remembered; more cannot withdraw it.
+const mostFrom = 8
+
+// heldOf makes what is kept of a text; a process before may have taken it on.
+func heldOf(t *ledger.Text) *held { return &held{Text: t, no: t.Submits, from: []*ledger.Text{t}} }
+
+// tell answers the clients that wait.
+func (h *held) tell(a Answer) {
+	for _, reply := range h.waits {
+		reply <- a
+	}
+	h.waits = nil
+}
+
+// recent remembers so many ids, the latest.
+type recent struct {
+	ids   map[string]bool
+	order []string
+}
+
+func (r *recent) add(id string, most int) {
+	if r.ids == nil {
+		r.ids = map[string]bool{}
+	}
+	if !r.ids[id] {
+		r.ids[id], r.order = true, append(r.order, id)
+	}
+	for ; len(r.order) > most; r.order = r.order[1:] {
+		delete(r.ids, r.order[0])
+	}
 }
 
 // New makes the actor, takes over what the ledger owes and tells the module. Run then lets it act.
@@ -97,7 +132,7 @@
 	s := &Sender{
 		limits: c.Limits, began: time.Now(), mail: make(chan func(), c.Limits.Mailbox),
 		timer: time.NewTimer(time.Hour), ledger: l, fleet: f,
-		texts: map[string]*held{}, listed: map[control.ReceiverID]control.Entry{},
+		texts: map[string]*held{}, left: map[string]*held{}, listed: map[control.ReceiverID]control.Entry{},
 		at: map[string]control.ReceiverID{}, idle: make(chan struct{}),
 	}
 	var err error
@@ -120,10 +155,11 @@
 	s.ledger.Now(s.now())
 	texts, due := s.ledger.Owed()
 	for _, t := range texts {
-		s.texts[t.ID] = &held{Text: t, no: t.Submits}
+		s.texts[t.ID] = heldOf(t)
 		s.take(t, true)
 	}
 	for _, n := range due {
+		s.over.add(n.ID, s.limits.Texts)
 		if n.Key != "" {
 			s.module.Untold(n.Key)
 		}
@@ -172,16 +208,15 @@
 	}
 	for _, h := range s.fresh {
 		switch {
-		case h.reply == nil:
+		case h.waits == nil:
+		case s.texts[h.ID] != h: // withdrawn since
+			h.tell(Answer{Verdict: Nacked})
 		case s.unsynced: // it might be forgotten
-			s.module.Withdrawn(h.ID)
+			s.withdraw(h)
 			s.counts.Refused++
-			s.forget(h.ID)
-			h.reply <- Answer{Verdict: Nacked}
-			h.reply = nil
+			h.tell(Answer{Verdict: Nacked})
 		default:
-			h.reply <- Answer{Verdict: Taken}
-			h.reply = nil
+			h.tell(Answer{Verdict: Taken})
 			s.counts.Taken++
 		}
 	}
@@ -246,15 +281,28 @@
 }
 
 func (s *Sender) hand(t *ledger.Text, reply chan<- Answer) {
-	if h := s.texts[t.ID]; h != nil { // the id of a text that is held, and perhaps not taken on
-		v := Taken
-		if h.reply != nil {
-			v = Nacked
+	// A client whose connection ended under its request sends that once more: it is the same hand-in.
+	switch h := s.texts[t.ID]; {
+	case h != nil:
+		if t.Body = nil; len(h.from) < mostFrom {
+			h.from = append(h.from, t)
 		}
-		reply <- Answer{Verdict: v}
+		if h.waits != nil {
+			h.waits = append(h.waits, reply)
+		} else {
+			reply <- Answer{Verdict: Taken}
+		}
+		return
+	case s.over.ids[t.ID]: // it has its end, and its notice may be on its way
+		reply <- Answer{Verdict: Taken}
+		return
+	case s.left[t.ID] != nil: // what is still out would be taken for its own
+		s.counts.Refused++
+		reply <- Answer{Verdict: Nacked}
 		return
 	}
-	h := &held{Text: t, reply: reply}
+	h := heldOf(t)
+	h.waits = []chan<- Answer{reply}
 	s.texts[t.ID] = h
 	t.TakenAt = s.now()
 	full := len(s.texts) > s.limits.Texts || s.owed >= s.limits.Texts
@@ -285,16 +333,27 @@
 	})
 }
 
-// Withdraw posts that a client went without an answer.
+// Withdraw posts that a client went without an answer. The text stays where another hand-in of it was answered.
 func (s *Sender) Withdraw(t *ledger.Text) {
 	s.Tell(func() {
-		if h := s.texts[t.ID]; h != nil && h.Text == t {
-			s.module.Withdrawn(t.ID)
-			s.forget(t.ID)
+		h := s.texts[t.ID]
+		if h == nil || !slices.Contains(h.from, t) {
+			return
+		}
+		if h.from = slices.DeleteFunc(h.from, func(o *ledger.Text) bool { return o == t }); len(h.from) == 0 {
+			s.withdraw(h)
 		}
 	})
 }
 
+func (s *Sender) withdraw(h *held) {
+	s.module.Withdrawn(h.ID)
+	if h.call != nil {
+		s.left[h.ID] = h
+	}
+	s.forget(h.ID)
+}
+
 // forget: nothing more is owed for a text.
 func (s *Sender) forget(id string) {
 	delete(s.texts, id)
@@ -414,12 +473,16 @@
 // answered hands the result of a submit to the module.
 func (s *Sender) answered(id string, no int, r control.Result) {
 	s.counts.add(r)
+	if h := s.left[id]; h != nil && h.no == no+1 {
+		delete(s.left, id)
+	}
 	if h := s.texts[id]; h != nil && h.call != nil && h.no == no+1 {
 		h.call = nil
 		if r.Outcome == control.Delivered {
 			s.counts.Delivered++
 		}
 		if r.Closed {
+			s.over.add(id, s.limits.Texts)
 			s.forget(id)
 		} else {
 			s.noted(id, s.ledger.Answered(id, r.Outcome.MayHaveRun()))
