A stop waits for what clients still bring, hears what has come, and keeps back what has not left

Found on reading windDown, Run and Freeze. (1) Idle was told at the first moment without work; a text brought after it on an open connection was taken on and submitted, and the process ended with its call out. (2) What stood in the actor's mailbox at the end was not read: a text whose 200 had come was sent again after the start, a once-only one ended undeliverable. (3) A call that waited for its connection at the end counted as one that may have run. (4) SIGTERM during the start ended the process like a kill. Now Idle is asked for once clients can bring no more (StopEnd stays the end), Run reads its mailbox out, Freeze keeps back what waits for its connection (Call.KeepBack, atomic against the leaving), signals are taken from the first.

--- a/cmd/emberquay/main_test.go
+++ b/cmd/emberquay/main_test.go
@@ -49,6 +49,7 @@
 	calls   atomic.Int64
 	notices atomic.Int64
 	stuck   atomic.Int64 // notices that the platform does not answer
+	hold    chan bool    // the receiver answers once it is closed
 
 	delivered sync.Map // ids
 }
@@ -63,6 +64,9 @@
 			<-r.Context().Done()
 			return
 		}
+		if p.hold != nil {
+			<-p.hold
+		}
 		p.delivered.Store(r.Header.Get("X-Call-Id"), true)
 	}))
 	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -333,6 +337,51 @@
 	}
 }
 
+// A client's last text comes at a stop that had nothing left to do. The process waits for its call, and leaves none
+// of which it does not know whether it ran.
+func TestATextAtTheEndOfAStop(t *testing.T) {
+	p := newProgram(t)
+	p.hold = make(chan bool)
+	p.start()
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	var open []net.Conn // the newest last; a connection on which nothing comes is closed in time
+	for {
+		c, err := net.Dial("tcp", p.listen)
+		if err != nil {
+			break
+		}
+		if open = append(open, c); len(open) > 6 {
+			open[0].Close()
+			open = open[1:]
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	c := open[len(open)-4] // the last ones may not have been accepted
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	fmt.Fprint(c, "POST /api HTTP/1.1\r\nHost: a\r\nX-Call-Id: a\r\nX-Call-Class: free\r\nX-Budget: 9\r\n"+
+		"X-Envelope: dest=3\r\nContent-Length: 1\r\n\r\nx")
+	if r, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || r.StatusCode != http.StatusAccepted {
+		t.Fatal(r, err)
+	}
+	for _, c := range open {
+		c.Close()
+	}
+	p.until("no call", func() bool { return p.calls.Load() == 1 })
+	ended := make(chan error, 1)
+	go func() { ended <- p.cmd.Wait() }()
+	select {
+	case <-ended:
+		t.Error("it ended with a call out")
+		close(p.hold)
+	case <-time.After(300 * time.Millisecond):
+		close(p.hold)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+	p.cmd = nil
+}
+
 // What cannot be delivered before the end is left to the next start.
 func TestStoppedWithCallsOut(t *testing.T) {
 	p := newProgram(t)
--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -33,7 +33,9 @@
 // Run puts the parts together and serves until SIGTERM or SIGINT.
 func (c *serveCmd) Run() error {
 	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP) // from the first: it ends a process that does not expect it
+	signals := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP) // from the first: they end a process that does not expect them, in the midst of its start
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	conf, own, err := c.read()
 	if err != nil {
 		return err
@@ -91,8 +93,6 @@
 	go func() { failed <- front.Serve(listener) }()
 	slog.Info("ready", "part", "serve", "name", conf.Name, "listen", conf.Listen)
 
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case err := <-failed:
 		return err
@@ -163,32 +163,36 @@
 }
 
 // windDown serves what still comes, works on what is owed for as long as there is time, and leaves the
-// rest to the ledger.
+// rest to the ledger. Nothing is left to do only once clients can bring no more: what they bring after a moment without
+// work would else be cut off in the midst of its call.
 func windDown(limits config.Limits, front *clients.Server, s *sender.Sender) {
 	began := time.Now()
 	at := func(d time.Duration) <-chan time.Time { return time.After(time.Until(began.Add(d))) }
 	front.Linger()
 	<-at(limits.StopListen)
-	// A connection on which nothing came yet holds the shutdown up; work on what is owed must not wait for it.
 	closed := make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithDeadline(context.Background(), began.Add(limits.StopEnd))
 		defer cancel()
 		closed <- front.Shutdown(ctx)
 	}()
-	s.Stop()
-	select {
-	case <-s.Idle():
-	case <-at(limits.StopSubmit):
-		s.Freeze()
+	freeze, end, idle := at(limits.StopSubmit), at(limits.StopEnd), (<-chan struct{})(nil)
+	for done := false; !done; {
 		select {
-		case <-s.Idle():
-		case <-at(limits.StopEnd):
+		case err := <-closed:
+			if err != nil {
+				slog.Warn("shutdown", "part", "serve", "err", err)
+			}
+			s.Stop()
+			idle = s.Idle()
+		case <-freeze:
+			s.Freeze()
+		case <-idle:
+			done = true
+		case <-end:
+			done = true
 		}
 	}
-	if err := <-closed; err != nil {
-		slog.Warn("shutdown", "part", "serve", "err", err)
-	}
 	c, _ := s.Status()
 	slog.Info("stopped", "part", "serve", "after", time.Since(began).Round(time.Millisecond), "taken", c.Taken,
 		"refused", c.Refused, "delivered", c.Delivered, "nacked", c.Nacked, "undeliverable", c.Undeliverable,
--- a/internal/receivers/call.go
+++ b/internal/receivers/call.go
@@ -45,8 +45,16 @@
 	addr   string
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	stage  atomic.Int32 // waiting, leaving or kept back
 }
 
+// Until a call leaves it can be kept back: then nothing of it is ever written.
+const (
+	waiting int32 = iota
+	leaving
+	keptBack
+)
+
 // NewCall makes a call that Cancel can call off from the start.
 func NewCall(text, mark string, body []byte, wait time.Duration, done func(control.Result)) *Call {
 	c := &Call{Text: text, Mark: mark, Body: body, Wait: wait, Done: done}
@@ -66,6 +74,18 @@
 // Cancel gives the call up; its connection is closed.
 func (c *Call) Cancel() { c.cancel(errCancelled) }
 
+// KeepBack gives the call up if it still waits for its connection, so that it surely never runs.
+func (c *Call) KeepBack() {
+	if c.stage.CompareAndSwap(waiting, keptBack) {
+		c.cancel(errCancelled)
+	}
+}
+
+// leave notes that some of the call may be written from now on; false: it was kept back.
+func (c *Call) leave() bool {
+	return c.stage.CompareAndSwap(waiting, leaving) || c.stage.Load() == leaving
+}
+
 // onceBody is read once: it hides from http.Transport that the body could be had again. A request with an
 // idempotency key is else sent a second time by the transport itself when its connection breaks, and the
 // receiver counts that as a second submit. An empty body must be one too, as http.NoBody is always had again.
@@ -88,7 +108,7 @@
 			// While a connection was made, by a network that says nothing for a second, say, a wait may have been
 			// told or the time for a repeat have passed: what is written now counts as sent now.
 			var stop error
-			if !(first && info.WasIdle) && c.Still != nil && !c.Still(c.ctx) {
+			if !(first && info.WasIdle) && c.Still != nil && !c.Still(c.ctx) || !c.leave() {
 				stop = errOverdue
 			}
 			t.on.begin(stop, func() { c.cancel(errSpoilt) })
--- a/internal/sender/crossing_test.go
+++ b/internal/sender/crossing_test.go
@@ -1,7 +1,12 @@
 package sender
 
 import (
+	"errors"
+	"fmt"
+	"maps"
+	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -65,6 +70,84 @@
 	g.until("a text is kept that nobody wants", func() bool { return g.holds() == 0 })
 }
 
+// A process that stops knows that a call has not left: what must not run twice is still sent after the start.
+func TestStoppedWhileAConnectionIsMade(t *testing.T) {
+	g := newRig(t, ok)
+	there := g.addr
+	g.addr, g.dial = fullListener(t), time.Minute
+	g.set = maps.Clone(settings) // calls may take long
+	g.set["RequestClasses.2.ObjectiveUs"], g.set["RequestClasses.2.HardLimitUs"] = "100000000", "200000000"
+	g.start()
+	g.hand("a", "once", time.Minute)
+	out := func() int {
+		n := make(chan int)
+		g.Tell(func() { n <- g.counts.Out })
+		return <-n
+	}
+	g.until("no call", func() bool { return out() == 1 })
+	g.Freeze()
+	g.until("a call that cannot leave stays out", func() bool { return out() == 0 })
+	g.kill()
+	g.addr = there
+	g.start()
+	g.until("it is not sent after the start", func() bool { return g.called("a") == 1 })
+	if len(g.notices) > 0 {
+		t.Errorf("%+v", <-g.notices)
+	}
+}
+
+// fullListener is a place to which no further connection comes up, and none is refused.
+func fullListener(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	for range 16 {
+		c, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	t.Fatal("it takes every connection")
+	return ""
+}
+
+// A process ends while the answer to a call stands in the actor's mailbox: it is heard, and nothing is sent again.
+func TestStoppedWithAnAnswerInTheMailbox(t *testing.T) {
+	release := make(chan bool)
+	g := newRig(t, func(_ string, w http.ResponseWriter, _ *http.Request) { <-release })
+	g.start()
+	g.hand("a", "free", time.Minute)
+	g.until("no call", func() bool { return g.called("a") == 1 })
+	s, stand, on := g.Sender, make(chan bool), make(chan bool)
+	g.Tell(func() { s.later = append(s.later, func() { stand <- true; <-on }) }) // within a settle, after the mailbox was read
+	<-stand
+	close(release)
+	g.until("no answer", func() bool { return len(s.mail) > 0 })
+	close(g.stop)
+	on <- true
+	<-g.stopped
+	g.CloseLedger()
+	g.stop, g.stopped = make(chan struct{}), make(chan struct{})
+	close(g.stopped)
+	g.Sender = nil
+	g.start()
+	if g.holds() != 0 || g.called("a") != 1 {
+		t.Errorf("%d held, %d calls", g.holds(), g.called("a"))
+	}
+}
+
 // A text is withdrawn and its id comes again while its call is still out: that call's end was taken for the new one's.
 func TestTheIDOfACallThatIsOut(t *testing.T) {
 	g := newRig(t, silent)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -167,12 +167,18 @@
 	}
 }
 
-// Run makes calls on the module until stop is closed.
+// Run makes calls on the module until stop is closed. Nothing new goes out then, but what has come by then is heard:
+// a text whose delivery lies in the mailbox would else be sent again after the start.
 func (s *Sender) Run(stop <-chan struct{}) {
 	s.settle()
 	for {
 		select {
 		case <-stop:
+			s.frozen = true
+			for len(s.mail) > 0 {
+				s.step(<-s.mail)
+			}
+			s.settle()
 			return
 		case do := <-s.mail:
 			s.step(do)
@@ -494,8 +500,18 @@
 // Stop posts that the process is to end: what is owed is worked on, and Idle tells once nothing is left.
 func (s *Sender) Stop() { s.Tell(func() { s.stopping = true }) }
 
-// Freeze posts that nothing new goes out; Idle then tells once no call is out.
-func (s *Sender) Freeze() { s.Tell(func() { s.frozen = true }) }
+// Freeze posts that nothing new goes out; Idle then tells once no call is out. Calls that wait for their connections are
+// kept back: out at the end they would count as such that may have run.
+func (s *Sender) Freeze() {
+	s.Tell(func() {
+		s.frozen = true
+		for _, h := range s.texts {
+			if h.call != nil {
+				h.call.KeepBack()
+			}
+		}
+	})
+}
 
 // Idle is closed once a sender that stops has nothing left to do.
 func (s *Sender) Idle() <-chan struct{} { return s.idle }
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -56,6 +56,8 @@
 	power bool
 	files vfs.FS
 	addr  string
+	dial  time.Duration
+	set   control.Settings
 	*Sender
 	stop, stopped chan struct{}
 
@@ -66,7 +68,7 @@
 }
 
 func newRig(t *testing.T, answer func(id string, w http.ResponseWriter, r *http.Request)) *rig {
-	g := &rig{t: t, dir: t.TempDir(), disk: 3e6, files: vfs.OS{}, calls: map[string]int{}, answer: answer,
+	g := &rig{t: t, dir: t.TempDir(), disk: 3e6, dial: time.Second, set: settings, files: vfs.OS{}, calls: map[string]int{}, answer: answer,
 		notices: make(chan *ledger.Notice, 999)}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body) // else the server does not see that the caller goes
@@ -90,8 +92,8 @@
 // start starts a sender on what the folder holds, as after a restart.
 func (g *rig) start() {
 	g.t.Helper()
-	conf := &config.Config{Settings: settings, Limits: config.Limits{Slots: 8, Texts: 50, Mailbox: 64, Body: 64 << 10,
-		Header: 16 << 10, ReceiverConns: 64, Dial: time.Second, ReceiverIdle: time.Second, Answer: 300 * time.Millisecond,
+	conf := &config.Config{Settings: g.set, Limits: config.Limits{Slots: 8, Texts: 50, Mailbox: 64, Body: 64 << 10,
+		Header: 16 << 10, ReceiverConns: 64, Dial: g.dial, ReceiverIdle: time.Second, Answer: 300 * time.Millisecond,
 		Drain: 50 * time.Millisecond}}
 	l, err := ledger.Open(g.files, g.dir, ledger.Options{Room: g.disk, Power: g.power})
 	if err != nil {
