A kept connection is looked at in the moment before the first byte of a call

Found on reading conn.begin: it looked for an end when the transport gave the connection out; head and body were then put together by another goroutine, and an end that came in between made a call that nobody read one that may have run (a once-only text is lost by it). Now conn.Write looks, and what the transport's reader hears while nothing is asked counts as well (conn.dead), so that the call goes on the next connection and no submit is spent. TestADeadConnectionGetsNothing asked begin in a loop until it saw the end, without bound; it now ends the connection after begin, which is stricter, and failed before: 6 bytes written, or an error that is not known as a dead connection. -race -count=10 clean. What ends between the look and the write is left: no look can exclude it.

--- a/internal/receivers/call_test.go
+++ b/internal/receivers/call_test.go
@@ -17,6 +17,7 @@
 
 	"emberquay/control"
 	"emberquay/internal/config"
+	"emberquay/internal/protocol"
 )
 
 var limits = config.Limits{ReceiverConns: 8, Slots: 4, Body: 64 << 10, Header: 16 << 10,
@@ -385,34 +386,42 @@
 	}
 }
 
-// The receiver ended a kept connection, or said more on it, and the transport has not seen that yet: the call
-// goes on another, as nothing of it was written.
+// A receiver ends a kept connection, or sends what nobody asked for, after a call got the connection and before anything
+// of it is written. What nobody reads must not count as a call that may have run: nothing is written, whoever hears first.
 func TestADeadConnectionGetsNothing(t *testing.T) {
 	for _, more := range []string{"", "more"} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		near, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		far, _ := l.Accept()
-		c := &conn{Conn: near, fleet: fleet("127.0.0.1:1")}
-		c.begin(nil, nil)
-		if _, err := c.Write([]byte("first")); err != nil {
-			t.Fatal(err)
-		}
-		if io.WriteString(far, more); more == "" {
-			far.Close()
-		}
-		for stop := error(nil); stop == nil; _, stop = c.state() {
-			time.Sleep(time.Millisecond)
+		for _, heard := range []bool{false, true} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			near, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			far, _ := l.Accept()
+			c := &conn{Conn: near, fleet: fleet("127.0.0.1:1")}
+			defer c.Close()
 			c.begin(nil, nil)
-		}
-		if n, err := c.Write([]byte("second")); n != 0 || err != errDead {
-			t.Error(n, err)
+			if _, err := c.Write([]byte("first")); err != nil {
+				t.Fatal(err)
+			}
+			c.begin(nil, nil)
+			if io.WriteString(far, more); more == "" {
+				far.Close()
+			}
+			for over := false; !over; time.Sleep(time.Millisecond) {
+				unread, ended := protocol.Peek(near)
+				over = unread || ended
+			}
+			if heard { // by the transport, which waits for answers all the time
+				c.Read(make([]byte, 9))
+			}
+			n, err := c.Write([]byte("second"))
+			if _, stop := c.state(); n != 0 || err != errDead || stop != errDead {
+				t.Errorf("%q, heard %v: %d bytes are written, %v, %v", more, heard, n, err, stop)
+			}
 		}
 	}
 }
--- a/internal/receivers/conn.go
+++ b/internal/receivers/conn.go
@@ -23,6 +23,7 @@
 	calls  int   // that it was given
 	stop   error // why nothing of the present one may be written; nil: it may
 	asked  bool  // some of a call is written
+	dead   bool  // it ended, or more came, while nothing was asked
 	answer protocol.Message
 	late   *time.Timer // runs while a head has begun and not ended
 	spoilt func()      // tells the call that its head does not end
@@ -37,23 +38,26 @@
 }
 
 // begin makes the connection ready for a call, of which nothing leaves if there is a reason to stop it; spoilt is
-// called if the head of its answer does not end. The transport may give out a kept one before it sees that the
-// receiver has ended it, or sent what nobody asked for: nothing is written to such a one.
+// called if the head of its answer does not end.
 func (c *conn) begin(stop error, spoilt func()) {
-	unread, ended := protocol.Peek(c.Conn)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls++
-	if stop == nil && (unread || ended) {
-		stop = errDead
-	}
 	c.stop = stop
 	c.asked, c.answer, c.spoilt = false, protocol.Message{}, spoilt
 }
 
-// Write sends some of a call; from here on an answer may come.
+// Write sends some of a call; from here on an answer may come. The transport may give out a kept connection before it
+// sees that the receiver has ended it, or sent what nobody asked for: nothing is written to such a one. It is looked at
+// in the last moment, as what is written to a connection that is over counts as a call that may have run.
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
+	if c.stop == nil && !c.asked {
+		unread, ended := protocol.Peek(c.Conn)
+		if c.dead = c.dead || unread || ended; c.dead {
+			c.stop = errDead
+		}
+	}
 	stop := c.stop
 	c.asked = c.asked || stop == nil
 	c.mu.Unlock()
@@ -69,6 +73,7 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.dead = c.dead || !c.asked && (n > 0 || err != nil) // the transport may have given it out already
 	own := 0
 	for c.asked && own < n {
 		if c.answer.Part == protocol.Over && c.answer.Status >= http.StatusOK {
