A watch that had brought something and ends is opened again at once

Found on reading directory.Run: after an end of the stream, a reset or a spoilt list it rested for a drawn time of up to 5 s in a fleet of 50 or more, while what the agent has counts as told whether or not a watch is open: a sender went on sending to what drains. Now the rest is RetryLeast (50 ms), doubled while watches end within the time of a silence, never over the drawn one; asks in vain rest as before, since a platform that cannot answer is not to be asked in step. At fault: the lines after follow() in Run. Test: TestAWatchThatEndsIsOpenedAgainAtOnce, rests of an hour drawn: failed before (nothing came). -race -count=3 clean.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -138,6 +138,20 @@
 	wants(t, asked, "?stream=1&index=41", "?stream=1&index=41", "?stream=1&index=41", "?stream=1&index=41")
 }
 
+// A watch that had brought something and ended, or brought what makes no sense, was opened again only after up to five
+// seconds in a fleet of many; what the platform had for the sender meanwhile counted as told.
+func TestAWatchThatEndsIsOpenedAgainAtOnce(t *testing.T) {
+	before := apart
+	defer func() { apart = before }()
+	apart = time.Hour // a rest would outlast the test
+	news, asked := follow(t, told(41, true, 1, "active"), "\n", told(42, false, 1, "leaving"), "{spoilt}\n", told(43, true, 2, "active"))
+	wants(t, asked, "?stream=1&index=41", "?stream=1&index=41", "?stream=1&index=42", "", "?stream=1&index=43")
+	expect(t, news)
+	if n := expect(t, news); n.Hosts[0].Listing != control.Draining {
+		t.Errorf("%+v", n)
+	}
+}
+
 // A list over several lines was an error at its first one, and the change was lost.
 func TestListsMayComeIndented(t *testing.T) {
 	indented := strings.ReplaceAll(told(42, false, 2, "leaving"), ",", ",\n\n  ")
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -27,6 +27,7 @@
 	version int64
 	whole   bool // the whole list is wanted: there is none yet, or a change was missed
 	pauses  *pauses
+	ended   int // watches that were answered and ended, each within the time of a silence
 	tell    func(News)
 }
 
@@ -81,15 +82,27 @@
 			return
 		}
 		slog.Warn("watch_ended", "part", "directory", "version", d.version, "after", time.Since(began), "err", err)
+		lasted := heard && time.Since(began) > d.limits.ListSilence
+		if lasted || err == errMoved {
+			d.ended = 0
+		}
 		pause := d.pauses.next(heard || err == errMoved)
-		// After a silence one request stays open all the time: what the platform tells at its return, or told while
-		// the watch was broken, counts as told whether or not anybody asks.
+		// What the platform has for this sender counts as told whether or not anybody asks. After a silence one request
+		// stays open all the time; one that was answered and then ended is opened again at once, and only a platform
+		// that ends each one so is left alone for longer and longer.
+		if heard || err == errMoved {
+			pause = min(pause, d.limits.RetryLeast<<min(d.ended, mostEnded))
+			d.ended++
+		}
 		if err != errMoved && err != errSilent {
 			d.rest(ctx, pause)
 		}
 	}
 }
 
+// mostEnded bounds how often the rest after a watch that ended doubles.
+const mostEnded = 6
+
 // rest waits, unless it is told to go to another address meanwhile.
 func (d *Directory) rest(ctx context.Context, pause time.Duration) {
 	select {
