A notice on a connection that says nothing costs one short try

Found on reading notices.Desk: a try waited 500 ms for the platform, and a text's end counts as late 300 ms after its time, so that one kept connection that fell silent lost the texts whose notices went out on it. The first try waits 100 ms now, each further one twice as long up to 800 ms; a notice that comes twice does no harm. Test: TestASilentConnectionCostsOneTry, real sockets, the second request held for good; its last part fails with the 500 ms of before.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -54,7 +54,7 @@
 	ReceiverIdle time.Duration
 	Drain        time.Duration // to read the rest of an answer whose outcome is known
 	ListSilence  time.Duration // with not even a heartbeat: the watch is made anew
-	Notice       time.Duration // for the platform to take notices
+	Notice       time.Duration // for the platform to take notices, doubled with each try in vain
 	RetryLeast   time.Duration // between tries of one peer, doubled up to RetryMost
 	RetryMost    time.Duration
 	ListFirst    time.Duration // within this all senders that start together ask for the list
@@ -228,7 +228,7 @@
 		Answer: 300 * time.Millisecond, Speak: 20 * time.Millisecond, ReadHeader: 1500 * time.Millisecond,
 		ClientIdle: 4 * time.Second,                    // some keep a connection for good
 		Dial:       dial, ReceiverIdle: idle * 19 / 20, // a request that crosses the receiver's own close is lost
-		Drain: 100 * time.Millisecond, ListSilence: 4500 * time.Millisecond, Notice: 500 * time.Millisecond,
+		Drain: 100 * time.Millisecond, ListSilence: 4500 * time.Millisecond, Notice: 100 * time.Millisecond,
 		RetryLeast: 50 * time.Millisecond, RetryMost: time.Second, ListFirst: first, ListApart: c.listApart(),
 		StopListen: 1200 * time.Millisecond, StopSubmit: 2600 * time.Millisecond, StopEnd: 3400 * time.Millisecond,
 	}
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -50,7 +50,6 @@
 		mail: make(chan *ledger.Notice, 2*limits.Texts+limits.Mailbox),
 		client: &http.Client{
 			Transport:     &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1},
-			Timeout:       limits.Notice,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}}
 }
@@ -90,7 +89,7 @@
 // Run sends what is posted until the context ends.
 func (d *Desk) Run(ctx context.Context) {
 	var due []*ledger.Notice
-	pause := d.limits.RetryLeast
+	pause, tries := d.limits.RetryLeast, 0
 	for {
 		if len(due) == 0 {
 			select {
@@ -115,7 +114,7 @@
 		}
 		body, batch := d.write(due[:most])
 		at := d.place()
-		if err := d.send(ctx, at, body); err != nil {
+		if err := d.send(ctx, at, body, d.patience(tries)); err != nil {
 			if ctx.Err() != nil {
 				return
 			}
@@ -130,15 +129,23 @@
 			case <-time.After(pause):
 			}
 			pause = min(max(2*pause, d.limits.RetryLeast), d.limits.RetryMost)
+			tries++
 			continue
 		}
-		pause = d.limits.RetryLeast
+		pause, tries = d.limits.RetryLeast, 0
 		arrived := slices.Clone(due[:batch])
 		due = append(due[:0], due[batch:]...)
 		d.told(arrived)
 	}
 }
 
+// patience is how long a try waits for its answer. The first, on a connection that was kept and may say nothing more,
+// leaves time for a second before the end of a text counts as late; a platform that is slow gets more each time.
+func (d *Desk) patience(tries int) time.Duration { return d.limits.Notice << min(tries, mostPatience) }
+
+// mostPatience bounds how often that doubles.
+const mostPatience = 3
+
 // write writes as many notices as one body may hold, and says how many.
 func (d *Desk) write(due []*ledger.Notice) ([]byte, int) {
 	var body bytes.Buffer
@@ -159,8 +166,8 @@
 	return body.Bytes(), len(due)
 }
 
-func (d *Desk) send(ctx context.Context, at *place, body []byte) error {
-	ctx, cancel := context.WithCancel(ctx)
+func (d *Desk) send(ctx context.Context, at *place, body []byte, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	defer context.AfterFunc(at.here, cancel)()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, at.url, bytes.NewReader(body))
--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -57,6 +57,45 @@
 	}
 }
 
+// A kept connection to the platform says nothing more just as a notice goes out on it. Its text's end counts as late
+// 0.3 s after its time: a second try on a new connection comes before.
+func TestASilentConnectionCostsOneTry(t *testing.T) {
+	came, kept, fresh := 0, "", ""
+	d, told := desk(t, 4, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		switch came++; came {
+		case 1:
+			kept = r.RemoteAddr
+		case 2:
+			if r.RemoteAddr != kept {
+				t.Error("the connection was not kept")
+			}
+			<-r.Context().Done()
+			return
+		default:
+			fresh = r.RemoteAddr
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	run(t, d)
+	for _, id := range []string{"a", "b"} {
+		d.Post(&ledger.Notice{ID: id})
+		<-told
+	}
+	if came != 3 || fresh == kept {
+		t.Errorf("%d tries, at last from %s, before from %s", came, fresh, kept)
+	}
+	conf, err := config.Parse([]byte(`{"name":"n","listen":":1","discovery":":2","state":"s","settings":{"RequestClasses":[{"Name":"a"}]}}`),
+		func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.limits = conf.Limits
+	if late := 300 * time.Millisecond; d.patience(0)+d.limits.RetryLeast+d.patience(1)/2 > late || d.patience(9) < late {
+		t.Errorf("%s, then %s, at last %s", d.patience(0), d.patience(1), d.patience(9))
+	}
+}
+
 // The platform may be down, or choke on one notice: all others arrive, and that one is tried on.
 func TestNoticesAreRetried(t *testing.T) {
 	n := 0
