Ruled out: the time for a request does not end beside its answer

Asked on reading: ReadTimeout runs from the connection's start, and its end during the work on a request would read as its client's going. net/http takes the deadline off before it reads beside a handler; the test shows it and stays.

--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -53,11 +53,14 @@
 	return s, k, l.Addr().String()
 }
 
+// readHeader is the time for a request, from its connection on.
+var readHeader = time.Second
+
 func serveOn(t *testing.T, l net.Listener, most int, answer *sender.Answer) (*Server, *taker) {
 	t.Helper()
 	k := &taker{answer: answer, texts: make(chan *ledger.Text, 99), withdrawn: make(chan string, 9)}
 	s := New(&config.Config{Products: map[string]bool{"order": true, "late_order": true}, Limits: config.Limits{
-		ClientConns: most, Body: 64 << 10, Header: 16 << 10, ReadHeader: time.Second, ClientIdle: time.Minute,
+		ClientConns: most, Body: 64 << 10, Header: 16 << 10, ReadHeader: readHeader, ClientIdle: time.Minute,
 		Answer: 300 * time.Millisecond, Speak: 20 * time.Millisecond}}, k)
 	go s.Serve(l)
 	t.Cleanup(func() { s.http.Close() })
--- a/internal/clients/crossing_test.go
+++ b/internal/clients/crossing_test.go
@@ -155,3 +155,23 @@
 		t.Error(r, err)
 	}
 }
+
+// The time for a request ends while an answer to it is owed: that is not its client's going.
+func TestTheTimeForARequestEndsBesideItsAnswer(t *testing.T) {
+	before := readHeader
+	readHeader = 50 * time.Millisecond
+	_, k, addr := serve(t, 9, nil)
+	readHeader = before
+	c := dial(t, addr)
+	io.WriteString(c, "POST /api HTTP/1.1\r\nHost: a\r\n"+heads+"Content-Length: 1\r\n\r\nx")
+	<-k.texts
+	select {
+	case <-k.withdrawn:
+		t.Fatal("withdrawn, and its client waits")
+	case <-time.After(200 * time.Millisecond):
+	}
+	k.reply <- sender.Answer{Verdict: sender.Taken}
+	if r, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || r.StatusCode != 202 {
+		t.Error(r, err)
+	}
+}
