--- a/control/control_test.go
+++ b/control/control_test.go
@@ -544,6 +544,19 @@
 	expect(t, w, "keys kept", len(w.s.keys), 2)
 }
 
+// A process ended with a submit of a key out, which may still be worked on: the next of the key keeps its rest after the
+// start, whatever the submit that follows it comes to.
+func TestAKeyRestsAfterARestart(t *testing.T) {
+	w := newWorld(1, nil)
+	w.hand(Arrival{ID: "k1", Product: "queued", Destination: 1, Key: "a", TimeLeft: 8 * Second, Owed: true, Submits: 1, RanSince: w.now, RanZone: "z1"},
+		Arrival{ID: "k2", Product: "queued", Destination: 1, Key: "a", TimeLeft: 8 * Second, Owed: true})
+	w.texts["k1"].submits++ // that of before the restart
+	w.answer(w.texts["k1"], Delivered, 0)
+	expect(t, w, "submits of the key before its rest is over", w.sends, 1)
+	w.advance(Second / 2)
+	expect(t, w, "submits once it is over", w.sends, 2)
+}
+
 func TestSettingsThatMakeNoSense(t *testing.T) {
 	for name, value := range map[string]string{"Specifics.MaxCalls": "0", "Contract.FallUs": "-1", "RequestClasses.count": "x", "RegistryMode": "pull"} {
 		set := Settings{}
