--- a/cmd/emberquay/main_test.go
+++ b/cmd/emberquay/main_test.go
@@ -189,6 +189,7 @@
 	if s := p.hand("b", 9); s != http.StatusAccepted {
 		t.Error(s)
 	}
+	p.cmd.Process.Signal(syscall.SIGHUP) // neither a new configuration nor a second request to stop breaks a stop off
 	began := time.Now()
 	if err := p.end(syscall.SIGTERM); err != nil || time.Since(began) > 3500*time.Millisecond {
 		t.Errorf("%v after %s", err, time.Since(began))
