Read again: a stop written straight, one flag for it, the notices' patience read off the pause

Found by reading the whole change. windDown was a loop over five channels; Shutdown ends by its context, Freeze is a timer, and what is left is one wait. It also always logs a shutdown that ran out of time, where the end could win the draw. The stop was kept twice, in Server and in conns: in conns now; what goes idle during a stop calls the one rest() that Linger calls, and Shutdown asks no more for what that has done. Notices counted tries beside a pause that grows with each: patience is read off the pause; with it a move to another address begins with the short one again, which the counter did not. directory.Run asked three times whether the watch had brought something.

--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -34,7 +34,8 @@
 func (c *serveCmd) Run() error {
 	hups := make(chan os.Signal, 1)
 	signals := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP) // from the first: they end a process that does not expect them, in the midst of its start
+	// From the first: they end a process that does not expect them, in the midst of its start.
+	signal.Notify(hups, syscall.SIGHUP)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	conf, own, err := c.read()
 	if err != nil {
@@ -167,31 +168,19 @@
 // work would else be cut off in the midst of its call.
 func windDown(limits config.Limits, front *clients.Server, s *sender.Sender) {
 	began := time.Now()
-	at := func(d time.Duration) <-chan time.Time { return time.After(time.Until(began.Add(d))) }
 	front.Linger()
-	<-at(limits.StopListen)
-	closed := make(chan error, 1)
-	go func() {
-		ctx, cancel := context.WithDeadline(context.Background(), began.Add(limits.StopEnd))
-		defer cancel()
-		closed <- front.Shutdown(ctx)
-	}()
-	freeze, end, idle := at(limits.StopSubmit), at(limits.StopEnd), (<-chan struct{})(nil)
-	for done := false; !done; {
-		select {
-		case err := <-closed:
-			if err != nil {
-				slog.Warn("shutdown", "part", "serve", "err", err)
-			}
-			s.Stop()
-			idle = s.Idle()
-		case <-freeze:
-			s.Freeze()
-		case <-idle:
-			done = true
-		case <-end:
-			done = true
-		}
+	time.Sleep(limits.StopListen)
+	freeze := time.AfterFunc(time.Until(began.Add(limits.StopSubmit)), s.Freeze)
+	defer freeze.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limits.StopEnd))
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		slog.Warn("shutdown", "part", "serve", "err", err)
+	}
+	s.Stop()
+	select {
+	case <-s.Idle():
+	case <-ctx.Done():
 	}
 	c, _ := s.Status()
 	slog.Info("stopped", "part", "serve", "after", time.Since(began).Round(time.Millisecond), "taken", c.Taken,
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -53,7 +53,6 @@
 	http     *http.Server
 	conns    *conns
 	listener atomic.Pointer[net.Listener]
-	stopping atomic.Bool // each answer is the last of its connection
 }
 
 // New makes the server; the settings name the products.
@@ -78,7 +77,7 @@
 // Serve answers until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
 	s.listener.Store(&l)
-	if err := s.http.Serve(s.conns.listen(l)); !errors.Is(err, http.ErrServerClosed) && !s.stopping.Load() {
+	if err := s.http.Serve(s.conns.listen(l)); !errors.Is(err, http.ErrServerClosed) && !s.conns.stopping.Load() {
 		return err
 	}
 	return nil
@@ -88,7 +87,7 @@
 func (s *Server) Open() int { return s.conns.count() }
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.stopping.Load() {
+	if s.conns.stopping.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -104,7 +103,7 @@
 		sender.Counts
 		Clients int  `json:"client_conns"`
 		Stops   bool `json:"stopping"`
-	}{counts, s.Open(), s.stopping.Load()})
+	}{counts, s.Open(), s.conns.stopping.Load()})
 }
 
 // connKey is under what a request's context holds its connection.
@@ -120,7 +119,7 @@
 			s.refuse(w, r, http.StatusBadRequest, errors.New("Content-Length beside Transfer-Encoding"))
 			return
 		}
-		if len(r.TransferEncoding) > 0 || s.stopping.Load() {
+		if len(r.TransferEncoding) > 0 || s.conns.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -40,11 +40,12 @@
 type conns struct {
 	limits config.Limits
 
-	mu       sync.Mutex
-	open     map[*conn]bool
-	waiting  bool      // a new one waits
-	stopping bool      // none is kept between requests
-	told     time.Time // when the log last had that room was made
+	stopping atomic.Bool // none is kept between requests
+
+	mu      sync.Mutex
+	open    map[*conn]bool
+	waiting bool      // a new one waits
+	told    time.Time // when the log last had that room was made
 }
 
 func newConns(limits config.Limits) *conns { return &conns{limits: limits, open: map[*conn]bool{}} }
@@ -67,11 +68,8 @@
 		at = partial // some of its next request was read beside the answer
 	}
 	o.reached(at)
-	c.mu.Lock()
-	goes := c.stopping && at == idle && c.giveUp(o)
-	c.mu.Unlock()
-	if goes {
-		o.hangUp()
+	if c.stopping.Load() {
+		c.rest()
 	}
 }
 
@@ -101,9 +99,9 @@
 	return admitted
 }
 
-// makeRoom gives up the connection that is worth least; nil if none may go. It is closed once the lock is free. Those that say nothing, or never end what they say, may
-// have a quarter of the places: with more, what is idle would go for them, and with fewer the next client that
-// asks would wait behind them to be let in, as each has a moment to speak.
+// makeRoom gives up the connection that is worth least; nil if none may go. It is closed once the lock is free. Those
+// that say nothing, or never end what they say, may have a quarter of the places: with more, what is idle would go for
+// them, and with fewer the next client that asks would wait behind them to be let in, as each has a moment to speak.
 func (c *conns) makeRoom() *conn {
 	now := time.Now()
 	var over, between, unheard, ripe []*conn
@@ -148,10 +146,9 @@
 	return true
 }
 
-// rest closes the connections on which nothing is asked, from now on.
+// rest closes the connections on which nothing is asked.
 func (c *conns) rest() {
 	c.mu.Lock()
-	c.stopping = true
 	var over []*conn
 	for o := range c.open {
 		if o.at == idle && c.giveUp(o) {
@@ -228,7 +225,7 @@
 			n, fault = 0, net.ErrClosed
 			return true
 		}
-		for n, fault = syscall.Read(int(fd), b); fault == syscall.EINTR; {
+		for fault = syscall.EINTR; fault == syscall.EINTR; {
 			n, fault = syscall.Read(int(fd), b)
 		}
 		if fault == syscall.EAGAIN {
@@ -295,8 +292,8 @@
 // Linger: the process is to end. Idle connections close, others after their next answer; new ones still come.
 // The server's own ways to close idle ones are not used: they close some on which a request has been read already.
 func (s *Server) Linger() {
-	s.stopping.Store(true)
-	s.conns.rest()
+	s.conns.stopping.Store(true)
+	s.conns.rest() // one that goes idle from now on closes then
 }
 
 // Shutdown takes no new connections and waits until those that are open have had their answers. The server's own
@@ -305,15 +302,12 @@
 	if l := s.listener.Load(); l != nil {
 		(*l).Close()
 	}
-	for {
-		s.conns.rest()
-		if s.conns.count() == 0 {
-			return nil
-		}
+	for s.conns.count() > 0 {
 		select {
 		case <-time.After(s.limits.Speak / 4):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
+	return nil
 }
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -82,15 +82,15 @@
 			return
 		}
 		slog.Warn("watch_ended", "part", "directory", "version", d.version, "after", time.Since(began), "err", err)
-		lasted := heard && time.Since(began) > d.limits.ListSilence
-		if lasted || err == errMoved {
-			d.ended = 0
-		}
-		pause := d.pauses.next(heard || err == errMoved)
+		upheld := heard || err == errMoved
+		pause := d.pauses.next(upheld)
 		// What the platform has for this sender counts as told whether or not anybody asks. After a silence one request
 		// stays open all the time; one that was answered and then ended is opened again at once, and only a platform
 		// that ends each one so is left alone for longer and longer.
-		if heard || err == errMoved {
+		if upheld {
+			if err == errMoved || time.Since(began) > d.limits.ListSilence {
+				d.ended = 0
+			}
 			pause = min(pause, d.limits.RetryLeast<<min(d.ended, mostEnded))
 			d.ended++
 		}
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -89,7 +89,7 @@
 // Run sends what is posted until the context ends.
 func (d *Desk) Run(ctx context.Context) {
 	var due []*ledger.Notice
-	pause, tries := d.limits.RetryLeast, 0
+	pause := d.limits.RetryLeast
 	for {
 		if len(due) == 0 {
 			select {
@@ -114,7 +114,7 @@
 		}
 		body, batch := d.write(due[:most])
 		at := d.place()
-		if err := d.send(ctx, at, body, d.patience(tries)); err != nil {
+		if err := d.send(ctx, at, body, d.patience(pause)); err != nil {
 			if ctx.Err() != nil {
 				return
 			}
@@ -129,10 +129,9 @@
 			case <-time.After(pause):
 			}
 			pause = min(max(2*pause, d.limits.RetryLeast), d.limits.RetryMost)
-			tries++
 			continue
 		}
-		pause, tries = d.limits.RetryLeast, 0
+		pause = d.limits.RetryLeast
 		arrived := slices.Clone(due[:batch])
 		due = append(due[:0], due[batch:]...)
 		d.told(arrived)
@@ -140,11 +139,14 @@
 }
 
 // patience is how long a try waits for its answer. The first, on a connection that was kept and may say nothing more,
-// leaves time for a second before the end of a text counts as late; a platform that is slow gets more each time.
-func (d *Desk) patience(tries int) time.Duration { return d.limits.Notice << min(tries, mostPatience) }
+// leaves time for a second before the end of a text counts as late; a platform that is slow gets more each
+// time, as the pause before it grows.
+func (d *Desk) patience(pause time.Duration) time.Duration {
+	return d.limits.Notice * min(max(1, pause/max(1, d.limits.RetryLeast)), mostPatience)
+}
 
-// mostPatience bounds how often that doubles.
-const mostPatience = 3
+// mostPatience bounds by how much that grows.
+const mostPatience = 8
 
 // write writes as many notices as one body may hold, and says how many.
 func (d *Desk) write(due []*ledger.Notice) ([]byte, int) {
--- a/internal/notices/notices_test.go
+++ b/internal/notices/notices_test.go
@@ -91,8 +91,9 @@
 		t.Fatal(err)
 	}
 	d.limits = conf.Limits
-	if late := 300 * time.Millisecond; d.patience(0)+d.limits.RetryLeast+d.patience(1)/2 > late || d.patience(9) < late {
-		t.Errorf("%s, then %s, at last %s", d.patience(0), d.patience(1), d.patience(9))
+	first, second, last := d.patience(d.limits.RetryLeast), d.patience(2*d.limits.RetryLeast), d.patience(d.limits.RetryMost)
+	if late := 300 * time.Millisecond; first+d.limits.RetryLeast+second/2 > late || last < late {
+		t.Errorf("%s, then %s, at last %s", first, second, last)
 	}
 }
 
