--- a/internal/vfs/memfs/memfs.go
+++ b/internal/vfs/memfs/memfs.go
@@ -255,6 +255,17 @@
 	return &file{m: m, n: n, name: name, ro: true}, nil
 }
 
+// OpenReadWrite opens a file that is there for reading and writing, as it is.
+func (m *Mem) OpenReadWrite(name string) (vfs.File, error) {
+	f, err := m.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	opened := f.(*file)
+	opened.ro = false
+	return opened, nil
+}
+
 // Remove removes a file.
 func (m *Mem) Remove(name string) error {
 	m.mu.Lock()
@@ -407,4 +418,16 @@
 	return int64(len(f.n.data)), nil
 }
 
+// Grow counts as a write of zeros.
+func (f *file) Grow(size int64) error {
+	f.m.mu.Lock()
+	present := int64(len(f.n.data))
+	f.m.mu.Unlock()
+	if present >= size {
+		return nil
+	}
+	_, err := f.WriteAt(make([]byte, size-present), present)
+	return err
+}
+
 func (f *file) Close() error { return nil }
--- a/internal/vfs/vfs.go
+++ b/internal/vfs/vfs.go
@@ -27,6 +27,8 @@
 	io.Closer
 	Sync() error
 	Size() (int64, error)
+	// Grow makes the file at least size bytes long; what is new reads as zeros.
+	Grow(size int64) error
 }
 
 // FS is a file system as far as a keeper needs one. Errors are those of package os, so errors.Is(err, fs.ErrNotExist)
@@ -35,6 +37,8 @@
 	MkdirAll(dir string) error
 	Create(name string) (File, error) // for reading and writing, empty
 	Open(name string) (File, error)   // for reading
+	// OpenReadWrite opens a file that is there for reading and writing, as it is.
+	OpenReadWrite(name string) (File, error)
 	Remove(name string) error
 	Rename(from, to string) error
 	List(dir string) ([]string, error) // names of plain files, sorted
@@ -65,6 +69,14 @@
 	return i.Size(), nil
 }
 
+func (f osFile) Grow(size int64) error {
+	present, err := f.Size()
+	if err != nil || present >= size {
+		return err
+	}
+	return f.Truncate(size)
+}
+
 // MkdirAll makes a folder for its owner alone.
 func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, 0o700) }
 
@@ -86,6 +98,15 @@
 	return osFile{f}, nil
 }
 
+// OpenReadWrite opens a file that is there for reading and writing, as it is.
+func (OS) OpenReadWrite(name string) (File, error) {
+	f, err := os.OpenFile(name, os.O_RDWR, 0)
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
 // Remove removes a file.
 func (OS) Remove(name string) error { return os.Remove(name) }
 
