--- /dev/null
+++ b/internal/proxy/outbound/errors.go
@@ -0,0 +1,45 @@
+package outbound
+
+import (
+	"errors"
+
+	"github.com/rotisserie/eris"
+)
+
+// Reasons for which nothing was sent.
+var (
+	ErrFull   = errors.New("all connections to the receiver are in use")
+	ErrClosed = errors.New("the pool is closed")
+	errStale  = errors.New("the receiver has ended the kept connection")
+)
+
+// Reasons for which an answer is no answer to the request.
+var (
+	errForeign      = errors.New("the answer belongs to another request")
+	errUnidentified = errors.New("the answer names no request")
+	errUnbounded    = errors.New("the answer does not tell where its body ends")
+	errHeadTooLong  = errors.New("the answer's head is too long")
+	errUpgrade      = errors.New("the receiver switched protocols")
+)
+
+// Error is a failed exchange.
+type Error struct {
+	Address string
+	Sent    bool // a byte of the request may have left: it may have run
+	Cause   error
+}
+
+func (e *Error) Error() string { return "receiver " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap gives the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Sent says whether a failed exchange may have reached the receiver.
+func Sent(err error) bool {
+	var failure *Error
+	return !errors.As(err, &failure) || failure.Sent
+}
+
+func failed(address string, sent bool, cause error) error {
+	return &Error{Address: address, Sent: sent, Cause: eris.Wrap(cause, "exchange")}
+}
