Internal calls: avro messages in frames, one multiplexed connection a peer

Cause: the tier's processes need one way to call each other, with refusals told apart from calls of open fate. Ruled out: net/rpc and gRPC (house style: hamba/avro, no proxying or discovery of a library); a resend on a broken connection, as the call may have been carried out.

--- /dev/null
+++ b/internal/transport/codec.go
@@ -0,0 +1,32 @@
+package transport
+
+import (
+	"github.com/hamba/avro/v2"
+	"github.com/rotisserie/eris"
+)
+
+// messages is the avro configuration of all internal messages: bounded like the frames that carry them.
+var messages = avro.Config{MaxByteSliceSize: MaxFrame, MaxSliceAllocSize: MaxFrame}.Freeze()
+
+// Codec turns messages of one type into avro bytes and back. It is immutable and may be shared.
+type Codec[T any] struct {
+	schema avro.Schema
+}
+
+// MustCodec makes a codec of an avro schema. A schema that does not parse is a broken invariant.
+func MustCodec[T any](schema string) *Codec[T] {
+	return &Codec[T]{schema: avro.MustParse(schema)}
+}
+
+// Encode gives the avro bytes of a message.
+func (c *Codec[T]) Encode(message T) ([]byte, error) {
+	data, err := messages.Marshal(c.schema, message)
+	return data, eris.Wrap(err, "encode")
+}
+
+// Decode reads a message. Bytes that are not one are an error.
+func (c *Codec[T]) Decode(data []byte) (T, error) {
+	var message T
+	err := messages.Unmarshal(c.schema, data, &message)
+	return message, eris.Wrap(err, "decode")
+}
--- /dev/null
+++ b/internal/transport/envelope.go
@@ -0,0 +1,88 @@
+package transport
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/rotisserie/eris"
+)
+
+// MaxFrame bounds one frame in bytes: a configuration of 4 MiB, escaped, with room to spare.
+const MaxFrame = 16 << 20
+
+// preamble opens a connection: two letters, the version of the protocol, a byte kept for later.
+var preamble = [4]byte{'E', 'Q', 1, 0}
+
+// kind says what an envelope is.
+type kind int
+
+const (
+	request kind = iota // wants an answer under its id
+	oneWay              // wants none
+	answer
+	refusal // of the request of that id; the payload is its reason
+)
+
+// envelope is what a frame holds.
+type envelope struct {
+	Kind       int    `avro:"kind"`
+	ID         int64  `avro:"id"`
+	Method     string `avro:"method"`
+	TimeMillis int64  `avro:"time_millis"` // left for the call when it was sent
+	Payload    []byte `avro:"payload"`
+}
+
+var envelopes = MustCodec[envelope](`{"type":"record","name":"Envelope","fields":[
+	{"name":"kind","type":"int"},
+	{"name":"id","type":"long"},
+	{"name":"method","type":"string"},
+	{"name":"time_millis","type":"long"},
+	{"name":"payload","type":"bytes"}]}`)
+
+// frameOf gives the bytes of one frame.
+func frameOf(e envelope) ([]byte, error) {
+	body, err := envelopes.Encode(e)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > MaxFrame {
+		return nil, eris.Errorf("a message of %d bytes is over the bound of %d", len(body), MaxFrame)
+	}
+	frame := make([]byte, 4, 4+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(len(body)))
+	return append(frame, body...), nil
+}
+
+// readFrame reads one envelope.
+func readFrame(r *bufio.Reader) (envelope, error) {
+	var length [4]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return envelope{}, err
+	}
+	size := binary.BigEndian.Uint32(length[:])
+	if size > MaxFrame {
+		return envelope{}, eris.Errorf("a frame of %d bytes is over the bound of %d", size, MaxFrame)
+	}
+	body, err := readBody(r, int(size))
+	if err != nil {
+		return envelope{}, err
+	}
+	return envelopes.Decode(body)
+}
+
+// bodyStep bounds what is allocated ahead of the bytes: a length alone must not cost a whole frame of memory.
+const bodyStep = 64 << 10
+
+func readBody(r *bufio.Reader, size int) ([]byte, error) {
+	body := make([]byte, 0, min(size, bodyStep))
+	for len(body) < size {
+		step := min(size-len(body), bodyStep)
+		at := len(body)
+		body = append(body, make([]byte, step)...)
+		if _, err := io.ReadFull(r, body[at:]); err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,225 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// concurrentPerConnection bounds the requests of one peer that are handled at once; more wait unread.
+	concurrentPerConnection = 256
+	// writeTimeout bounds one write: a peer that does not read must not hold others up for long.
+	writeTimeout = 2 * time.Second
+	// serverCallTimeout bounds a call that brings no time of its own.
+	serverCallTimeout = 10 * time.Second
+	readBuffer        = 4 << 10
+)
+
+// Method names a call.
+type Method string
+
+type handler func(ctx context.Context, payload []byte) ([]byte, error)
+
+// Mux holds the handlers of a server. All are registered before Listen.
+type Mux struct {
+	handlers map[Method]handler
+}
+
+// NewMux makes an empty one.
+func NewMux() *Mux { return &Mux{handlers: map[Method]handler{}} }
+
+// Handle registers the handler of a method. Its error goes back as a *RemoteError with the error's text.
+func Handle[Q, A any](m *Mux, method Method, q *Codec[Q], a *Codec[A], f func(context.Context, Q) (A, error)) {
+	m.handlers[method] = func(ctx context.Context, payload []byte) ([]byte, error) {
+		message, err := q.Decode(payload)
+		if err != nil {
+			return nil, err
+		}
+		result, err := f(ctx, message)
+		if err != nil {
+			return nil, err
+		}
+		return a.Encode(result)
+	}
+}
+
+// Receive registers the handler of a method without an answer.
+func Receive[Q any](m *Mux, method Method, q *Codec[Q], f func(context.Context, Q)) {
+	m.handlers[method] = func(ctx context.Context, payload []byte) ([]byte, error) {
+		message, err := q.Decode(payload)
+		if err != nil {
+			return nil, err
+		}
+		f(ctx, message)
+		return nil, nil
+	}
+}
+
+// Server answers calls on one address.
+type Server struct {
+	listener net.Listener
+	mux      *Mux
+	stop     context.CancelFunc
+	base     context.Context
+
+	mutex       sync.Mutex
+	connections map[net.Conn]struct{} // guarded by mutex
+	closed      bool                  // guarded by mutex
+}
+
+// Listen binds the address and serves it until Close.
+func Listen(address string, mux *Mux) (*Server, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", address)
+	}
+	base, stop := context.WithCancel(context.Background())
+	s := &Server{listener: listener, mux: mux, base: base, stop: stop, connections: map[net.Conn]struct{}{}}
+	go s.accept()
+	return s, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the listener and every connection.
+func (s *Server) Close() error {
+	s.stop()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.closed = true
+	for c := range s.connections {
+		_ = c.Close()
+	}
+	return s.listener.Close()
+}
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			if s.base.Err() != nil {
+				return
+			}
+			time.Sleep(acceptPause) // out of descriptors: not at once again
+			continue
+		}
+		if !s.track(c) {
+			_ = c.Close()
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+// acceptPause follows a failed accept.
+const acceptPause = 20 * time.Millisecond
+
+func (s *Server) track(c net.Conn) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closed {
+		return false
+	}
+	s.connections[c] = struct{}{}
+	return true
+}
+
+func (s *Server) forget(c net.Conn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.connections, c)
+}
+
+// serve reads the requests of one peer. Each is handled by a goroutine of its own.
+func (s *Server) serve(c net.Conn) {
+	ctx, cancel := context.WithCancel(s.base)
+	defer cancel()
+	defer s.forget(c)
+	defer c.Close()
+	tune(c)
+	reader := bufio.NewReaderSize(c, readBuffer)
+	if !readPreamble(c, reader) {
+		return
+	}
+	w := &writer{conn: c}
+	slots := make(chan struct{}, concurrentPerConnection)
+	for {
+		e, err := readFrame(reader)
+		if err != nil {
+			return
+		}
+		slots <- struct{}{}
+		go func() {
+			s.handle(ctx, w, e)
+			<-slots
+		}()
+	}
+}
+
+// readPreamble checks the version that a peer opens with; one that says nothing is not waited for long.
+func readPreamble(c net.Conn, reader *bufio.Reader) bool {
+	_ = c.SetReadDeadline(time.Now().Add(serverCallTimeout))
+	for _, want := range preamble {
+		got, err := reader.ReadByte()
+		if err != nil || got != want {
+			return false
+		}
+	}
+	return c.SetReadDeadline(time.Time{}) == nil
+}
+
+func (s *Server) handle(ctx context.Context, w *writer, e envelope) {
+	limit := serverCallTimeout
+	if e.TimeMillis > 0 {
+		limit = min(limit, time.Duration(e.TimeMillis)*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	h := s.mux.handlers[Method(e.Method)]
+	if h == nil {
+		w.refuse(e, "unknown method "+e.Method)
+		return
+	}
+	payload, err := h(ctx, e.Payload)
+	switch {
+	case kind(e.Kind) == oneWay:
+	case err != nil:
+		w.refuse(e, err.Error())
+	default:
+		_ = w.send(envelope{Kind: int(answer), ID: e.ID, Payload: payload})
+	}
+}
+
+// writer sends whole frames on a connection, one at a time. A write that fails breaks the connection: a
+// part of a frame may have gone.
+type writer struct {
+	mutex sync.Mutex
+	conn  net.Conn
+}
+
+func (w *writer) send(e envelope) error {
+	frame, err := frameOf(e)
+	if err != nil {
+		return err
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := w.conn.Write(frame); err != nil {
+		_ = w.conn.Close()
+		return err
+	}
+	return nil
+}
+
+func (w *writer) refuse(e envelope, reason string) {
+	if kind(e.Kind) == request {
+		_ = w.send(envelope{Kind: int(refusal), ID: e.ID, Payload: []byte(reason)})
+	}
+}
