Registration of receivers: what is spread of their heartbeats, and their silence

Cause: control nodes take the receivers' heartbeats; spreading each would cost every node more with every receiver. Ruled out: a clock to order records (clocks step); the sequence of the heartbeats orders them.

--- /dev/null
+++ b/internal/registration/registration_test.go
@@ -0,0 +1,102 @@
+package registration_test
+
+import (
+	"testing"
+	"time"
+
+	"emberquay/internal/cluster/records"
+	"emberquay/internal/registration"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestRegistration(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "registration")
+}
+
+const interval = time.Second
+
+func beat(sequence uint64) registration.Heartbeat {
+	return registration.Heartbeat{Service: "models", Address: "10.1.0.9:8080", Zone: "a", Slots: 24, Sequence: sequence}
+}
+
+func draining(sequence uint64) registration.Heartbeat {
+	b := beat(sequence)
+	b.Draining = true
+	return b
+}
+
+func always(string) bool { return true }
+func never(string) bool  { return false }
+
+var _ = Describe("heartbeats", func() {
+	var table *registration.Table
+	BeforeEach(func() { table = registration.New("front-1", interval) })
+
+	It("of a new receiver are news, the same again are not", func() {
+		first := table.Heartbeat(0, "i-1", beat(1), nil)
+		Expect(first.News).To(BeTrue())
+		Expect(first.Ends).To(BeFalse())
+		Expect(table.Heartbeat(interval, "i-1", beat(2), &first.Record).News).To(BeFalse())
+	})
+
+	It("that come late change nothing", func() {
+		last := table.Heartbeat(0, "i-1", draining(5), nil)
+		Expect(last.Ends).To(BeTrue())
+		Expect(table.Heartbeat(1, "i-1", beat(4), &last.Record).News).To(BeFalse())
+	})
+
+	It("that were heard elsewhere are not undone by an older one here", func() {
+		known := registration.New("front-2", interval).Heartbeat(0, "i-1", draining(9), nil).Record
+		Expect(table.Heartbeat(0, "i-1", beat(8), &known).News).To(BeFalse())
+	})
+
+	It("stamp a record above what was said of the silence after the one before", func() {
+		first := table.Heartbeat(0, "i-1", beat(1), nil)
+		known := []records.ReceiverRecord{first.Record}
+		quiet := table.Tick(3*interval, known, always)
+		Expect(quiet).To(HaveLen(1))
+		Expect(quiet[0].Record.State).To(Equal(records.ReceiverSilent))
+		Expect(quiet[0].Stamp.Above(first.Stamp)).To(BeTrue())
+		back := table.Heartbeat(3*interval, "i-1", beat(2), &quiet[0].Record)
+		Expect(back.News).To(BeTrue())
+		Expect(back.Stamp.Above(quiet[0].Stamp)).To(BeTrue())
+	})
+
+	It("after a word of leaving are not heeded", func() {
+		first := table.Heartbeat(0, "i-1", draining(1), nil)
+		left := table.Leave("i-1", &first.Record)
+		Expect(left.News && left.Ends).To(BeTrue())
+		Expect(left.Stamp.Above(first.Stamp)).To(BeTrue())
+		Expect(table.Heartbeat(0, "i-1", beat(2), &left.Record).News).To(BeFalse())
+		Expect(table.Leave("i-1", &left.Record).News).To(BeFalse())
+	})
+})
+
+var _ = Describe("silence", func() {
+	It("of a receiver whose owner lives is the owner's matter", func() {
+		known := []records.ReceiverRecord{registration.New("front-2", interval).Heartbeat(0, "i-1", beat(1), nil).Record}
+		table := registration.New("front-1", interval)
+		Expect(table.Tick(0, known, always)).To(BeEmpty())
+		Expect(table.Tick(100*interval, known, always)).To(BeEmpty())
+	})
+
+	It("is watched from the moment on in which the owner is found dead", func() {
+		known := []records.ReceiverRecord{registration.New("front-2", interval).Heartbeat(0, "i-1", beat(1), nil).Record}
+		table := registration.New("front-1", interval)
+		Expect(table.Tick(50*interval, known, never)).To(BeEmpty())
+		Expect(table.Tick(52*interval, known, never)).To(BeEmpty())
+		Expect(table.Tick(53*interval, known, never)).To(HaveLen(1))
+	})
+
+	It("for long ends with the receiver gone, a draining one too", func() {
+		table := registration.New("front-1", interval)
+		known := []records.ReceiverRecord{table.Heartbeat(0, "i-1", draining(1), nil).Record}
+		Expect(table.Tick(3*interval, known, always)).To(BeEmpty())
+		last := table.Tick(13*interval, known, always)
+		Expect(last).To(HaveLen(1))
+		Expect(last[0].Record.State).To(Equal(records.ReceiverGone))
+	})
+})
