admission/dispatch: the tier's decisions on each request, pure; shared figures in admission

The tier's proxies need the design's admission: a bucket a receiver endpoint, allowance from slots and reports, told waits, arrival order, refusal once wait plus a usual call passes the deadline. The module in service keeps its own tables of texts and is not fit to be called for this.

--- /dev/null
+++ b/admission/dispatch/buckets.go
@@ -0,0 +1,199 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"emberquay/admission"
+)
+
+const (
+	// defaultPause is how long a bucket holds where no wait is told, and how long a report is good for: the design's
+	// one second, after which one call looks.
+	defaultPause = time.Second
+	// firstRest is half of the pause after two failures in a row, which doubles with each further one.
+	firstRest     = time.Second / 8
+	mostDoublings = 4
+	restSpread    = 0.25 // of a pause, either way, so that senders do not come back together
+	// endedKept bounds the calls that ended since a report; those past it count as still running, the safe side.
+	endedKept = 64
+)
+
+// bucket is what this sender knows of one receiver endpoint, and what it has out there.
+type bucket struct {
+	Receiver
+	known     bool // a call was answered since the bucket was new, waited or rested; until then one call is out
+	elsewhere bool // another instance answered at its address: nothing until the list says otherwise
+	window    admission.Window
+	waitUntil Instant // told with a refusal
+	fullAt    Instant // when a refusal was last counted; those refused together count once
+	restUntil Instant // after failures
+	fails     int     // in a row
+	answered  Instant // last sign of life
+	ill       admission.Share
+	slowness  float64 // how long its calls take against usual ones; 0: not known
+	out       []*request
+	unread    int // prompt tokens of calls out that have not begun to answer
+	reading   reading
+	parts     prefixCache
+}
+
+// reading is the newest report, and what own calls have changed since the moment it speaks of.
+type reading struct {
+	Report
+	told     bool
+	at       Instant // the moment that it speaks of
+	since    int     // own calls sent after it that are out
+	returned int     // own calls that were out then and have ended
+	ended    []endedCall
+}
+
+type endedCall struct{ sent, ended Instant }
+
+func newBucket(r Receiver) *bucket {
+	return &bucket{Receiver: r, window: admission.Window(max(1, r.Slots))}
+}
+
+// list takes what the list says of the receiver now.
+func (b *bucket) list(r Receiver) {
+	if r.Address != b.Address {
+		b.elsewhere = false
+	}
+	if r.Slots > b.Slots {
+		b.window = admission.Window(r.Slots)
+	}
+	b.Receiver = r
+}
+
+// limit is how many calls the receiver bears at once, from all senders.
+func (b *bucket) limit() int {
+	if b.MaxConnections > 0 {
+		return max(1, min(b.Slots, b.MaxConnections))
+	}
+	return max(1, b.Slots)
+}
+
+// usable: calls may go there now or later. Nothing ever goes to a receiver that drains.
+func (b *bucket) usable() bool { return !b.Draining && !b.elsewhere }
+
+// good: nothing speaks against it but its allowance and told waits, which bind in any case.
+func (b *bucket) good(now Instant) bool { return b.usable() && !b.Silent && now >= b.restUntil }
+
+// told: a report speaks of the bucket as it is now. One that read nought says no more once the hold of a bucket at
+// nought is over; then one call looks.
+func (b *bucket) told(now Instant) bool {
+	if b.reading.told && now >= b.reading.at.Add(defaultPause) {
+		b.reading.told = false
+		if b.load() >= b.limit() {
+			b.known = false
+		}
+		b.reading.ended = b.reading.ended[:0]
+	}
+	return b.reading.told
+}
+
+// load is how many requests the receiver is thought to have, running and queued.
+func (b *bucket) load() int {
+	r := &b.reading
+	if !r.told && r.at == 0 {
+		return len(b.out)
+	}
+	return max(len(b.out), r.Running+r.Queued+r.since-r.returned)
+}
+
+// allowance is how many calls more may go out now: slots less what the last report counts and own calls sent since;
+// where no report is to be had, slots less own calls out. After a refusal no more are out than the learned window.
+func (b *bucket) allowance(now Instant) int {
+	if !b.usable() || now < b.waitUntil {
+		return 0
+	}
+	told := b.told(now)
+	if !b.known {
+		return max(0, 1-len(b.out))
+	}
+	left := min(b.limit(), int(b.window)) - len(b.out)
+	if told {
+		left = min(left, b.limit()-b.load())
+	}
+	return max(0, left)
+}
+
+// report takes a report; false if it is older than what is known.
+func (b *bucket) report(now Instant, told Report) bool {
+	r, at := &b.reading, now.Add(-told.Age)
+	if r.at != 0 && at <= r.at || told.Sequence > 0 && told.Sequence < r.Sequence || now >= at.Add(defaultPause) {
+		return false
+	}
+	r.Report, r.told, r.at = told, true, at
+	r.since, r.returned = 0, 0
+	for _, q := range b.out {
+		if q.sent > at {
+			r.since++
+		}
+	}
+	r.ended = slices.DeleteFunc(r.ended, func(c endedCall) bool { return c.ended <= at })
+	for _, c := range r.ended {
+		if c.sent <= at {
+			r.returned++
+		}
+	}
+	return true
+}
+
+// sent counts a call out.
+func (b *bucket) sent(q *request) {
+	b.out = append(b.out, q)
+	b.unread += q.unread
+	b.reading.since++
+}
+
+// returned takes a call that has ended off the count.
+func (b *bucket) returned(now Instant, q *request) {
+	i := slices.Index(b.out, q)
+	b.out[i] = b.out[len(b.out)-1]
+	b.out[len(b.out)-1] = nil
+	b.out = b.out[:len(b.out)-1]
+	b.unread -= q.unread
+	q.unread = 0
+	r := &b.reading
+	if q.sent > r.at {
+		r.since--
+	} else {
+		r.returned++
+	}
+	if r.at != 0 && len(r.ended) < endedKept {
+		r.ended = append(r.ended, endedCall{q.sent, now})
+	}
+}
+
+// refused takes a refusal as full: nothing goes there until the told wait is over, and then one call first. Up to
+// spread longer, as all who were told the same moment must not come back at once.
+func (b *bucket) refused(now, sent Instant, wait, spread time.Duration) {
+	if wait <= 0 {
+		wait = defaultPause
+	}
+	b.waitUntil = max(b.waitUntil, now.Add(wait+spread))
+	b.known = false
+	b.answered = now
+	if sent > b.fullAt || b.fullAt == 0 {
+		b.fullAt = now
+		b.window.Refused(len(b.out) + 1)
+	}
+}
+
+// failed notes a call that failed. From the second in a row on, the receiver rests, and one call looks first.
+func (b *bucket) failed(now Instant, chance float64) {
+	b.fails++
+	if b.fails < 2 {
+		return
+	}
+	rest := admission.Jittered(admission.Doubled(firstRest, b.fails, mostDoublings), restSpread, chance)
+	b.restUntil = max(b.restUntil, now.Add(rest))
+	b.known = false
+}
+
+// lives notes a sign of life: an answer has begun.
+func (b *bucket) lives(now Instant) {
+	b.known = true
+	b.answered = now
+}
--- /dev/null
+++ b/admission/dispatch/dispatch.go
@@ -0,0 +1,290 @@
+// Package dispatch decides for one proxy where and when each request is sent to a receiver, and which are refused.
+//
+// It is pure: time comes in with each event, chance from a seed, and what is to be done goes out as Effects. One
+// goroutine owns a Dispatcher, tells it what happens and carries out what it returns:
+//
+//	d := dispatch.New(seed, zone)
+//	d.SetReceivers(now, list)                  // whole, whenever it changes
+//	d.Report(now, instance, report)            // as reports come
+//	effects := d.Arrive(now, request)          // each Send is passed on, each Refuse answered at once
+//	effects = d.Started(now, id)               // the first byte or event of the answer has come
+//	effects = d.Answered(now, id, attempt, o)  // once for each Send
+//	effects = d.Tick(now)                      // at the instant that Effects.Wake named last
+//
+// The ordinary path is the design's: one bucket a receiver endpoint, whose allowance is its slots less what it last
+// reported and own calls sent since; requests held in order of arrival; nothing during a told wait; one call out
+// until the first answer; a request refused once its wait plus a usual call would pass its deadline.
+//
+// Invariants: of a request at most one call is out; it runs on at most MaxAttempts receivers; one that may have run
+// goes again only if its kind allows it, to another receiver; each arrival has exactly one end, be it an answer, a
+// refusal or a withdrawal.
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"emberquay/admission"
+)
+
+// Dispatcher holds the decisions of one proxy. It belongs to one goroutine.
+type Dispatcher struct {
+	now      Instant
+	zone     string
+	chance   admission.PCG
+	services map[string]*service
+	buckets  map[InstanceID]*bucket
+	requests map[RequestID]*request
+	usuals   map[usualKey]*usual
+	arrivals uint64
+	wakeAt   Instant // asked for and not come; 0: none
+	wake     Instant // the earliest that this event found
+
+	// Kept between events, so that they need not be made anew.
+	effects Effects
+	free    []*bucket
+	costs   []float64
+	spare   []*request
+	guess   usual
+}
+
+// request is a request that has no end yet, or whose call has none.
+type request struct {
+	Request
+	usualKey     usualKey
+	seq          uint64 // order of arrival
+	prompt       int    // tokens
+	arrived      Instant
+	end          Instant // the deadline, or the route's timeout
+	mayWaitUntil Instant // what the objective bears
+
+	to       *bucket // where a call is out; nil: none is
+	sent     Instant
+	attempt  int
+	unread   int // prompt tokens that its receiver has yet to read
+	unrun    int // calls of it that were proven not run
+	ran      []*bucket
+	failedAt *bucket // the last that failed it
+
+	mayHaveRun bool
+	failure    int  // the status that tells how the last call that may have run failed
+	started    bool // part of an answer has gone to the client
+	over       bool // nobody waits for it any more
+}
+
+// spareRequests bounds the request records that are kept for reuse.
+const spareRequests = 256
+
+// New makes a dispatcher of a proxy that stands in a zone; the same seed and events give the same decisions.
+func New(seed uint64, zone string) *Dispatcher {
+	return &Dispatcher{zone: zone, chance: admission.NewPCG(seed), services: map[string]*service{},
+		buckets: map[InstanceID]*bucket{}, requests: map[RequestID]*request{}, usuals: map[usualKey]*usual{}}
+}
+
+// begin opens an event.
+func (d *Dispatcher) begin(now Instant) {
+	d.now = max(d.now, now)
+	d.wake = math.MaxInt64
+	d.effects = Effects{Sends: d.effects.Sends[:0], Refusals: d.effects.Refusals[:0]}
+}
+
+// done closes an event; a wake is asked for only if none is due by then.
+func (d *Dispatcher) done() Effects {
+	if d.wake < math.MaxInt64 && (d.wakeAt <= d.now || d.wake < d.wakeAt) {
+		d.wakeAt = d.wake
+		d.effects.Wake = d.wake
+	}
+	return d.effects
+}
+
+func (d *Dispatcher) service(name string) *service {
+	s := d.services[name]
+	if s == nil {
+		s = &service{name: name}
+		d.services[name] = s
+	}
+	return s
+}
+
+// SetReceivers takes the whole list. What it leaves out gets nothing any more; calls that are out there still end.
+func (d *Dispatcher) SetReceivers(now Instant, list []Receiver) Effects {
+	d.begin(now)
+	for _, s := range d.services {
+		s.buckets = s.buckets[:0]
+	}
+	buckets := make(map[InstanceID]*bucket, len(list))
+	for _, r := range list {
+		if buckets[r.ID] != nil {
+			continue
+		}
+		b := d.buckets[r.ID]
+		if b == nil {
+			b = newBucket(r)
+		}
+		b.list(r)
+		buckets[r.ID] = b
+		s := d.service(r.Service)
+		s.buckets = append(s.buckets, b)
+	}
+	d.buckets = buckets
+	d.settleAll()
+	for name, s := range d.services {
+		if len(s.buckets)+len(s.queue)+s.out == 0 {
+			delete(d.services, name)
+		}
+	}
+	return d.done()
+}
+
+// settleAll goes through the services by name, so that runs repeat.
+func (d *Dispatcher) settleAll() {
+	held := make([]*service, 0, len(d.services))
+	for _, s := range d.services {
+		if len(s.queue) > 0 {
+			held = append(held, s)
+		}
+	}
+	slices.SortFunc(held, func(a, b *service) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	for _, s := range held {
+		d.settle(s)
+	}
+}
+
+// Report takes what a receiver told of itself.
+func (d *Dispatcher) Report(now Instant, instance InstanceID, told Report) Effects {
+	d.begin(now)
+	if b := d.buckets[instance]; b != nil && b.report(d.now, told) {
+		d.settle(d.service(b.Service))
+	}
+	return d.done()
+}
+
+// Arrive takes a request in; it has exactly one end. The id must not be one of an unfinished request.
+func (d *Dispatcher) Arrive(now Instant, r Request) Effects {
+	d.begin(now)
+	if d.requests[r.ID] != nil {
+		panic(fmt.Sprintf("dispatch: request %q arrived while one of that id is unfinished", r.ID))
+	}
+	q := d.newRequest(r)
+	s := d.service(r.Service)
+	s.hold(q)
+	d.settle(s)
+	return d.done()
+}
+
+func (d *Dispatcher) newRequest(r Request) *request {
+	q := &request{}
+	if n := len(d.spare); n > 0 {
+		q, d.spare = d.spare[n-1], d.spare[:n-1]
+	}
+	d.arrivals++
+	*q = request{Request: r, usualKey: keyOf(&r), seq: d.arrivals, arrived: d.now, ran: q.ran[:0],
+		end: math.MaxInt64, mayWaitUntil: math.MaxInt64}
+	for _, p := range r.Prefix {
+		q.prompt += p.Tokens
+	}
+	q.prompt = max(q.prompt, r.TokensIn)
+	if r.Deadline > 0 {
+		q.end = r.Deadline
+	}
+	if r.Timeout > 0 {
+		q.end = min(q.end, d.now.Add(r.Timeout))
+	}
+	q.mayWaitUntil = d.bears(q)
+	d.requests[q.ID] = q
+	return q
+}
+
+// bears says until when a request may be held for its objective's sake: a part of what its program has left, else
+// what the objective leaves beside a usual call's start.
+func (d *Dispatcher) bears(q *request) Instant {
+	least := q.TargetLatency / heldFree
+	switch {
+	case q.Finish > 0:
+		return d.now.Add(max(least, q.Finish/finishShare))
+	case q.TargetLatency > 0:
+		start := d.usual(d.service(q.Service), q).start()
+		return d.now.Add(max(least, q.TargetLatency-start))
+	}
+	return math.MaxInt64
+}
+
+// send passes a request on.
+func (d *Dispatcher) send(s *service, q *request, b *bucket) {
+	q.to, q.sent = b, d.now
+	q.attempt++
+	if b.Engine != nil {
+		q.unread = q.missing(d.now, b)
+		admission.Smooth(&s.missing, float64(q.unread))
+		b.parts.add(d.now, q.Prefix, b.Engine.KVCapacityTokens)
+	}
+	b.sent(q)
+	s.out++
+	d.effects.Sends = append(d.effects.Sends, Send{Request: q.ID, Attempt: q.attempt, Instance: b.ID,
+		Address: b.Address, Timeout: d.timeout(s, q), Priority: d.priority(s, q)})
+}
+
+// Started notes the first byte or event of an answer, which has gone to the client.
+func (d *Dispatcher) Started(now Instant, id RequestID) Effects {
+	d.begin(now)
+	if q := d.requests[id]; q != nil && q.to != nil {
+		q.started = true
+		q.to.unread -= q.unread
+		q.unread = 0
+		q.to.lives(d.now)
+		d.settle(d.service(q.Service))
+	}
+	return d.done()
+}
+
+// Withdraw notes that the client waits no more. A call that is out is called off by the caller, and its end told
+// with Answered like any other.
+func (d *Dispatcher) Withdraw(now Instant, id RequestID) Effects {
+	d.begin(now)
+	if q := d.requests[id]; q != nil {
+		s := d.service(q.Service)
+		q.over = true
+		if q.to == nil {
+			s.unhold(q)
+			d.forget(q)
+		}
+		d.settle(s)
+	}
+	return d.done()
+}
+
+// Tick tells the time.
+func (d *Dispatcher) Tick(now Instant) Effects {
+	d.begin(now)
+	d.settleAll()
+	return d.done()
+}
+
+// forget drops a request that has its end and no call out.
+func (d *Dispatcher) forget(q *request) {
+	delete(d.requests, q.ID)
+	if len(d.spare) < spareRequests {
+		clear(q.ran)
+		*q = request{ran: q.ran[:0]}
+		d.spare = append(d.spare, q)
+	}
+}
+
+// timeout bounds an attempt: by the time that the request has, or sooner where another receiver may run it after a
+// machine that has fallen silent.
+func (d *Dispatcher) timeout(s *service, q *request) time.Duration {
+	left := q.end.Sub(d.now)
+	whole := d.usual(s, q).whole()
+	long := max(leastPatience, patience*whole)
+	if q.idempotent() && len(q.ran)+1 < q.attempts() && left-long >= 2*whole {
+		return long
+	}
+	return left
+}
