internal/controlstate: what the control planes replicate, as a deterministic state machine

Cause: configuration, accepted changes, store view and retirements are decided at one place and kept on every replica.

--- /dev/null
+++ b/internal/controlstate/state.go
@@ -0,0 +1,76 @@
+// Package controlstate is the state that the control planes replicate: the operator's configuration, the changes that
+// were taken, the view of the stores, and the store machines that were retired.
+//
+//	state := controlstate.New()
+//	raw, changed := state.Apply(controlstate.EncodeCommand(controlstate.Command{
+//		Kind: controlstate.ReplaceConfiguration, Base: 0, HasBase: true, Body: body,
+//	}))
+//	result, err := controlstate.DecodeResult(raw)
+//
+// A State is deterministic: the same commands in the same order give the same results and the same snapshot on every
+// replica. It does no I/O and reads no clock; whoever owns it calls it from one goroutine at a time.
+//
+// Invariants: the version of the configuration and the epoch of the view only rise; a change that was taken is
+// acknowledged again as long as it is among the last maxAccepted; a change that was refused never comes into force.
+package controlstate
+
+const (
+	// maxAccepted bounds the changes that are known to have been taken. The operator repeats a change for seconds; this
+	// is days of changes.
+	maxAccepted = 4096
+	// maxRefused bounds the refused changes that are kept, see State.refused.
+	maxRefused = 1024
+	// maxMembers bounds the view of the stores.
+	maxMembers = 1024
+	// maxRetirements bounds the retired machines that are known. The oldest that are completed are forgotten first.
+	maxRetirements = 1024
+)
+
+// State is the replicated state.
+type State struct {
+	version uint64 // of the configuration; 0 where there is none yet
+	body    []byte
+
+	accepted changes
+	// refused are changes that built on a version above the current one. Once that version is reached they would be
+	// taken if they came again, as a call that was long on its way may; but their caller was told that they are not.
+	refused changes
+
+	stores      StoreView
+	retirements []Retirement
+}
+
+// New gives the state before the first command.
+func New() *State {
+	return &State{accepted: newChanges(maxAccepted), refused: newChanges(maxRefused)}
+}
+
+// Configuration gives the configuration in force. The body must not be changed. Version 0 says that there is none yet.
+func (s *State) Configuration() (version uint64, body []byte) { return s.version, s.body }
+
+// Apply carries out a command and gives its coded Result. changed says that the state is another one than before; a
+// refusal may change it too. What cannot be decoded is refused.
+func (s *State) Apply(command []byte) (result []byte, changed bool) {
+	c, err := DecodeCommand(command)
+	if err != nil {
+		return encodeResult(Result{Status: StatusBadRequest, Message: err.Error()}), false
+	}
+	r, changed := s.apply(c)
+	return encodeResult(r), changed
+}
+
+func (s *State) apply(c Command) (Result, bool) {
+	switch c.Kind {
+	case ReplaceConfiguration, ModifyConfiguration:
+		return s.configure(c)
+	case RegisterStore:
+		return s.register(c)
+	case RetireStore:
+		return s.retire(c)
+	case RetireCompleted:
+		return s.complete(c)
+	case RemoveStore:
+		return s.remove(c)
+	}
+	return Result{Status: StatusBadRequest, Message: c.Kind.String() + " is not known"}, false
+}
