--- /dev/null
+++ b/internal/proxy/headers.go
@@ -0,0 +1,72 @@
+package proxy
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// Header fields of the protocol, in canonical form.
+const (
+	headerRequestID      = "Emberquay-Request-Id"
+	headerDeadline       = "Emberquay-Deadline-Ms"
+	headerExpectInstance = "Emberquay-Expect-Instance"
+	headerStamp          = "Emberquay-Server-Stamp"
+	headerModel          = "Emberquay-Model-Name"
+	headerTokenUsage     = "Emberquay-Token-Usage"
+	headerPromptPrefix   = "Emberquay-Prompt-Prefix"
+	headerProgram        = "Program"
+	headerSession        = "Session"
+	headerFinish         = "Finish-Ms"
+	headerBudget         = "Budget"
+	headerPrevious       = "Previous"
+	headerLastEvent      = "Last-Event-Id"
+)
+
+// connectionFields concern a single connection and are never passed on.
+var connectionFields = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// removeConnectionFields takes out what concerns a single connection: the fields above and those that Connection names.
+// The length of a body goes with them, as each side frames bodies anew.
+func removeConnectionFields(header http.Header) {
+	for _, line := range header["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				header.Del(name)
+			}
+		}
+	}
+	for _, name := range connectionFields {
+		delete(header, name)
+	}
+}
+
+// cleanRequest leaves what goes to a receiver. The id is kept even where Connection names it.
+func cleanRequest(header http.Header, id string) {
+	removeConnectionFields(header)
+	delete(header, headerDeadline)
+	delete(header, headerExpectInstance)
+	delete(header, "Expect") // the body was read: nobody waits to send it
+	header[headerRequestID] = []string{id}
+}
+
+// passHeader copies an answer's end-to-end fields. net/http adds a date and a type of its own where there are none,
+// unless their entries are nil.
+func passHeader(to, from http.Header) {
+	removeConnectionFields(from)
+	for name, values := range from {
+		to[name] = values
+	}
+	noAdditions(to)
+}
+
+func noAdditions(header http.Header) {
+	for _, name := range [...]string{"Date", "Content-Type"} {
+		if _, given := header[name]; !given {
+			header[name] = nil
+		}
+	}
+}
--- a/internal/proxy/outbound/exchange.go
+++ b/internal/proxy/outbound/exchange.go
@@ -37,6 +37,7 @@
 
 	response   *http.Response
 	connection *connection
+	written    <-chan writeResult // of a request that may still be written; nil: it is
 	detach     func() bool // ends the watch over the context; false: it has closed the connection
 	idleFor    time.Duration
 	tainted    bool // the connection is not kept
@@ -55,9 +56,7 @@
 }
 
 func (p *Pool) exchange(ctx context.Context, address string, request *Request, deadline time.Time) (*Answer, error) {
-	dialing, cancel := context.WithDeadline(ctx, deadline)
-	c, err := p.get(dialing, address)
-	cancel()
+	c, err := p.get(ctx, address, deadline)
 	if err != nil {
 		return nil, failed(address, false, err)
 	}
@@ -121,12 +120,7 @@
 		}
 		return nil, true, cmp.Or(result.err, err)
 	}
-	select {
-	case result := <-written:
-		answer.tainted = answer.tainted || result.err != nil
-	default:
-		answer.tainted = true
-	}
+	answer.written = written
 	return answer, true, nil
 }
 
@@ -235,13 +229,17 @@
 // Whole says whether the body was read to its proper end.
 func (a *Answer) Whole() bool { return a.whole }
 
-// Close keeps the connection if the answer was read whole, and ends it otherwise, which cancels the request.
+// Close keeps the connection if the answer was read whole, and ends it otherwise, which cancels the request. The bytes
+// of the request are not used any more when it returns.
 func (a *Answer) Close() {
 	if a.connection == nil {
 		return
 	}
 	c := a.connection
 	a.connection = nil
+	if a.written != nil {
+		a.endWrite(c)
+	}
 	if !a.detach() || !a.whole || a.tainted || a.idleFor == 0 || c.reader.Buffered() > 0 {
 		c.close()
 		return
@@ -249,6 +247,20 @@
 	c.home.pool.put(c, a.idleFor)
 }
 
+// endWrite waits for the writer of a large request. One that is still at it is stopped: its bytes may soon be those of
+// another request.
+func (a *Answer) endWrite(c *connection) {
+	var result writeResult
+	select {
+	case result = <-a.written:
+	default:
+		a.tainted = true
+		c.close()
+		result = <-a.written
+	}
+	a.tainted = a.tainted || result.err != nil
+}
+
 // Refused says whether the receiver states that it did not run the request.
 func (a *Answer) Refused() bool { return refusal(a.response) }
 
--- a/internal/proxy/outbound/pool.go
+++ b/internal/proxy/outbound/pool.go
@@ -147,7 +147,7 @@
 }
 
 // get gives a kept connection to the address that seems alive, or a new one.
-func (p *Pool) get(ctx context.Context, address string) (*connection, error) {
+func (p *Pool) get(ctx context.Context, address string, deadline time.Time) (*connection, error) {
 	for {
 		c, err := p.reuse(address)
 		if err != nil {
@@ -161,7 +161,7 @@
 		}
 		c.close()
 	}
-	return p.dial(ctx, address)
+	return p.dial(ctx, address, deadline)
 }
 
 // reuse takes the latest used idle connection, or counts a new one: then it gives neither a connection nor an error.
@@ -208,7 +208,9 @@
 	return true
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+func (p *Pool) dial(ctx context.Context, address string, deadline time.Time) (*connection, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	p.mu.Lock()
 	e := p.endpoint(address)
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,191 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"emberquay/admission/dispatch"
+	"emberquay/internal/proxy/outbound"
+	"emberquay/internal/routing"
+)
+
+// Proxy is a running data plane. Its methods may be called from any goroutine.
+type Proxy struct {
+	options   Options
+	memory    memory
+	pool      *outbound.Pool
+	admission *admission
+	reporter  *reporter
+	front     *front
+	readiness net.Listener
+
+	mu       sync.Mutex // over changes of the configuration, and chance
+	random   *rand.Rand
+	snapshot atomic.Pointer[routing.Snapshot]
+
+	ready    atomic.Bool
+	draining atomic.Bool
+	inHand   inHand
+	finished chan struct{}
+	once     sync.Once
+}
+
+// limitsBefore hold until a configuration is known.
+var limitsBefore = routing.Limits{
+	MaxHeaderBytes: 16 << 10,
+	MaxBodyBytes:   4 << 20,
+	HeaderTimeout:  3 * time.Second,
+	IdleTimeout:    15 * time.Second,
+}
+
+// New opens the listeners. Requests are answered with 503 until a configuration is known.
+func New(options Options) (*Proxy, error) {
+	options.fill()
+	p := &Proxy{
+		options:  options,
+		memory:   memory{limit: options.BodyMemory},
+		pool:     outbound.NewPool(outbound.Options{MaxOpen: options.MaxReceivers}),
+		random:   rand.New(rand.NewPCG(options.Seed, 0)),
+		finished: make(chan struct{}),
+	}
+	p.admission = newAdmission(dispatch.New(options.Seed, options.Zone))
+	p.reporter = newReporter(p)
+	listener, err := listenFront(options.Front)
+	if err != nil {
+		return nil, eris.Wrapf(err, "the clients' address %s", options.Front)
+	}
+	p.readiness, err = net.Listen("tcp", options.Readiness)
+	if err != nil {
+		listener.Close()
+		return nil, eris.Wrapf(err, "the readiness address %s", options.Readiness)
+	}
+	p.front = newFront(listener, p.handler, &p.inHand, options.MaxClients)
+	p.front.setLimits(limitsBefore)
+	return p, nil
+}
+
+// Run serves until Shutdown has done its work.
+func (p *Proxy) Run() error {
+	go p.admission.run()
+	readiness := p.readinessServer()
+	go readiness.Serve(p.readiness)
+	err := p.front.accept()
+	if err != nil {
+		err = eris.Wrap(err, "accept clients")
+		p.finish()
+	}
+	<-p.finished
+	readiness.Close()
+	return err
+}
+
+// Shutdown stops the data plane: it is not ready at once, goes on accepting until the platform has noticed, and serves
+// what has been read. It returns when nothing is left in hand, or when ctx ends; Run returns then.
+func (p *Proxy) Shutdown(ctx context.Context) {
+	p.draining.Store(true)
+	notice := time.NewTimer(p.options.Notice)
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
+	p.front.stopAccepting()
+	if left := p.inHand.stop(ctx); left > 0 {
+		p.options.Logger.WithField("requests", left).Warn("stopped with requests in hand")
+	}
+	p.finish()
+}
+
+// finish ends all that runs, once.
+func (p *Proxy) finish() {
+	p.once.Do(func() {
+		p.front.stopAccepting()
+		p.front.close()
+		p.reporter.stop()
+		p.pool.Close()
+		p.admission.stop()
+		close(p.finished)
+	})
+}
+
+// SetReady says whether the platform may send clients here.
+func (p *Proxy) SetReady(ready bool) { p.ready.Store(ready) }
+
+// SetConfiguration puts a configuration in force. One that is older than the present one is not used.
+func (p *Proxy) SetConfiguration(snapshot *routing.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	present := p.snapshot.Load()
+	if snapshot == nil || present != nil && snapshot.Version <= present.Version {
+		return
+	}
+	p.front.setLimits(snapshot.Limits)
+	p.snapshot.Store(snapshot)
+}
+
+// SetReceivers takes the whole list of receivers, whenever it or the number of proxies changes.
+func (p *Proxy) SetReceivers(receivers []dispatch.Receiver) {
+	proxies := max(1, p.options.LiveProxies())
+	limits := make([]outbound.Limit, 0, len(receivers))
+	for _, receiver := range receivers {
+		if receiver.MaxConnections > 0 {
+			limits = append(limits, outbound.Limit{Address: receiver.Address, Connections: receiver.MaxConnections / proxies})
+		} else {
+			limits = append(limits, outbound.Limit{Address: receiver.Address, Connections: receiver.Slots})
+		}
+	}
+	p.pool.SetLimits(limits)
+	p.reporter.setReceivers(receivers)
+	p.admission.tell(receiverList{receivers: receivers})
+}
+
+// Report takes a receiver's report, own or of another proxy; its Age counts from now on.
+func (p *Proxy) Report(instance dispatch.InstanceID, report dispatch.Report) {
+	p.admission.tell(reportTaken{instance: instance, report: report, at: time.Now()})
+}
+
+// chance draws from [0, 1).
+func (p *Proxy) chance() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.random.Float64()
+}
+
+// handler answers the clients of one generation of the server.
+func (p *Proxy) handler(current func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.inHand.isStopped() {
+			panic(http.ErrAbortHandler) // nothing of it was passed on: the client sends it again
+		}
+		v := &visit{
+			proxy:    p,
+			writer:   w,
+			flusher:  http.NewResponseController(w),
+			request:  r,
+			leaving:  !current(),
+			snapshot: p.snapshot.Load(),
+			arrived:  time.Now(),
+		}
+		if p.guarded(v) == cut {
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
+// guarded serves a visit. A panic there ends its connection only, with a line in the log.
+func (p *Proxy) guarded(v *visit) (end ending) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			p.options.Logger.WithField("request", v.id).WithField("reason", reason).Error("a handler panicked")
+			end = cut
+		}
+	}()
+	return v.serve()
+}
