--- /dev/null
+++ b/tools/testverdict/main.go
@@ -0,0 +1,173 @@
+// Command testverdict reads the events of `go test -json` and gives the verdict of a run, passing over the tests
+// that KNOWN-RED.txt lists:
+//
+//	go test -json ./... | go run ./tools/testverdict KNOWN-RED.txt
+//
+// A line of the list is "PACKAGE TEST: cause, issue". A listed test may fail and is printed. A listed test that
+// passes or did not run fails the run, as does any failure that is not listed. The last line counts the tests.
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"slices"
+	"strings"
+)
+
+// test names a test, or with an empty name a package as a whole.
+type test struct{ pkg, name string }
+
+// event is what is read of a line of `go test -json`.
+type event struct {
+	Action     string
+	Package    string
+	ImportPath string
+	Test       string
+	Output     string
+}
+
+// verdict collects the events of a run.
+type verdict struct {
+	output         map[test][]string
+	build          map[string][]string // of packages that did not build
+	passed, failed []test
+	packages       []test // that failed as a whole
+	skipped        int
+	unfinished     map[string]bool // packages that began and have no result
+}
+
+func newVerdict() *verdict {
+	return &verdict{output: map[test][]string{}, build: map[string][]string{}, unfinished: map[string]bool{}}
+}
+
+func main() {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: testverdict KNOWN-RED.txt < events")
+		os.Exit(2)
+	}
+	listed, err := readList(os.Args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	v := newVerdict()
+	if err := v.read(os.Stdin); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if !v.report(os.Stdout, listed) {
+		os.Exit(1)
+	}
+}
+
+// readList reads the known red tests with their causes. No file is an empty list.
+func readList(path string) (map[test]string, error) {
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	listed := map[test]string{}
+	for number, line := range strings.Split(string(data), "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, cause, found := strings.Cut(line, ":")
+		fields := strings.Fields(name)
+		if !found || len(fields) != 2 || strings.TrimSpace(cause) == "" {
+			return nil, fmt.Errorf("%s:%d: want \"PACKAGE TEST: cause, issue\"", path, number+1)
+		}
+		listed[test{fields[0], fields[1]}] = strings.TrimSpace(cause)
+	}
+	return listed, nil
+}
+
+func (v *verdict) read(r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, 16<<20)
+	for scanner.Scan() {
+		var e event
+		if err := json.Unmarshal(scanner.Bytes(), &e); err != nil {
+			return fmt.Errorf("not an event of go test -json: %q", scanner.Text())
+		}
+		v.take(e)
+	}
+	return scanner.Err()
+}
+
+func (v *verdict) take(e event) {
+	t := test{e.Package, e.Test}
+	if e.Test == "" && (e.Action == "pass" || e.Action == "fail" || e.Action == "skip") {
+		delete(v.unfinished, e.Package)
+	}
+	switch e.Action {
+	case "start":
+		v.unfinished[e.Package] = true
+	case "build-output":
+		v.build[e.ImportPath] = append(v.build[e.ImportPath], e.Output)
+	case "output":
+		v.output[t] = append(v.output[t], e.Output)
+	case "skip":
+		if e.Test != "" {
+			v.skipped++
+		}
+	case "pass":
+		delete(v.output, t)
+		if e.Test != "" {
+			v.passed = append(v.passed, t)
+		}
+	case "fail":
+		if e.Test == "" {
+			v.packages = append(v.packages, t)
+			return
+		}
+		v.failed = append(v.failed, t)
+	}
+}
+
+// report prints what failed and says whether the run is good.
+func (v *verdict) report(w io.Writer, listed map[test]string) bool {
+	good := true
+	for path, lines := range v.build {
+		fmt.Fprintf(w, "does not build: %s\n%s", path, strings.Join(lines, ""))
+		good = false
+	}
+	for _, t := range v.failed {
+		if cause, known := listed[t]; known {
+			fmt.Fprintf(w, "known red: %s %s: %s\n", t.pkg, t.name, cause)
+			continue
+		}
+		fmt.Fprintf(w, "FAIL %s %s\n%s", t.pkg, t.name, strings.Join(v.output[t], ""))
+		good = false
+	}
+	for _, p := range v.packages { // one that failed with no test of its own: a panic, a time-out, a build
+		if !slices.ContainsFunc(v.failed, func(t test) bool { return t.pkg == p.pkg }) {
+			fmt.Fprintf(w, "FAIL %s\n%s", p.pkg, strings.Join(v.output[p], ""))
+			good = false
+		}
+	}
+	for t := range listed {
+		if !slices.Contains(v.failed, t) {
+			fmt.Fprintf(w, "listed as known red but it did not fail: %s %s\n", t.pkg, t.name)
+			good = false
+		}
+	}
+	for pkg := range v.unfinished {
+		fmt.Fprintf(w, "FAIL %s: it did not end\n", pkg)
+		good = false
+	}
+	if len(v.passed) == 0 {
+		fmt.Fprintln(w, "no test passed")
+		good = false
+	}
+	fmt.Fprintf(w, "%d passed, %d failed, %d skipped\n", len(v.passed), len(v.failed), v.skipped)
+	return good
+}
