--- a/internal/world/receiver.go
+++ b/internal/world/receiver.go
@@ -119,7 +119,6 @@
 	waiting   []time.Duration // when each call in the queue starts
 
 	up       bool          // by the last look
-	backAt   time.Duration // end of the last outage; 0: none yet
 	arrivals []arrival     // while cold
 	fallen   bool
 	Fell     *Fall // set once it falls over
