--- a/admission/dispatch/buckets.go
+++ b/admission/dispatch/buckets.go
@@ -15,7 +15,8 @@
 	firstRest     = time.Second / 8
 	mostDoublings = 4
 	restSpread    = 0.25 // of a pause, either way, so that senders do not come back together
-	// endedKept bounds the calls that ended since a report; those past it count as still running, the safe side.
+	// endedKept bounds the ended calls that are remembered for the next report, which may be older than their ends.
+	// Those past it count as still running, the safe side.
 	endedKept = 64
 )
 
@@ -79,28 +80,35 @@
 // good: nothing speaks against it but its allowance and told waits, which bind in any case.
 func (b *bucket) good(now Instant) bool { return b.usable() && !b.Silent && now >= b.restUntil }
 
+// bearable: it may do where most of a pool is not good. One that rests gets one call at a time. Silence of most says
+// more of the way that heartbeats take than of the receivers.
+func (b *bucket) bearable(now Instant) bool { return now >= b.restUntil || len(b.out) == 0 }
+
 // told: a report speaks of the bucket as it is now. One that read nought says no more once the hold of a bucket at
 // nought is over; then one call looks.
 func (b *bucket) told(now Instant) bool {
-	if b.reading.told && now >= b.reading.at.Add(defaultPause) {
-		b.reading.told = false
-		if b.load() >= b.limit() {
-			b.known = false
-		}
-		b.reading.ended = b.reading.ended[:0]
+	r := &b.reading
+	if r.told && now >= r.at.Add(defaultPause) {
+		r.told = false
+		b.known = b.known && b.counted() < b.limit()
 	}
-	return b.reading.told
+	return r.told
 }
 
-// load is how many requests the receiver is thought to have, running and queued.
-func (b *bucket) load() int {
+// counted is what the last report counts, with what own calls have changed since.
+func (b *bucket) counted() int {
 	r := &b.reading
-	if !r.told && r.at == 0 {
-		return len(b.out)
-	}
 	return max(len(b.out), r.Running+r.Queued+r.since-r.returned)
 }
 
+// load is how many requests the receiver is thought to have, running and queued.
+func (b *bucket) load(now Instant) int {
+	if b.told(now) {
+		return b.counted()
+	}
+	return len(b.out)
+}
+
 // allowance is how many calls more may go out now: slots less what the last report counts and own calls sent since;
 // where no report is to be had, slots less own calls out. After a refusal no more are out than the learned window.
 func (b *bucket) allowance(now Instant) int {
@@ -108,12 +116,13 @@
 		return 0
 	}
 	told := b.told(now)
+	most := min(b.limit(), int(b.window))
 	if !b.known {
-		return max(0, 1-len(b.out))
+		most = 1
 	}
-	left := min(b.limit(), int(b.window)) - len(b.out)
+	left := most - len(b.out)
 	if told {
-		left = min(left, b.limit()-b.load())
+		left = min(left, b.limit()-b.counted())
 	}
 	return max(0, left)
 }
@@ -161,9 +170,10 @@
 	} else {
 		r.returned++
 	}
-	if r.at != 0 && len(r.ended) < endedKept {
-		r.ended = append(r.ended, endedCall{q.sent, now})
+	if len(r.ended) == endedKept {
+		r.ended = slices.Delete(r.ended, 0, 1)
 	}
+	r.ended = append(r.ended, endedCall{q.sent, now})
 }
 
 // refused takes a refusal as full: nothing goes there until the told wait is over, and then one call first. Up to
--- a/admission/dispatch/choice.go
+++ b/admission/dispatch/choice.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -39,12 +40,12 @@
 // the time that it takes from those that run beside it.
 func (d *Dispatcher) cost(s *service, q *request, b *bucket) float64 {
 	usual := milliseconds(d.usual(s, q).whole())
-	load := float64(b.load())
+	load := float64(b.load(d.now))
 	cost := errorCost * float64(b.ill)
 	if b.Engine != nil {
 		cost += d.engineCost(s, q, b, usual, load)
 	} else {
-		cost += usual * (max(b.slowness, 0.1) + crowding*load/float64(b.limit()))
+		cost += usual * (cmp.Or(b.slowness, 1) + crowding*load/float64(b.limit()))
 	}
 	if b.Zone != d.zone {
 		cost += zoneCost
--- /dev/null
+++ b/admission/dispatch/choice_test.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func prompt(parts ...PrefixPart) func(*Request) {
+	return func(r *Request) {
+		r.Kind, r.Prefix, r.TokensOut = Streaming, parts, 100
+		r.TokensIn = 0
+		for _, p := range parts {
+			r.TokensIn += p.Tokens
+		}
+	}
+}
+
+var _ = ginkgo.Describe("the choice of a model receiver", func() {
+	shared := PrefixPart{ID: 1, Tokens: 2500}
+	turn := func(id uint64) PrefixPart { return PrefixPart{ID: id, Tokens: 500} }
+
+	engines := func(n int) *script {
+		var list []Receiver
+		for i := range n {
+			list = append(list, engine(InstanceID(rune('a'+i))))
+		}
+		s := newScript(list...)
+		for _, b := range s.buckets {
+			b.known = true
+		}
+		return s
+	}
+
+	ginkgo.It("goes where the session's prompt is kept", func() {
+		s := engines(8)
+		s.arrive("0", prompt(shared, turn(2)))
+		first := s.last("0").Instance
+		s.serve("0", 200*ms)
+		for i := range 5 {
+			id := RequestID(fmt.Sprint("next-", i))
+			s.arrive(id, prompt(shared, turn(2), turn(3)))
+			Expect(s.last(id).Instance).To(Equal(first))
+			s.serve(id, 200*ms)
+		}
+	})
+	ginkgo.It("leaves it where it has no allowance", func() {
+		s := engines(4)
+		s.arrive("0", prompt(shared, turn(2)))
+		first := s.last("0").Instance
+		s.serve("0", 200*ms)
+		s.told(first, Report{Running: 24})
+		s.arrive("1", prompt(shared, turn(2), turn(3)))
+		Expect(s.last("1").Instance).NotTo(Equal(first))
+	})
+	ginkgo.It("leaves it where so many run that reading the prompt anew is sooner done", func() {
+		s := engines(4)
+		s.arrive("0", prompt(shared, turn(2)))
+		first := s.last("0").Instance
+		s.serve("0", 200*ms)
+		s.told(first, Report{Running: 20})
+		s.arrive("1", prompt(shared, turn(2), turn(3)))
+		Expect(s.last("1").Instance).NotTo(Equal(first))
+	})
+	ginkgo.It("spreads prompts that share nothing", func() {
+		s := engines(8)
+		used := map[InstanceID]bool{}
+		for i := range 8 {
+			id := RequestID(fmt.Sprint(i))
+			s.arrive(id, prompt(PrefixPart{ID: uint64(100 + i), Tokens: 2000}))
+			used[s.last(id).Instance] = true
+		}
+		Expect(used).To(HaveLen(8))
+	})
+	ginkgo.It("counts a part only after the parts that it came after", func() {
+		var c prefixCache
+		c.add(start, []PrefixPart{shared, turn(2)}, 100_000)
+		Expect(c.kept(start, []PrefixPart{shared, turn(2), turn(3)})).To(Equal(3000))
+		Expect(c.kept(start, []PrefixPart{shared, turn(3), turn(2)})).To(Equal(2500))
+		Expect(c.kept(start, []PrefixPart{turn(2)})).To(BeZero())
+		Expect(c.kept(start.Add(partLife+1), []PrefixPart{shared})).To(BeZero())
+	})
+	ginkgo.It("forgets the parts longest unused, the last of a prompt first", func() {
+		var c prefixCache
+		c.add(start, []PrefixPart{shared, turn(2)}, 4000)
+		c.add(start, []PrefixPart{shared, turn(3)}, 4000)
+		c.add(start, []PrefixPart{shared, turn(4)}, 4000)
+		c.add(start, []PrefixPart{shared, turn(5)}, 4000)
+		Expect(c.tokens).To(Equal(4000))
+		Expect(c.kept(start, []PrefixPart{shared, turn(2)})).To(Equal(2500))
+		Expect(c.kept(start, []PrefixPart{shared, turn(5)})).To(Equal(3000))
+	})
+	ginkgo.It("bounds the parts that are remembered", func() {
+		var c prefixCache
+		for i := range uint64(3 * partsKept) {
+			c.add(start, []PrefixPart{{ID: i, Tokens: 1}}, 1_000_000)
+		}
+		Expect(c.parts).To(HaveLen(partsKept))
+	})
+	ginkgo.It("prefers memory that does not run out", func() {
+		s := engines(2)
+		s.told("a", Report{Running: 4, KVUsed: 199_000, KVTotal: 200_000})
+		s.told("b", Report{Running: 4, KVUsed: 20_000, KVTotal: 200_000})
+		for i := range 6 {
+			id := RequestID(fmt.Sprint(i))
+			s.arrive(id, prompt(PrefixPart{ID: uint64(100 + i), Tokens: 2000}))
+			Expect(s.last(id).Instance).To(Equal(InstanceID("b")))
+			s.serve(id, 5*ms)
+		}
+	})
+	ginkgo.It("prefers its own zone among equals, but not a full one", func() {
+		s := newScript(plain("far", 8, zone("there")), plain("near", 8)).warm(50 * ms)
+		s.arrive("0")
+		Expect(s.last("0").Instance).To(Equal(InstanceID("near")))
+		s.told("near", Report{Running: 7})
+		s.arrive("1")
+		Expect(s.last("1").Instance).To(Equal(InstanceID("far")))
+	})
+	ginkgo.It("prefers the quicker of two plain receivers", func() {
+		s := newScript(plain("a", 8), plain("b", 8)).warm(50 * ms)
+		s.buckets["a"].slowness = 2
+		s.arrive("0")
+		Expect(s.last("0").Instance).To(Equal(InstanceID("b")))
+	})
+	ginkgo.It("draws among equals", func() {
+		s := newScript(plain("a", 8), plain("b", 8), plain("c", 8)).warm(50 * ms)
+		used := map[InstanceID]int{}
+		for i := range 60 {
+			id := RequestID(fmt.Sprint(i))
+			s.arrive(id)
+			used[s.last(id).Instance]++
+			s.end(id, Outcome{Kind: Success, Took: 50 * ms})
+		}
+		Expect(used).To(HaveLen(3))
+		Expect(used).To(HaveEach(BeNumerically(">", 8)))
+	})
+	ginkgo.DescribeTable("the priority that receivers are told",
+		func(route int, begun bool, finish time.Duration, told int) {
+			s := newScript(plain("a", 8)).warm(100 * ms)
+			s.arrive("0", priority(route), func(r *Request) { r.Begun, r.Finish = begun, finish })
+			Expect(s.last("0").Priority).To(Equal(told))
+		},
+		ginkgo.Entry("the most urgent route", 0, false, time.Duration(0), 4),
+		ginkgo.Entry("the next", 1, false, time.Duration(0), DefaultPriority),
+		ginkgo.Entry("the least urgent", 40, false, time.Duration(0), 8),
+		ginkgo.Entry("a program with time", 1, true, time.Second, DefaultPriority),
+		ginkgo.Entry("a program with little time left", 1, true, 150*ms, 4),
+		ginkgo.Entry("a program that has not begun", 1, false, 150*ms, DefaultPriority),
+	)
+})
--- a/admission/dispatch/dispatch.go
+++ b/admission/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -90,9 +91,14 @@
 	d.effects = Effects{Sends: d.effects.Sends[:0], Refusals: d.effects.Refusals[:0]}
 }
 
-// done closes an event; a wake is asked for only if none is due by then.
+// done closes an event; a wake is asked for only if none is due by then. One that is due already is made good, as the
+// caller may replace it by the next.
 func (d *Dispatcher) done() Effects {
-	if d.wake < math.MaxInt64 && (d.wakeAt <= d.now || d.wake < d.wakeAt) {
+	if d.wakeAt > 0 && d.wakeAt <= d.now {
+		d.wakeAt = 0
+		d.settleAll()
+	}
+	if d.wake < math.MaxInt64 && (d.wakeAt == 0 || d.wake < d.wakeAt) {
 		d.wakeAt = d.wake
 		d.effects.Wake = d.wake
 	}
@@ -146,12 +152,7 @@
 			held = append(held, s)
 		}
 	}
-	slices.SortFunc(held, func(a, b *service) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(held, func(a, b *service) int { return cmp.Compare(a.name, b.name) })
 	for _, s := range held {
 		d.settle(s)
 	}
--- a/admission/dispatch/outcome.go
+++ b/admission/dispatch/outcome.go
@@ -88,10 +88,10 @@
 		b.fails = 0
 		b.ill.Seen(false, 1)
 		b.window.Answered()
-		if usual > 0 {
+		d.learnUsual(s, q, o)
+		if usual := d.usual(s, q).whole(); usual > 0 {
 			admission.Smooth(&b.slowness, float64(o.Took)/float64(usual))
 		}
-		d.learnUsual(s, q, o)
 	case ErrorAnswer:
 		b.lives(d.now)
 		b.fails = 0
--- a/admission/dispatch/queue.go
+++ b/admission/dispatch/queue.go
@@ -16,6 +16,8 @@
 	finishShare = 3
 	// heldFree is the part of the objective for which a request may be held at no price where it is refused after all.
 	heldFree = 4
+	// leastOffer is the part of the objective that a call must have: with less, no receiver can be said to be offered it.
+	leastOffer = 10
 	// retrySpread of the told wait is added by chance, so that those refused together do not come back together.
 	retrySpread = 0.25
 	// wakeGrain is the least time to the next wake: time alone changes nothing in less.
@@ -57,7 +59,7 @@
 		if hold == 0 {
 			places += max(1, len(b.out))
 		}
-		taken += b.load()
+		taken += b.load(now)
 		limits += b.limit()
 	}
 	if o.usable == 0 {
@@ -103,14 +105,14 @@
 	}
 	few := good*3 < len(s.buckets) // never do without most of a pool: then the least bad are tried
 	for _, b := range s.buckets {
-		if b.allowance(d.now) > 0 && (b.good(d.now) || few && len(b.out) == 0) {
+		if b.allowance(d.now) > 0 && (b.good(d.now) || few && b.bearable(d.now)) {
 			free = append(free, b)
 		}
 	}
 	d.free = free
 	for i := 0; i < len(s.queue) && len(free) > 0; {
 		q := s.queue[i]
-		if s.out > 0 && d.late(s, q, 0) { // where nothing is out, one goes: an old mean must not refuse all for ever
+		if d.hopeless(s, q) {
 			d.giveUp(s, q, 0)
 			continue
 		}
@@ -121,12 +123,19 @@
 		}
 		s.queue = slices.Delete(s.queue, i, i+1)
 		d.send(s, q, b)
-		if b.allowance(d.now) == 0 || !b.good(d.now) {
+		if b.allowance(d.now) == 0 || !b.good(d.now) && !b.bearable(d.now) {
 			free = slices.DeleteFunc(free, func(o *bucket) bool { return o == b })
 		}
 	}
 }
 
+// hopeless: a usual call passes the time that the request has, or hardly any is left. Where nothing is out one goes in
+// spite of its usual call: an old mean must not refuse all for ever.
+func (d *Dispatcher) hopeless(s *service, q *request) bool {
+	left := q.end.Sub(d.now)
+	return left < max(wakeGrain, q.TargetLatency/leastOffer) || s.out > 0 && d.late(s, q, 0)
+}
+
 // late: the wait and a usual call pass the time that the request has.
 func (d *Dispatcher) late(s *service, q *request, wait time.Duration) bool {
 	return d.now.Add(wait+d.usual(s, q).whole()) > q.end
