--- a/coordination/gossip/spreader.go
+++ b/coordination/gossip/spreader.go
@@ -30,6 +30,7 @@
 	Self  string // id of this node
 	Zone  string
 	Kinds []Kind
+	First time.Time // when the first comparison is due
 }
 
 // hotEntry is news that waits to be pushed.
@@ -60,7 +61,6 @@
 // New makes a Spreader with an empty table. All its choices follow from the seed and its inputs.
 func New(now time.Time, options Options, seed uint64) *Spreader {
 	random := rand.New(rand.NewPCG(seed, 0))
-	phase := time.Duration(random.Int64N(int64(CompareInterval)))
 	return &Spreader{
 		options:  options,
 		random:   random,
@@ -69,7 +69,7 @@
 		wants:    wants{random: random, byKey: map[string]*want{}},
 		hotIndex: map[string]int{},
 		ageAt:    now.Add(ageInterval),
-		compares: now.Add(phase),
+		compares: options.First,
 	}
 }
 
@@ -128,6 +128,17 @@
 	return s.learn(now, e, hotEntry{key: e.Key})
 }
 
+// Put takes an entry without pushing it on: the caller brings it to the peers. A peer's entry may be refused.
+func (s *Spreader) Put(now time.Time, e Entry) bool {
+	kind := kindOf(s.table.kinds, e.Key)
+	if kind == nil || !kind.accepts(e) || !s.table.put(now, e) {
+		return false
+	}
+	delete(s.wants.byKey, e.Key)
+	s.effects.Changed = append(s.effects.Changed, e)
+	return true
+}
+
 // learn takes an entry and, if it is news, has it pushed on.
 func (s *Spreader) learn(now time.Time, e Entry, hot hotEntry) bool {
 	if !s.table.put(now, e) {
@@ -152,9 +163,7 @@
 
 // Due is when Tick wants to be called next.
 func (s *Spreader) Due() time.Time {
-	due := earlier(s.compares, s.ageAt)
-	due = earlier(due, s.hotAt)
-	return earlier(due, s.wants.due())
+	return earlier(earlier(s.compares, s.hotAt), s.wants.due())
 }
 
 // earlier gives the earlier of two times; the zero time is no time.
@@ -165,24 +174,25 @@
 	return a
 }
 
-// Tick does what is due.
+// Tick does what is due. What may wait goes with the comparisons: each wake-up of the process costs.
 func (s *Spreader) Tick(now time.Time) {
-	if !now.Before(s.ageAt) {
-		s.ageAt = now.Add(ageInterval)
-		s.effects.Dropped = append(s.effects.Dropped, s.table.age(now)...)
-		s.contacts.turn(now)
-	}
 	if !s.hotAt.IsZero() && !now.Before(s.hotAt) {
 		s.flush()
 	}
 	for _, ask := range s.wants.expired(now) {
 		s.send(ask.to, Message{Want: ask.keys})
 	}
-	if !now.Before(s.compares) {
-		s.compares = now.Add(CompareInterval)
-		if peer, some := s.contacts.partner(CompareInterval); some {
-			s.send(peer.ID, s.Greeting())
-		}
+	if now.Before(s.compares) {
+		return
+	}
+	s.compares = now.Add(CompareInterval)
+	if !now.Before(s.ageAt) {
+		s.ageAt = now.Add(ageInterval)
+		s.effects.Dropped = append(s.effects.Dropped, s.table.age(now)...)
+		s.contacts.turn(now)
+	}
+	if peer, some := s.contacts.partner(CompareInterval); some {
+		s.send(peer.ID, s.Greeting())
 	}
 }
 
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -53,8 +53,8 @@
 	effects Effects
 }
 
-// New makes the view of a node that knows only itself.
-func New(now time.Time, self Node, seed uint64) *Membership {
+// New makes the view of a node that knows only itself. The first heartbeats are due at first.
+func New(first time.Time, self Node, seed uint64) *Membership {
 	m := &Membership{
 		self:    self,
 		random:  rand.New(rand.NewPCG(seed, 1)),
@@ -62,7 +62,7 @@
 	}
 	m.ring.add(self)
 	m.stale = true
-	m.nextTick = now.Add(time.Duration(m.random.Int64N(int64(HeartbeatInterval))))
+	m.nextTick = first
 	return m
 }
 
--- a/coordination/membership/ring.go
+++ b/coordination/membership/ring.go
@@ -30,7 +30,9 @@
 	return place{hash: xxhash.Sum64String(string(id)), id: id, name: n.Name}
 }
 
-func comparePlaces(a, b place) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id)) }
+func comparePlaces(a, b place) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
+}
 
 func (r *ring) add(n Node) {
 	p := placeOf(n)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -1,18 +1,36 @@
-// Package cluster finds the other processes of the tier and spreads small values among them.
+// Package cluster finds the other processes of the tier, tells which of them run, and spreads small values
+// among them: the configuration, the store view, receivers and their reports.
+//
+//	c, err := cluster.Start(cluster.Options{Self: identity, Seeds: seeds, Client: client, Mux: mux})
+//	server, err := transport.Listen(identity.Address, mux)
+//	c.Watch(cluster.ReceiverPrefix, func(e cluster.Entry) { ... })
+//	<-c.Ready()
+//	c.Publish(cluster.Entry{Key: "receiver/i-7f", Value: value}) // stamped by the cluster
+//	...
+//	c.Leave(ctx)
+//	c.Close()
+//
+// One goroutine owns the node (package core) and works through a bounded queue of commands; what it sends goes
+// out in goroutines whose number is bounded, and it never waits for them. What is read, Get, List and Nodes,
+// comes from immutable snapshots. Watchers are called from one more goroutine.
 package cluster
 
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
+	"github.com/rotisserie/eris"
 
 	"emberquay/coordination/gossip"
 	"emberquay/coordination/membership"
+	"emberquay/internal/cluster/core"
 	"emberquay/internal/transport"
 )
 
@@ -41,13 +59,14 @@
 	Left    = membership.Left
 )
 
-// The prefixes of keys. Reports are ephemeral: only pushed, and the newest of an instance only.
+// The prefixes of keys. Reports are ephemeral: only pushed, and the newest of an instance only. A receiver's
+// record that says that it is gone, and a node's that says that it is down or has left, is kept for a minute.
 const (
-	ConfigurationKey = "configuration"
-	StoresKey        = "stores"
-	ReceiverPrefix   = "receiver/"
-	NodePrefix       = "node/"
-	ReportPrefix     = "report/"
+	ConfigurationKey = core.ConfigurationKey
+	StoresKey        = core.StoresKey
+	ReceiverPrefix   = core.ReceiverPrefix
+	NodePrefix       = core.NodePrefix
+	ReportPrefix     = core.ReportPrefix
 )
 
 // Identity is what a process says of itself.
@@ -70,81 +89,67 @@
 
 // Cluster is the runtime of one process. All methods may be called from any goroutine.
 type Cluster struct {
-	options  Options
-	commands chan func()
+	self     Identity
+	client   *transport.Client
+	log      log.Interface
+	commands chan command
 	done     chan struct{}
+	stop     sync.Once
 	ready    chan struct{}
 	table    atomic.Pointer[iradix.Tree[Entry]]
 	nodes    atomic.Pointer[[]Node]
 	notify   *notifier
+	senders  *senders
 }
 
-// commandBound is how many commands may wait for the owner; callers beyond it wait.
-const commandBound = 256
-
 // Start registers the handlers on the mux and begins to look for the others. The caller then listens.
 func Start(options Options) (*Cluster, error) {
 	if options.Log == nil {
 		options.Log = log.Log
 	}
+	if !options.Self.Role.Valid() {
+		return nil, eris.Errorf("cluster: %s", options.Self.Role)
+	}
+	now := time.Now()
+	node, err := core.New(now, core.Options{Self: selfAt(now, options.Self), Seeds: options.Seeds, Seed: rand.Uint64()})
+	if err != nil {
+		return nil, eris.Wrap(err, "cluster")
+	}
 	c := &Cluster{
-		options:  options,
-		commands: make(chan func(), commandBound),
+		self:     options.Self,
+		client:   options.Client,
+		log:      options.Log,
+		commands: make(chan command, commandBound),
 		done:     make(chan struct{}),
 		ready:    make(chan struct{}),
 	}
 	c.notify = newNotifier(c.Get, c.node)
+	c.senders = newSenders(c)
 	c.table.Store(iradix.New[Entry]())
-	c.nodes.Store(&[]Node{c.self()})
-	go c.own()
+	o := &owner{cluster: c, core: node}
+	o.carryOut()
+	c.handle(options.Mux)
+	go o.run()
 	go c.notify.run(c.done)
 	return c, nil
 }
 
-func (c *Cluster) self() Node {
-	s := c.options.Self
-	return Node{Name: s.Name, Role: s.Role, Zone: s.Zone, Region: s.Region, Address: s.Address, Incarnation: uint64(time.Now().UnixNano())}
+// selfAt draws the incarnation: the time of day, so that a later start has a higher one. Where the clock was set
+// back since an earlier start, the node meets its own higher record and goes above it.
+func selfAt(now time.Time, self Identity) Node {
+	return Node{Name: self.Name, Role: self.Role, Zone: self.Zone, Region: self.Region, Address: self.Address, Incarnation: uint64(now.UnixNano())}
 }
 
-func (c *Cluster) own() {
-	for {
-		select {
-		case command := <-c.commands:
-			command()
-		case <-c.done:
-			return
-		}
-	}
+// Self is this node as it tells of itself.
+func (c *Cluster) Self() Node {
+	n, _ := c.node(membership.IDOf(c.self.Name, c.self.Role))
+	return n
 }
 
 // Publish puts an entry into the table and spreads it. A zero stamp is replaced by one above what is known
-// here of the key. An entry that is not above what is known is dropped.
+// here of the key. An entry that is not above what is known is dropped. The value must not be changed after.
 func (c *Cluster) Publish(entry Entry) {
-	select {
-	case c.commands <- func() { c.put(entry) }:
-	case <-c.done:
-	}
-}
-
-func (c *Cluster) put(entry Entry) {
-	tree := c.table.Load()
-	old, known := tree.Get([]byte(entry.Key))
-	if entry.Stamp.IsZero() {
-		entry.Stamp = Stamp{Epoch: max(old.Stamp.Epoch, uint64(time.Now().UnixMilli())), Sequence: old.Stamp.Sequence + 1, Origin: c.options.Self.Name}
-	}
-	if known && !entry.Stamp.Above(old.Stamp) {
-		return
-	}
-	tree, _, _ = tree.Insert([]byte(entry.Key), entry)
-	c.table.Store(tree)
-	c.notify.entry(entry.Key)
-}
-
-// PublishConfirmed publishes an entry and returns once all live nodes of the roles have said that they have
-// it, or with ctx's error when ctx ends; the count is of those that have said so.
-func (c *Cluster) PublishConfirmed(ctx context.Context, entry Entry, roles ...Role) (confirmed int, err error) {
-	c.Publish(entry)
-	return 0, ctx.Err()
+	c.do(func(o *owner, now time.Time) { o.core.Publish(now, entry) })
 }
 
 // Get gives the newest entry of a key.
@@ -196,15 +201,43 @@
 	c.notify.register(watcher{node: f, present: present})
 }
 
-// Ready is closed once this process has compared its table with a majority of the live control nodes that it
-// knows, or, after readyBound, with all that could be reached (at least one node).
+// Ready is closed once this process has compared its table with a majority of the control nodes, so that it
+// has what they had when it started. After 1.5 s one control node is enough, after 3 s any other machine.
 func (c *Cluster) Ready() <-chan struct{} { return c.ready }
 
 // SetSeeds replaces the seeds' addresses.
-func (c *Cluster) SetSeeds(seeds []string) {}
+func (c *Cluster) SetSeeds(seeds []string) {
+	c.do(func(o *owner, _ time.Time) { o.core.SetSeeds(seeds) })
+}
 
-// Leave tells the others that this process ends as planned. It returns once some have it or ctx ends.
-func (c *Cluster) Leave(ctx context.Context) error { return ctx.Err() }
+// Leave tells the others that this process ends as planned. It returns once the live control nodes have it, or
+// with ctx's error. The process goes on to compare tables until Close, but the others push nothing to it any
+// more and don't count it as live: it is the last step of a planned stop, after the last request.
+func (c *Cluster) Leave(ctx context.Context) error {
+	left := make(chan Entry, 1)
+	c.do(func(o *owner, now time.Time) {
+		o.core.Leave(now)
+		if entry, known := o.core.Get(core.NodeKey(o.core.Self().ID())); known {
+			left <- entry
+		}
+		close(left)
+	})
+	select {
+	case entry, told := <-left:
+		if !told {
+			return eris.New("cluster: this node is not in its own table")
+		}
+		_, err := c.confirm(ctx, entry, false, Control)
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.done:
+		return errClosed
+	}
+}
 
 // Close stops the runtime. Nothing is told to the others: Leave does that.
-func (c *Cluster) Close() { close(c.done) }
+func (c *Cluster) Close() { c.stop.Do(func() { close(c.done) }) }
+
+// errClosed tells that the cluster was closed meanwhile.
+var errClosed = eris.New("cluster: closed")
--- /dev/null
+++ b/internal/cluster/core/wire.go
@@ -0,0 +1,298 @@
+package core
+
+import (
+	"encoding/binary"
+
+	"github.com/rotisserie/eris"
+
+	"emberquay/coordination/gossip"
+	"emberquay/coordination/membership"
+	"emberquay/internal/transport"
+)
+
+// Wire is an envelope as avro holds it: numbers without sign as longs, the sums of buckets as bytes.
+type Wire struct {
+	From        string           `avro:"from"`
+	Incarnation int64            `avro:"incarnation"`
+	Syncing     bool             `avro:"syncing"`
+	Gossip      []wireGossip     `avro:"gossip"`
+	Membership  []wireMembership `avro:"membership"`
+}
+
+// WireStamp is a stamp as avro holds it.
+type WireStamp struct {
+	Epoch    int64  `avro:"epoch"`
+	Sequence int64  `avro:"sequence"`
+	Origin   string `avro:"origin"`
+}
+
+// WireEntry is an entry as avro holds it.
+type WireEntry struct {
+	Key   string    `avro:"key"`
+	Stamp WireStamp `avro:"stamp"`
+	Value []byte    `avro:"value"`
+}
+
+type wireVersion struct {
+	Key   string    `avro:"key"`
+	Stamp WireStamp `avro:"stamp"`
+}
+
+type wireGossip struct {
+	Push    []WireEntry   `avro:"push"`
+	Offer   []wireVersion `avro:"offer"`
+	Want    []string      `avro:"want"`
+	Compare *int64        `avro:"compare"` // the root
+	Equal   bool          `avro:"equal"`
+	Sums    []byte        `avro:"sums"`
+	Summary *wireSummary  `avro:"summary"`
+	Delta   *wireDelta    `avro:"delta"`
+}
+
+type wireSummary struct {
+	Buckets  []int         `avro:"buckets"`
+	Versions []wireVersion `avro:"versions"`
+	Whole    bool          `avro:"whole"`
+	Partial  bool          `avro:"partial"`
+}
+
+type wireDelta struct {
+	Entries []WireEntry   `avro:"entries"`
+	Want    []string      `avro:"want"`
+	Offer   []wireVersion `avro:"offer"`
+	Partial bool          `avro:"partial"`
+}
+
+type wireMembership struct {
+	Ping  *wirePing `avro:"ping"`
+	Probe *string   `avro:"probe"` // the target
+	Ack   *wireAck  `avro:"ack"`
+}
+
+type wirePing struct {
+	For string `avro:"for"`
+}
+
+type wireAck struct {
+	Of          string `avro:"of"`
+	Incarnation int64  `avro:"incarnation"`
+	For         string `avro:"for"`
+}
+
+// The schemas of what other messages of the cluster are made of too.
+const (
+	StampSchema = `{"type":"record","name":"Stamp","fields":[
+	{"name":"epoch","type":"long"},
+	{"name":"sequence","type":"long"},
+	{"name":"origin","type":"string"}]}`
+	EntrySchema = `{"type":"record","name":"Entry","fields":[
+	{"name":"key","type":"string"},
+	{"name":"stamp","type":` + StampSchema + `},
+	{"name":"value","type":"bytes"}]}`
+)
+
+const versionSchema = `{"type":"record","name":"Version","fields":[
+	{"name":"key","type":"string"},
+	{"name":"stamp","type":"Stamp"}]}`
+
+const summarySchema = `{"type":"record","name":"Summary","fields":[
+	{"name":"buckets","type":{"type":"array","items":"int"}},
+	{"name":"versions","type":{"type":"array","items":"Version"}},
+	{"name":"whole","type":"boolean"},
+	{"name":"partial","type":"boolean"}]}`
+
+const deltaSchema = `{"type":"record","name":"Delta","fields":[
+	{"name":"entries","type":{"type":"array","items":"Entry"}},
+	{"name":"want","type":{"type":"array","items":"string"}},
+	{"name":"offer","type":{"type":"array","items":"Version"}},
+	{"name":"partial","type":"boolean"}]}`
+
+const gossipSchema = `{"type":"record","name":"Gossip","fields":[
+	{"name":"push","type":{"type":"array","items":` + EntrySchema + `}},
+	{"name":"offer","type":{"type":"array","items":` + versionSchema + `}},
+	{"name":"want","type":{"type":"array","items":"string"}},
+	{"name":"compare","type":["null","long"]},
+	{"name":"equal","type":"boolean"},
+	{"name":"sums","type":"bytes"},
+	{"name":"summary","type":["null",` + summarySchema + `]},
+	{"name":"delta","type":["null",` + deltaSchema + `]}]}`
+
+const membershipSchema = `{"type":"record","name":"Membership","fields":[
+	{"name":"ping","type":["null",{"type":"record","name":"Ping","fields":[{"name":"for","type":"string"}]}]},
+	{"name":"probe","type":["null","string"]},
+	{"name":"ack","type":["null",{"type":"record","name":"Ack","fields":[
+		{"name":"of","type":"string"},
+		{"name":"incarnation","type":"long"},
+		{"name":"for","type":"string"}]}]}]}`
+
+// Envelopes codes envelopes on the wire.
+var Envelopes = transport.MustCodec[Wire](`{"type":"record","name":"ClusterEnvelope","fields":[
+	{"name":"from","type":"string"},
+	{"name":"incarnation","type":"long"},
+	{"name":"syncing","type":"boolean"},
+	{"name":"gossip","type":{"type":"array","items":` + gossipSchema + `}},
+	{"name":"membership","type":{"type":"array","items":` + membershipSchema + `}}]}`)
+
+// ToWire gives the form of an envelope that avro holds.
+func ToWire(e Envelope) Wire {
+	return Wire{
+		From:        string(e.From),
+		Incarnation: int64(e.Incarnation),
+		Syncing:     e.Syncing,
+		Gossip:      each(e.Gossip, gossipToWire),
+		Membership:  each(e.Membership, membershipToWire),
+	}
+}
+
+// FromWire reads an envelope.
+func FromWire(w Wire) (Envelope, error) {
+	e := Envelope{
+		From:        membership.ID(w.From),
+		Incarnation: uint64(w.Incarnation),
+		Syncing:     w.Syncing,
+		Membership:  each(w.Membership, membershipFromWire),
+	}
+	for _, g := range w.Gossip {
+		m, err := gossipFromWire(g)
+		if err != nil {
+			return Envelope{}, eris.Wrapf(err, "from %s", w.From)
+		}
+		e.Gossip = append(e.Gossip, m)
+	}
+	return e, nil
+}
+
+// each converts all of a list; an empty one stays nil.
+func each[A, B any](list []A, convert func(A) B) []B {
+	if len(list) == 0 {
+		return nil
+	}
+	converted := make([]B, len(list))
+	for i, one := range list {
+		converted[i] = convert(one)
+	}
+	return converted
+}
+
+func stampToWire(s gossip.Stamp) WireStamp {
+	return WireStamp{Epoch: int64(s.Epoch), Sequence: int64(s.Sequence), Origin: s.Origin}
+}
+
+// StampFromWire reads a stamp.
+func StampFromWire(s WireStamp) gossip.Stamp {
+	return gossip.Stamp{Epoch: uint64(s.Epoch), Sequence: uint64(s.Sequence), Origin: s.Origin}
+}
+
+// EntryToWire gives the form of an entry that avro holds.
+func EntryToWire(e gossip.Entry) WireEntry {
+	return WireEntry{Key: e.Key, Stamp: stampToWire(e.Stamp), Value: e.Value}
+}
+
+// EntryFromWire reads an entry.
+func EntryFromWire(e WireEntry) gossip.Entry {
+	return gossip.Entry{Key: e.Key, Stamp: StampFromWire(e.Stamp), Value: e.Value}
+}
+
+func versionToWire(v gossip.Version) wireVersion {
+	return wireVersion{Key: v.Key, Stamp: stampToWire(v.Stamp)}
+}
+
+func versionFromWire(v wireVersion) gossip.Version {
+	return gossip.Version{Key: v.Key, Stamp: StampFromWire(v.Stamp)}
+}
+
+func gossipToWire(m gossip.Message) wireGossip {
+	w := wireGossip{
+		Push:  each(m.Push, EntryToWire),
+		Offer: each(m.Offer, versionToWire),
+		Want:  m.Want,
+		Equal: m.Equal,
+		Sums:  sumsToWire(m.Sums),
+	}
+	if m.Compare != nil {
+		root := int64(m.Compare.Root)
+		w.Compare = &root
+	}
+	if s := m.Summary; s != nil {
+		w.Summary = &wireSummary{Buckets: s.Buckets, Versions: each(s.Versions, versionToWire), Whole: s.Whole, Partial: s.Partial}
+	}
+	if d := m.Delta; d != nil {
+		w.Delta = &wireDelta{Entries: each(d.Entries, EntryToWire), Want: d.Want, Offer: each(d.Offer, versionToWire), Partial: d.Partial}
+	}
+	return w
+}
+
+func gossipFromWire(w wireGossip) (gossip.Message, error) {
+	sums, err := sumsFromWire(w.Sums)
+	if err != nil {
+		return gossip.Message{}, err
+	}
+	m := gossip.Message{
+		Push:  each(w.Push, EntryFromWire),
+		Offer: each(w.Offer, versionFromWire),
+		Want:  w.Want,
+		Equal: w.Equal,
+		Sums:  sums,
+	}
+	if w.Compare != nil {
+		m.Compare = &gossip.Digest{Root: uint64(*w.Compare)}
+	}
+	if s := w.Summary; s != nil {
+		m.Summary = &gossip.Summary{Buckets: s.Buckets, Versions: each(s.Versions, versionFromWire), Whole: s.Whole, Partial: s.Partial}
+	}
+	if d := w.Delta; d != nil {
+		m.Delta = &gossip.Delta{Entries: each(d.Entries, EntryFromWire), Want: d.Want, Offer: each(d.Offer, versionFromWire), Partial: d.Partial}
+	}
+	return m, nil
+}
+
+// sumBytes is the size of one bucket's sum on the wire.
+const sumBytes = 4
+
+func sumsToWire(sums []uint32) []byte {
+	packed := make([]byte, 0, sumBytes*len(sums))
+	for _, sum := range sums {
+		packed = binary.BigEndian.AppendUint32(packed, sum)
+	}
+	return packed
+}
+
+func sumsFromWire(packed []byte) ([]uint32, error) {
+	if len(packed)%sumBytes != 0 {
+		return nil, eris.Errorf("%d bytes of sums", len(packed))
+	}
+	var sums []uint32
+	for ; len(packed) > 0; packed = packed[sumBytes:] {
+		sums = append(sums, binary.BigEndian.Uint32(packed))
+	}
+	return sums, nil
+}
+
+func membershipToWire(m membership.Message) wireMembership {
+	var w wireMembership
+	if m.Ping != nil {
+		w.Ping = &wirePing{For: string(m.Ping.For)}
+	}
+	if m.Probe != nil {
+		target := string(m.Probe.Target)
+		w.Probe = &target
+	}
+	if m.Ack != nil {
+		w.Ack = &wireAck{Of: string(m.Ack.Of), Incarnation: int64(m.Ack.Incarnation), For: string(m.Ack.For)}
+	}
+	return w
+}
+
+func membershipFromWire(w wireMembership) membership.Message {
+	var m membership.Message
+	if w.Ping != nil {
+		m.Ping = &membership.Ping{For: membership.ID(w.Ping.For)}
+	}
+	if w.Probe != nil {
+		m.Probe = &membership.Probe{Target: membership.ID(*w.Probe)}
+	}
+	if w.Ack != nil {
+		m.Ack = &membership.Ack{Of: membership.ID(w.Ack.Of), Incarnation: uint64(w.Ack.Incarnation), For: membership.ID(w.Ack.For)}
+	}
+	return m
+}
