--- a/internal/world/receiver.go
+++ b/internal/world/receiver.go
@@ -118,8 +118,8 @@
 	mostQueue int
 	waiting   []time.Duration // when each call in the queue starts
 
-	up       bool          // by the last look
-	arrivals []arrival     // while cold
+	up       bool      // by the last look
+	arrivals []arrival // while cold
 	fallen   bool
 	Fell     *Fall // set once it falls over
 }
