--- /dev/null
+++ b/coordination/budget/ledger.go
@@ -0,0 +1,238 @@
+// Package budget decides how many tokens the turns of a program may use together, by reservations that a quorum of
+// stores keeps. It is pure: Ledger is what one store knows of one program, Attempt decides on one turn from the stores'
+// reports:
+//
+//	// at each store
+//	outcome := ledger.Reserve(key, most)      // on the disk before the report leaves
+//	report := ledger.Report(key, whole)
+//	// at the proxy
+//	attempt := budget.NewAttempt(budgetTokens, members, quorum)
+//	attempt.Report(member, report)            // as reports come
+//	switch attempt.Next() { case budget.Granted: ... case budget.Recheck: ... }
+//
+// Invariant: the tokens of all granted turns together stay below the budget plus the most of one of them. It rests on
+// this: a turn is granted on reports that either came from all members, or were asked for after a quorum had kept its
+// reservation. Of all granted turns take the one whose reservation was the last to reach a quorum: its reports name all
+// the others, each with what it used or may use, and their sum was below the budget. Two rounds are needed where not all
+// answer: of three turns that race, each may see only one of the others in a single round of quorums.
+package budget
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Key names a turn within its program: a hash of its id.
+type Key uint64
+
+// KeyOf hashes the id of a turn.
+func KeyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
+
+// Entry is what is known of a turn.
+type Entry struct {
+	Turn   Key
+	Tokens int64 // at most, while it is open; else what it used
+	Open   bool
+}
+
+// MaxEntries bounds the turns of one program, those withdrawn included: far above what programs start before they are
+// over, and 100 KB of memory.
+const MaxEntries = 4096
+
+// wholeEntries is how many entries a report lists in any case, about 1 KB.
+const wholeEntries = 64
+
+// Outcome says what became of a reservation at a store.
+type Outcome int
+
+// The outcomes.
+const (
+	Opened  Outcome = iota // it is new
+	Known                  // it was open before
+	Closed                 // the turn was settled or withdrawn: it is never opened again
+	Crowded                // the program has MaxEntries already
+)
+
+// Ledger is what one store knows of one program. The zero value is empty.
+type Ledger struct {
+	entries map[Key]state
+	settled int64
+	sum     uint64 // digest of the settled entries
+	all     uint64 // digest of all entries
+}
+
+// state is an entry without its key: tokens, or the ones' complement of them while it is open.
+type state int64
+
+func stateOf(e Entry) state {
+	if e.Open {
+		return ^state(e.Tokens)
+	}
+	return state(e.Tokens)
+}
+
+func (s state) entry(k Key) Entry {
+	if s < 0 {
+		return Entry{Turn: k, Tokens: int64(^s), Open: true}
+	}
+	return Entry{Turn: k, Tokens: int64(s)}
+}
+
+// Len counts the entries.
+func (l *Ledger) Len() int { return len(l.entries) }
+
+// Settled is what the settled turns used.
+func (l *Ledger) Settled() int64 { return l.settled }
+
+// Digest stands for all entries.
+func (l *Ledger) Digest() uint64 { return l.all }
+
+// Reserve opens a reservation of at most so many tokens.
+func (l *Ledger) Reserve(turn Key, most int64) Outcome {
+	if s, ok := l.entries[turn]; ok {
+		if s < 0 {
+			return Known
+		}
+		return Closed
+	}
+	if len(l.entries) >= MaxEntries {
+		return Crowded
+	}
+	l.put(Entry{Turn: turn, Tokens: max(0, most), Open: true})
+	return Opened
+}
+
+// Merge takes in what another holder knows, and says whether it was news. A settled entry replaces an open one; of two
+// settled ones the greater stays. Entries beyond MaxEntries are left out only if they settle a turn that is not known.
+func (l *Ledger) Merge(e Entry) bool {
+	e.Tokens = max(0, e.Tokens)
+	s, ok := l.entries[e.Turn]
+	if !ok {
+		// One that is open must never be lost: the budget could be passed.
+		if len(l.entries) >= MaxEntries && !e.Open && e.Tokens == 0 {
+			return false
+		}
+		l.put(e)
+		return true
+	}
+	known := s.entry(e.Turn)
+	if !newer(known, e) {
+		return false
+	}
+	l.drop(known)
+	l.put(e)
+	return true
+}
+
+// newer says whether e says more than what is known of the same turn.
+func newer(known, e Entry) bool {
+	if known.Open != e.Open {
+		return known.Open
+	}
+	return e.Tokens > known.Tokens
+}
+
+func (l *Ledger) put(e Entry) {
+	if l.entries == nil {
+		l.entries = map[Key]state{}
+	}
+	l.entries[e.Turn] = stateOf(e)
+	l.all += digest(e)
+	if !e.Open {
+		l.settled += e.Tokens
+		l.sum += digest(e)
+	}
+}
+
+func (l *Ledger) drop(e Entry) {
+	delete(l.entries, e.Turn)
+	l.all -= digest(e)
+	if !e.Open {
+		l.settled -= e.Tokens
+		l.sum -= digest(e)
+	}
+}
+
+func digest(e Entry) uint64 {
+	return mix(uint64(e.Turn) + mix(uint64(stateOf(e))+golden))
+}
+
+// golden is 2^64 divided by the golden ratio.
+const golden = 0x9e3779b97f4a7c15
+
+// mix is the finalizer of splitmix64 (Steele, Lea and Flood).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
+
+// Entries appends all entries, in no order.
+func (l *Ledger) Entries(to []Entry) []Entry {
+	for k, s := range l.entries {
+		to = append(to, s.entry(k))
+	}
+	return to
+}
+
+// Report is what a store tells of a program to the one that wants a turn.
+type Report struct {
+	Closed  bool   // the turn itself was settled before
+	Settled int64  // what the others used that are settled
+	Digest  uint64 // of the settled entries
+	Whole   bool   // Entries holds the settled ones too, not only those that are open
+	Entries []Entry
+}
+
+// Report tells of all turns but the one that asks. Long lists leave the settled entries out, unless whole is wanted.
+func (l *Ledger) Report(turn Key, whole bool) Report {
+	r := Report{Settled: l.settled, Digest: l.sum, Whole: whole || len(l.entries) <= wholeEntries}
+	own, ok := l.entries[turn]
+	if ok && own >= 0 {
+		e := own.entry(turn)
+		r.Closed = true
+		r.Settled -= e.Tokens
+		r.Digest -= digest(e)
+	}
+	for k, s := range l.entries {
+		if k != turn && (r.Whole || s < 0) {
+			r.Entries = append(r.Entries, s.entry(k))
+		}
+	}
+	return r
+}
+
+// ErrEntries: bytes that hold no entries.
+var ErrEntries = eris.New("budget: malformed entries")
+
+// Pack appends entries as bytes, about 10 each.
+func Pack(to []byte, entries []Entry) []byte {
+	for _, e := range entries {
+		to = binary.BigEndian.AppendUint64(to, uint64(e.Turn))
+		to = binary.AppendVarint(to, int64(stateOf(e)))
+	}
+	return to
+}
+
+// Unpack reads them. Error: ErrEntries.
+func Unpack(data []byte) ([]Entry, error) {
+	entries := make([]Entry, 0, len(data)/10)
+	for len(data) > 0 {
+		if len(data) < 9 {
+			return nil, ErrEntries
+		}
+		k := Key(binary.BigEndian.Uint64(data))
+		s, n := binary.Varint(data[8:])
+		if n <= 0 {
+			return nil, ErrEntries
+		}
+		entries = append(entries, state(s).entry(k))
+		data = data[8+n:]
+	}
+	return entries, nil
+}
--- a/internal/storewire/messages.go
+++ b/internal/storewire/messages.go
@@ -34,8 +34,19 @@
 	Home            string `avro:"home"`     // zone whose store comes first in the order of its places
 	Previous        string `avro:"previous"` // empty at the start
 	Program         string `avro:"program"`
+	Tokens          int64  `avro:"tokens"`
+	RetentionMillis int64  `avro:"retention_millis"`
 	Input           []byte `avro:"input"`
 	Output          []byte `avro:"output"`
+}
+
+// TurnHead is a Turn without what was said.
+type TurnHead struct {
+	ID              string `avro:"id"`
+	Root            string `avro:"root"`
+	Home            string `avro:"home"`
+	Previous        string `avro:"previous"`
+	Program         string `avro:"program"`
 	Tokens          int64  `avro:"tokens"`
 	RetentionMillis int64  `avro:"retention_millis"`
 }
@@ -104,8 +115,9 @@
 // ListRequest asks for the turns that a store holds, in the order of their keys.
 type ListRequest struct {
 	Header Header `avro:"header"`
-	After  int64  `avro:"after"` // key that the page begins behind, as unsigned
-	First  bool   `avro:"first"` // the page begins at the lowest key
+	Sender string `avro:"sender"` // id of the store that asks
+	After  int64  `avro:"after"`  // key that the page begins behind, as unsigned
+	First  bool   `avro:"first"`  // the page begins at the lowest key
 }
 
 // ListAnswer is a page of that list.
--- a/internal/storewire/schema.go
+++ b/internal/storewire/schema.go
@@ -14,10 +14,11 @@
 		{"name":"epoch","type":"long"},{"name":"store","type":"string"}]}}`
 	replyField = `{"name":"reply","type":{"type":"record","name":"Reply","fields":[
 		{"name":"standing","type":"int"},{"name":"complete","type":"boolean"},{"name":"view","type":` + viewSchema + `}]}}`
-	turnSchema = `{"type":"record","name":"Turn","fields":[
-		{"name":"id","type":"string"},{"name":"root","type":"string"},{"name":"home","type":"string"},
-		{"name":"previous","type":"string"},{"name":"program","type":"string"},{"name":"input","type":"bytes"},
-		{"name":"output","type":"bytes"},{"name":"tokens","type":"long"},{"name":"retention_millis","type":"long"}]}`
+	headFields = `{"name":"id","type":"string"},{"name":"root","type":"string"},{"name":"home","type":"string"},
+		{"name":"previous","type":"string"},{"name":"program","type":"string"},{"name":"tokens","type":"long"},
+		{"name":"retention_millis","type":"long"}`
+	turnSchema = `{"type":"record","name":"Turn","fields":[` + headFields + `,
+		{"name":"input","type":"bytes"},{"name":"output","type":"bytes"}]}`
 	parcelsField = `{"name":"parcels","type":{"type":"array","items":{"type":"record","name":"Parcel","fields":[
 		{"name":"remaining_millis","type":"long"},{"name":"turn","type":"bytes"}]}}}`
 	programsField = `{"name":"programs","type":{"type":"array","items":{"type":"record","name":"Program","fields":[
@@ -31,6 +32,8 @@
 
 var (
 	turnCodec    = transport.MustCodec[Turn](turnSchema)
+	headCodec    = transport.MustCodec[TurnHead](record("TurnHead", headFields))
+	viewCodec    = transport.MustCodec[View](viewSchema)
 	reserveCodec = transport.MustCodec[ReserveRequest](record("ReserveRequest", headerField+`,
 		{"name":"program","type":"string"},{"name":"turn","type":"string"},{"name":"budget","type":"long"},
 		{"name":"most","type":"long"},{"name":"recheck","type":"boolean"},{"name":"whole","type":"boolean"}`))
@@ -48,7 +51,7 @@
 	historyAnswerCodec = transport.MustCodec[HistoryAnswer](record("HistoryAnswer", replyField+`,
 		{"name":"known","type":"boolean"},{"name":"turns","type":{"type":"array","items":"bytes"}}`))
 	listCodec = transport.MustCodec[ListRequest](record("ListRequest", headerField+`,
-		{"name":"after","type":"long"},{"name":"first","type":"boolean"}`))
+		{"name":"sender","type":"string"},{"name":"after","type":"long"},{"name":"first","type":"boolean"}`))
 	listAnswerCodec = transport.MustCodec[ListAnswer](record("ListAnswer", replyField+`,
 		{"name":"turns","type":"bytes"},{"name":"more","type":"boolean"}`))
 	fetchCodec       = transport.MustCodec[FetchRequest](record("FetchRequest", headerField+`,{"name":"keys","type":"bytes"}`))
@@ -75,3 +78,12 @@
 
 // DecodeTurn reads them.
 func DecodeTurn(data []byte) (Turn, error) { return turnCodec.Decode(data) }
+
+// DecodeTurnHead reads the beginning of such bytes.
+func DecodeTurnHead(data []byte) (TurnHead, error) { return headCodec.Decode(data) }
+
+// EncodeView gives a view as bytes.
+func EncodeView(v View) ([]byte, error) { return viewCodec.Encode(v) }
+
+// DecodeView reads them.
+func DecodeView(data []byte) (View, error) { return viewCodec.Decode(data) }
