dispatch: what binds outlasts a list that leaves its receiver out; moments that are equal

A bucket now stays while something hangs on it, and equal moments count to the safe side. The runs' own account no longer forgives a receiver that is listed again.

--- a/admission/dispatch/buckets.go
+++ b/admission/dispatch/buckets.go
@@ -66,6 +66,11 @@
 	b.Receiver = r
 }
 
+// binds: something hangs on the bucket that must not be forgotten.
+func (b *bucket) binds(now Instant) bool {
+	return len(b.out) > 0 || now < max(b.waitUntil, b.restUntil) || b.told(now)
+}
+
 // limit is how many calls the receiver bears at once, from all senders.
 func (b *bucket) limit() int {
 	if b.MaxConnections > 0 {
@@ -136,13 +141,13 @@
 	r.Report, r.told, r.at = told, true, at
 	r.since, r.returned = 0, 0
 	for _, q := range b.out {
-		if q.sent > at {
+		if q.sent >= at {
 			r.since++
 		}
 	}
 	r.ended = slices.DeleteFunc(r.ended, func(c endedCall) bool { return c.ended <= at })
 	for _, c := range r.ended {
-		if c.sent <= at {
+		if c.sent < at {
 			r.returned++
 		}
 	}
@@ -165,9 +170,10 @@
 	b.unread -= q.unread
 	q.unread = 0
 	r := &b.reading
-	if q.sent > r.at {
+	switch {
+	case q.sent >= r.at:
 		r.since--
-	} else {
+	case now > r.at:
 		r.returned++
 	}
 	if len(r.ended) == endedKept {
--- a/admission/dispatch/conformance_test.go
+++ b/admission/dispatch/conformance_test.go
@@ -285,6 +285,23 @@
 		s.list(plain("a", 1, func(r *Receiver) { r.Address = "10.0.0.2:1" }))
 		Expect(s.last("0").Address).To(Equal("10.0.0.2:1"))
 	})
+	ginkgo.It("that are listed again are bound by the wait that they told", func() {
+		s := newScript(plain("a", 2)).warm(10 * ms)
+		s.arrive("0")
+		s.end("0", full(300*ms))
+		s.list()
+		s.list(plain("a", 2))
+		s.arrive("1")
+		Expect(s.sends).To(HaveLen(1))
+		s.pass(400 * ms)
+		s.list()
+		Expect(s.buckets).To(HaveLen(1)) // its call is out
+		s.serve("0", 10*ms)
+		s.serve("1", 10*ms)
+		s.pass(time.Second)
+		s.list()
+		Expect(s.buckets).To(BeEmpty())
+	})
 	ginkgo.It("rest after two failures in a row, longer each time, and come back with one call", func() {
 		s := newScript(plain("a", 4), plain("b", 4), plain("c", 4)).warm(10 * ms)
 		b := s.buckets["a"]
--- a/admission/dispatch/dispatch.go
+++ b/admission/dispatch/dispatch.go
@@ -114,7 +114,8 @@
 	return s
 }
 
-// SetReceivers takes the whole list. What it leaves out gets nothing any more; calls that are out there still end.
+// SetReceivers takes the whole list. What it leaves out gets nothing any more; calls that are out there still end, and
+// what binds is remembered, as the list may name it again.
 func (d *Dispatcher) SetReceivers(now Instant, list []Receiver) Effects {
 	d.begin(now)
 	for _, s := range d.services {
@@ -134,6 +135,11 @@
 		s := d.service(r.Service)
 		s.buckets = append(s.buckets, b)
 	}
+	for id, b := range d.buckets {
+		if buckets[id] == nil && b.binds(d.now) {
+			buckets[id] = b
+		}
+	}
 	d.buckets = buckets
 	d.settleAll()
 	for name, s := range d.services {
--- a/admission/dispatch/drawn_test.go
+++ b/admission/dispatch/drawn_test.go
@@ -69,11 +69,6 @@
 			w.places[id] = &drawnPlace{}
 		}
 	}
-	for id := range w.places { // who is listed again is new
-		if _, listed := w.list[id]; !listed {
-			w.places[id] = &drawnPlace{out: w.places[id].out}
-		}
-	}
 	w.take(w.d.SetReceivers(w.now, list))
 }
 
