Control state: views agreed on by Paxos, and the chain under them, as pure state machines

The core of the control plane: writes down a chain, reads and refusals confirmed by a majority, reconfiguration, joining and replacing.

--- /dev/null
+++ b/coordination/chain/calls.go
@@ -0,0 +1,202 @@
+package chain
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// callAgainAfter is how long a call may be without an answer before it is sent again: a change takes the chain's syncs.
+const callAgainAfter = 400 * time.Millisecond
+
+// noState is the Have of a Read whose sender has no committed state.
+const noState = math.MaxUint64
+
+// calls are the calls of this process that wait for an answer.
+type calls struct {
+	last    uint64
+	pending map[uint64]*call
+	turn    int // of the addresses asked for a view
+}
+
+// call is a command or read of this process. It is sent again, under the same id, until it is answered or withdrawn: the
+// state knows its latest commands, so one that was carried out is not carried out again.
+type call struct {
+	number  uint64
+	command []byte // nil: a read
+	after   uint64
+	sends   int
+	sent    time.Duration
+	epoch   uint64 // of the view that told where to send it
+	have    Commit // of a read: the state at hand
+}
+
+// Propose brings a command to the head; the Reply has the number. It is false if too many calls wait.
+func (n *Node) Propose(now time.Duration, command []byte) (number uint64, out Output, ok bool) {
+	return n.begin(now, &call{command: slices.Clip(append([]byte{}, command...)), after: n.knownCommit})
+}
+
+// Read asks for a state that is no older than this call; the Reply has the number. It is false if too many calls wait.
+func (n *Node) Read(now time.Duration) (number uint64, out Output, ok bool) {
+	return n.begin(now, &call{})
+}
+
+// Withdraw ends the waiting for a call; its fate stays open.
+func (n *Node) Withdraw(number uint64) { delete(n.calls.pending, number) }
+
+func (n *Node) begin(now time.Duration, c *call) (uint64, Output, bool) {
+	n.now = max(n.now, now)
+	if len(n.calls.pending) >= maxPending {
+		return 0, n.finish(), false
+	}
+	n.calls.last++
+	c.number = n.calls.last
+	n.calls.pending[c.number] = c
+	n.submit(c)
+	return c.number, n.finish(), true
+}
+
+// submit sends a call to the head or tail of the newest view known.
+func (n *Node) submit(c *call) {
+	c.sent = n.now
+	v := n.View()
+	target, ok := v.Head()
+	if c.command == nil {
+		target, ok = v.Tail()
+	}
+	if !ok {
+		n.askAround()
+		return
+	}
+	c.epoch = v.Epoch
+	c.sends++
+	id := CommandID{Process: n.process, Number: c.number}
+	if c.command != nil {
+		n.sendMember(target, Propose{ID: id, After: c.after, Command: c.command})
+		return
+	}
+	c.have = n.newest
+	have := c.have.Sequence
+	if c.have.Snapshot == nil {
+		have = noState
+	}
+	n.sendMember(target, Read{ID: id, Have: have})
+}
+
+// askAround asks the next address for a newer view.
+func (n *Node) askAround() {
+	all := n.addresses()
+	if len(all) == 0 {
+		return
+	}
+	n.calls.turn++
+	n.send(Peer{Address: all[n.calls.turn%len(all)]}, Ask{Epoch: n.View().Epoch})
+}
+
+// resendCalls sends calls again that got no answer; whoever they went to may be gone, so others are asked as well.
+func (n *Node) resendCalls() {
+	late := false
+	for _, number := range n.sortedCalls() {
+		c := n.calls.pending[number]
+		if n.now-c.sent < callAgainAfter {
+			continue
+		}
+		late = late || c.epoch > 0
+		n.submit(c)
+	}
+	if late {
+		n.askAround()
+	}
+}
+
+// callAgain sends all calls to the head and tail of a view just heard of.
+func (n *Node) callAgain() {
+	epoch := n.View().Epoch
+	for _, number := range n.sortedCalls() {
+		if c := n.calls.pending[number]; c != nil && c.epoch < epoch {
+			n.submit(c)
+		}
+	}
+}
+
+func (n *Node) sortedCalls() []uint64 {
+	if len(n.calls.pending) == 0 {
+		return nil
+	}
+	numbers := make([]uint64, 0, len(n.calls.pending))
+	for number := range n.calls.pending {
+		numbers = append(numbers, number)
+	}
+	slices.Sort(numbers)
+	return numbers
+}
+
+// mine finds the call that an answer is for.
+func (n *Node) mine(id CommandID) *call {
+	if id.Process != n.process {
+		return nil
+	}
+	return n.calls.pending[id.Number]
+}
+
+func (n *Node) onResult(m Result) {
+	c := n.mine(m.ID)
+	if c == nil || c.command == nil {
+		return
+	}
+	n.knownCommit = max(n.knownCommit, m.Sequence)
+	switch m.Verdict {
+	case Moved:
+		n.moved(c)
+	case TooOld:
+		n.tooOld(c, m.Sequence)
+	default:
+		delete(n.calls.pending, c.number)
+		n.reply(Reply{Number: c.number, Changed: m.Verdict == Done, Result: m.Result})
+	}
+}
+
+// moved sends a call on if another place is known by now, and otherwise soon: the right place may be about to learn of its
+// view.
+func (n *Node) moved(c *call) {
+	if n.View().Epoch > c.epoch {
+		n.submit(c)
+		return
+	}
+	c.sent = n.now - callAgainAfter + busyEvery
+}
+
+// tooOld ends a call that may have been carried out before. One that was sent only once was not: its only copy has come
+// back.
+func (n *Node) tooOld(c *call, sequence uint64) {
+	if c.sends == 1 {
+		c.after, c.sends = sequence, 0
+		n.submit(c)
+		return
+	}
+	delete(n.calls.pending, c.number)
+	n.reply(Reply{Number: c.number, Unknown: true})
+}
+
+func (n *Node) onReadResult(m ReadResult) {
+	c := n.mine(m.ID)
+	if c == nil || c.command != nil {
+		return
+	}
+	if m.Verdict == Moved {
+		n.moved(c)
+		return
+	}
+	snapshot := m.Snapshot
+	if !m.Full {
+		if c.have.Snapshot == nil || c.have.Sequence != m.Sequence {
+			n.submit(c)
+			return
+		}
+		snapshot = c.have.Snapshot
+	}
+	delete(n.calls.pending, c.number)
+	n.reply(Reply{Number: c.number, Epoch: m.Epoch, Sequence: m.Sequence, Snapshot: snapshot})
+}
+
+func (n *Node) reply(r Reply) { n.out.Replies = append(n.out.Replies, r) }
--- /dev/null
+++ b/coordination/chain/members.go
@@ -0,0 +1,316 @@
+package chain
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"emberquay/coordination/view"
+)
+
+// contact is what is known of another node.
+type contact struct {
+	heard    time.Duration                   // when it last said anything
+	reported map[view.MemberID]time.Duration // whom it said it hears, and when
+	assumed  time.Duration                   // when it is taken to have heard those whom it never named
+	epoch    uint64                          // as it last told
+}
+
+// never is before any time of a node.
+const never = time.Duration(math.MinInt64 / 2)
+
+// meetMembers takes up the members of a new view; until they are silent for a time they are taken to be there.
+func (n *Node) meetMembers() {
+	for _, m := range n.view.Members {
+		if n.contacts[m.ID] == nil {
+			n.contacts[m.ID] = &contact{heard: n.now, reported: map[view.MemberID]time.Duration{}, assumed: n.now}
+		}
+		delete(n.joining, m.ID)
+	}
+	for id := range n.contacts {
+		if _, joins := n.joining[id]; !joins && !n.view.Has(id) {
+			delete(n.contacts, id)
+		}
+	}
+}
+
+// excuseSilence forgets what was not heard while this process did not run.
+func (n *Node) excuseSilence(now time.Duration) {
+	for _, c := range n.contacts {
+		c.heard, c.assumed = now, now
+		clear(c.reported)
+	}
+	n.wanted = wanted{}
+}
+
+func (n *Node) hear(from Peer) {
+	if c := n.contacts[from.ID]; c != nil {
+		c.heard = n.now
+	}
+}
+
+// beat sends heartbeats, or asks to join, when it is time.
+func (n *Node) beat() {
+	if !n.settings.Voter || n.now-n.lastBeat < heartbeatEvery {
+		return
+	}
+	n.lastBeat = n.now
+	n.expireJoining()
+	if !n.member() {
+		n.askToJoin()
+		return
+	}
+	beat := Heartbeat{Epoch: n.view.Epoch, Committed: n.committed, Heard: n.heardLately()}
+	for _, m := range n.view.Members {
+		if m.ID != n.self.ID {
+			n.sendMember(m, beat)
+		}
+	}
+}
+
+func (n *Node) heardLately() []view.MemberID {
+	var heard []view.MemberID
+	for _, id := range sortedKeys(n.contacts) {
+		if id != n.self.ID && n.now-n.contacts[id].heard < heardWithin {
+			heard = append(heard, id)
+		}
+	}
+	return heard
+}
+
+func (n *Node) onHeartbeat(from Peer, m Heartbeat) {
+	if c := n.contacts[from.ID]; c != nil {
+		c.epoch = m.Epoch
+		for _, id := range m.Heard {
+			if n.view.Has(id) {
+				c.reported[id] = n.now
+			}
+		}
+	}
+	n.knownCommit = max(n.knownCommit, m.Committed)
+	if n.sameEpoch(from, m.Epoch, true) {
+		n.commitTo(min(m.Committed, n.sequence))
+	}
+}
+
+// sameEpoch says whether a message is from a member of this view, in this view. One from a later epoch is asked for it;
+// one from an earlier is told, if it wants to go on.
+func (n *Node) sameEpoch(from Peer, epoch uint64, tell bool) bool {
+	switch {
+	case epoch > n.view.Epoch:
+		n.ask(from)
+		return false
+	case epoch < n.view.Epoch:
+		if tell {
+			n.hint(from)
+		}
+		return false
+	}
+	return n.view.Has(from.ID)
+}
+
+// ask asks for a later view, not more often than an answer takes.
+func (n *Node) ask(from Peer) {
+	if n.now-n.lastAsk < busyEvery {
+		return
+	}
+	n.lastAsk = n.now
+	n.send(from, Ask{Epoch: n.view.Epoch})
+}
+
+func (n *Node) hint(to Peer) {
+	if v := n.View(); v.Epoch > 0 {
+		n.send(to, Hint{View: v, Committed: n.knownCommit})
+	}
+}
+
+func (n *Node) onAsk(from Peer, m Ask) {
+	if n.view.Epoch > m.Epoch && n.view.Has(from.ID) {
+		n.send(from, Adopt{View: n.view, State: n.fullState(), Committed: n.committed})
+		return
+	}
+	n.hint(from)
+}
+
+// onHint learns of a view. One without this member means that it was removed: it may only come back as a new one.
+func (n *Node) onHint(from Peer, m Hint) {
+	n.knownCommit = max(n.knownCommit, m.Committed)
+	if m.View.Has(from.ID) && !n.member() {
+		n.meet(from.ID)
+	}
+	if m.View.Epoch <= n.View().Epoch {
+		if !n.member() && m.View.Has(n.self.ID) {
+			n.ask(from)
+		}
+		return
+	}
+	n.known = m.View
+	switch {
+	case m.View.Has(n.self.ID):
+		n.ask(from)
+	case n.member():
+		n.forget()
+	}
+	n.callAgain()
+}
+
+// meet notes that a member answers, for a node that wants to join.
+func (n *Node) meet(id view.MemberID) {
+	c := n.contacts[id]
+	if c == nil && len(n.contacts) < 2*view.MaxMembers {
+		c = &contact{reported: map[view.MemberID]time.Duration{}, assumed: n.now}
+		n.contacts[id] = c
+	}
+	if c != nil {
+		c.heard = n.now
+	}
+}
+
+// forget makes this node a new one, with nothing of the state and the votes of the member that it was.
+func (n *Node) forget() {
+	if n.known.Epoch < n.view.Epoch {
+		n.known = n.view
+	}
+	n.leaveView()
+	n.self.ID = n.newID()
+	n.persist(Identity{n.self})
+	n.view = view.View{}
+	n.acceptor = view.Acceptor[Proposal]{}
+	n.sequence, n.committed, n.recent, n.last = 0, 0, nil, nil
+	clear(n.contacts)
+	clear(n.joining)
+}
+
+// leaveView ends what belonged to the present view.
+func (n *Node) leaveView() {
+	n.attempt, n.wanted, n.highest, n.retryAt = nil, wanted{}, 0, 0
+	n.dropWaiters()
+	if n.flight != (flight{}) {
+		n.send(n.flight.to, Result{ID: n.flight.id, Verdict: Moved, Epoch: n.view.Epoch})
+		n.flight = flight{}
+	}
+	n.dropQueue()
+}
+
+func (n *Node) dropQueue() {
+	queue := n.queue
+	n.queue = nil
+	for _, p := range queue {
+		n.send(p.from, Result{ID: p.ID, Verdict: Moved, Epoch: n.view.Epoch})
+	}
+}
+
+// askToJoin asks all that may be members.
+func (n *Node) askToJoin() {
+	join := Join{Member: n.self, Heard: n.heardLately()}
+	for _, address := range n.addresses() {
+		n.send(Peer{Address: address}, join)
+	}
+}
+
+// addresses are those of the newest view known, and the seeds.
+func (n *Node) addresses() []string {
+	var all []string
+	for _, m := range n.View().Members {
+		all = append(all, m.Address)
+	}
+	all = append(all, n.settings.Seeds...)
+	all = sortedDistinct(all)
+	return slices.DeleteFunc(all, func(a string) bool { return a == n.self.Address })
+}
+
+func (n *Node) onJoin(from Peer, m Join) {
+	if !n.member() || m.Member.ID != from.ID || from.ID == 0 {
+		return
+	}
+	n.hint(from)
+	if n.view.Has(from.ID) {
+		return
+	}
+	if _, known := n.joining[from.ID]; !known {
+		if len(n.joining) >= maxJoining {
+			return
+		}
+		n.joining[from.ID] = m.Member
+		n.contacts[from.ID] = &contact{reported: map[view.MemberID]time.Duration{}, assumed: never}
+	}
+	c := n.contacts[from.ID]
+	c.heard = n.now
+	for _, id := range m.Heard {
+		if n.view.Has(id) {
+			c.reported[id] = n.now
+		}
+	}
+}
+
+func (n *Node) expireJoining() {
+	for id := range n.joining {
+		if n.now-n.contacts[id].heard > view.ReplaceAfter {
+			delete(n.joining, id)
+			delete(n.contacts, id)
+		}
+	}
+}
+
+// Silence, Hears, Settled and Joining make a node the view.Contacts of its own plans.
+type contacts struct{ *Node }
+
+// Silence is how long a member has said nothing.
+func (c contacts) Silence(id view.MemberID) time.Duration {
+	if id == c.self.ID {
+		return 0
+	}
+	if other := c.contacts[id]; other != nil {
+		return c.now - other.heard
+	}
+	return math.MaxInt64
+}
+
+// Hears says whether one hears the other.
+func (c contacts) Hears(by, of view.MemberID) bool {
+	if by == c.self.ID {
+		return c.Silence(of) < view.SuspectAfter
+	}
+	other := c.contacts[by]
+	if other == nil || c.Silence(by) >= view.SuspectAfter {
+		return false
+	}
+	at, ok := other.reported[of]
+	if !ok {
+		at = other.assumed
+	}
+	return c.now-at < view.SuspectAfter
+}
+
+// Settled says whether a member has told that it adopted the present view.
+func (c contacts) Settled(id view.MemberID) bool {
+	other := c.contacts[id]
+	return other != nil && other.epoch == c.view.Epoch
+}
+
+// Joining are the nodes that ask to join, by their ids.
+func (c contacts) Joining() []view.Member {
+	var all []view.Member
+	for _, id := range sortedKeys(c.joining) {
+		if c.Silence(id) < view.SuspectAfter {
+			all = append(all, c.joining[id])
+		}
+	}
+	return all
+}
+
+func sortedKeys[V any](m map[view.MemberID]V) []view.MemberID {
+	keys := make([]view.MemberID, 0, len(m))
+	for id := range m {
+		keys = append(keys, id)
+	}
+	slices.SortFunc(keys, cmp.Compare[view.MemberID])
+	return keys
+}
+
+func sortedDistinct(all []string) []string {
+	sorted := slices.Clone(all)
+	slices.Sort(sorted)
+	return slices.Compact(sorted)
+}
--- /dev/null
+++ b/coordination/chain/message.go
@@ -0,0 +1,173 @@
+package chain
+
+import (
+	"emberquay/coordination/view"
+)
+
+// Peer is one end of a message. Without an ID it is whoever is at the address.
+type Peer struct {
+	ID      view.MemberID
+	Address string
+}
+
+// Envelope is a message on its way.
+type Envelope struct {
+	From, To Peer
+	Body     Message
+}
+
+// Message is one of the types below. All may be lost, come twice, or in another order.
+type Message interface{ message() }
+
+// Heartbeat is sent by each member to each other.
+type Heartbeat struct {
+	Epoch     uint64
+	Committed uint64
+	Heard     []view.MemberID // lately
+}
+
+// Hint tells of a decided view without its state.
+type Hint struct {
+	View      view.View
+	Committed uint64
+}
+
+// Ask wants a view later than an epoch: with its state if the sender is a member of it.
+type Ask struct{ Epoch uint64 }
+
+// Adopt gives a decided view, and a state of it.
+type Adopt struct {
+	View      view.View
+	State     State
+	Committed uint64
+}
+
+// Join asks to become a member.
+type Join struct {
+	Member view.Member
+	Heard  []view.MemberID // of the members
+}
+
+// Prepare asks for a promise.
+type Prepare struct {
+	Epoch    uint64
+	Ballot   view.Ballot
+	Sequence uint64 // of the proposer, whose state is not needed again
+}
+
+// Promise seals the epoch at its sender.
+type Promise struct {
+	Epoch    uint64
+	Ballot   view.Ballot
+	Accepted view.Ballot
+	Value    Proposal // of Accepted
+	Sequence uint64   // of the sender
+	State    State    // Full if nothing was accepted and the proposer's is older
+}
+
+// Outbid says that a later ballot was promised.
+type Outbid struct {
+	Epoch    uint64
+	Ballot   view.Ballot
+	Promised view.Ballot
+}
+
+// Accept asks to accept a proposal.
+type Accept struct {
+	Epoch  uint64
+	Ballot view.Ballot
+	Value  Proposal
+}
+
+// Accepted says that the proposal of a ballot was accepted.
+type Accepted struct {
+	Epoch  uint64
+	Ballot view.Ballot
+}
+
+// Append passes an entry down the chain.
+type Append struct {
+	Epoch     uint64
+	Entry     Entry
+	Committed uint64
+}
+
+// Ack tells up the chain what is committed.
+type Ack struct {
+	Epoch    uint64
+	Sequence uint64
+}
+
+// Confirm asks whether an epoch is open.
+type Confirm struct {
+	Epoch uint64
+	Nonce uint64
+}
+
+// Confirmed says that the epoch was not sealed at the sender when the question came.
+type Confirmed struct {
+	Epoch uint64
+	Nonce uint64
+}
+
+// Propose brings a command to the head.
+type Propose struct {
+	ID      CommandID
+	After   uint64 // if the command was carried out, then by a later entry than this
+	Command []byte
+}
+
+// Verdict is what became of a call at the head or tail.
+type Verdict int
+
+// The verdicts.
+const (
+	Done    Verdict = iota
+	Moved           // not the head or tail (any more): ask again
+	TooOld          // whether the command was carried out is not known any more; Sequence is the present one
+	Refused         // carried out without a change
+)
+
+// Result answers Propose.
+type Result struct {
+	ID       CommandID
+	Verdict  Verdict
+	Epoch    uint64
+	Sequence uint64
+	Result   []byte
+}
+
+// Read asks the tail for the state.
+type Read struct {
+	ID   CommandID
+	Have uint64 // committed state that the sender has
+}
+
+// ReadResult answers Read.
+type ReadResult struct {
+	ID       CommandID
+	Verdict  Verdict // Done or Moved
+	Epoch    uint64
+	Sequence uint64
+	Full     bool // false: the sender has it
+	Snapshot []byte
+}
+
+func (Heartbeat) message()  {}
+func (Hint) message()       {}
+func (Ask) message()        {}
+func (Adopt) message()      {}
+func (Join) message()       {}
+func (Prepare) message()    {}
+func (Promise) message()    {}
+func (Outbid) message()     {}
+func (Accept) message()     {}
+func (Accepted) message()   {}
+func (Append) message()     {}
+func (Ack) message()        {}
+func (Confirm) message()    {}
+func (Confirmed) message()  {}
+func (Propose) message()    {}
+func (Result) message()     {}
+func (Read) message()       {}
+func (ReadResult) message() {}
--- /dev/null
+++ b/coordination/chain/record.go
@@ -0,0 +1,132 @@
+package chain
+
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"emberquay/coordination/view"
+)
+
+// Record is one of the types below; a member's disk holds them in order.
+type Record interface{ record() }
+
+// Identity is the first record. Another one later makes the disk that of a new member: nothing before it counts.
+type Identity struct{ Member view.Member }
+
+// Adoption is a decided view and the state it begins with; without State.Full that is the state before. One of the
+// present epoch is a checkpoint, and everything before it but the identity and the vote may go.
+type Adoption struct {
+	View      view.View
+	State     State
+	Committed uint64
+	Last      []Entry // of a checkpoint: the newest entry, if it is of this epoch
+}
+
+// Addition is an entry taken.
+type Addition struct {
+	Epoch uint64
+	Entry Entry
+}
+
+// Vote is the acceptor of an epoch.
+type Vote struct {
+	Epoch    uint64
+	Acceptor view.Acceptor[Proposal]
+}
+
+func (Identity) record() {}
+func (Adoption) record() {}
+func (Addition) record() {}
+func (Vote) record()     {}
+
+// Durable is what the records of a disk add up to. The zero value is an empty disk.
+type Durable struct {
+	Member    view.Member
+	View      view.View
+	State     State // Full, or zero
+	Committed uint64
+	Last      []Entry // as of State
+	Entries   []Entry // since State
+	Acceptor  view.Acceptor[Proposal]
+}
+
+// Apply adds the next record. Errors: a record that cannot follow those before it.
+func (d *Durable) Apply(r Record) error {
+	switch r := r.(type) {
+	case Identity:
+		if r.Member.ID != d.Member.ID {
+			*d = Durable{Member: r.Member}
+		}
+	case Adoption:
+		return d.adopt(r)
+	case Addition:
+		if d.View.Epoch == 0 {
+			return nil // before the first checkpoint that is left
+		}
+		if r.Epoch != d.View.Epoch || r.Entry.Sequence > d.sequence()+1 {
+			return eris.Errorf("entry %d of epoch %d after %d of %d", r.Entry.Sequence, r.Epoch, d.sequence(), d.View.Epoch)
+		}
+		if r.Entry.Sequence == d.sequence()+1 {
+			d.Entries = append(d.Entries, r.Entry)
+		}
+	case Vote:
+		if r.Epoch == d.View.Epoch {
+			d.Acceptor = r.Acceptor
+		}
+	}
+	return nil
+}
+
+func (d *Durable) sequence() uint64 {
+	return d.State.Sequence + uint64(len(d.Entries))
+}
+
+func (d *Durable) adopt(r Adoption) error {
+	if r.View.Epoch < d.View.Epoch {
+		return nil // reclaimed before, and found once more
+	}
+	if d.View.Epoch == 0 && !r.State.Full {
+		return nil // before the first checkpoint that is left
+	}
+	if r.View.Epoch > d.View.Epoch {
+		d.Acceptor = view.Acceptor[Proposal]{}
+	}
+	if !r.State.Full && r.State.Sequence != d.sequence() {
+		return eris.Errorf("view %d begins at %d, the disk ends at %d", r.View.Epoch, r.State.Sequence, d.sequence())
+	}
+	d.View, d.Committed = r.View, max(d.Committed, r.Committed)
+	if r.State.Full {
+		d.State, d.Last, d.Entries = r.State, r.Last, nil
+	}
+	return nil
+}
+
+// restore fills the machine and gives the outcomes and the newest entry of the present epoch.
+func (d *Durable) restore(machine StateMachine) (recent []Outcome, last *Entry, err error) {
+	if err := machine.Restore(d.State.Snapshot); err != nil {
+		return nil, nil, eris.Wrap(err, "restoring the state")
+	}
+	recent = slices.Clone(d.State.Recent)
+	if len(d.Last) > 0 {
+		last = &d.Last[0]
+	}
+	for at := range d.Entries {
+		e := d.Entries[at]
+		result, changed := machine.Apply(e.Command)
+		if !changed {
+			return nil, nil, eris.Errorf("entry %d changes nothing", e.Sequence)
+		}
+		recent = remember(recent, Outcome{ID: e.ID, Sequence: e.Sequence, Result: result})
+		last = &e
+	}
+	return recent, last, nil
+}
+
+// remember adds an outcome and drops the oldest over the bound.
+func remember(recent []Outcome, o Outcome) []Outcome {
+	if len(recent) >= maxRecent {
+		recent = slices.Delete(recent, 0, len(recent)-maxRecent+1)
+	}
+	return append(recent, o)
+}
