--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -35,12 +35,10 @@
 	}
 	defer answer.Close()
 	if answer.Refused() {
-		kind := dispatch.Full
-		if answer.Status == http.StatusMisdirectedRequest {
-			kind = dispatch.Elsewhere
-		}
 		io.Copy(io.Discard, io.LimitReader(answer.Body, refusalBody)) // so that its connection is kept
-		v.proxy.admission.answered(send, dispatch.Outcome{Kind: kind, RetryAfter: answer.RetryAfter(), Took: time.Since(began)})
+		v.proxy.admission.answered(send, dispatch.Outcome{
+			Kind: refusalKind(send, answer), RetryAfter: answer.RetryAfter(), Took: time.Since(began),
+		})
 		return complete, false
 	}
 	v.sent = true
@@ -57,6 +55,14 @@
 	return v.passPlain(send, answer, began, first)
 }
 
+// refusalKind tells a receiver that has the address of another from one that is full, or has other weights.
+func refusalKind(send *dispatch.Send, answer *outbound.Answer) dispatch.OutcomeKind {
+	if answer.Status == http.StatusMisdirectedRequest && answer.Header.Get(headerInstance) != string(send.Instance) {
+		return dispatch.Elsewhere
+	}
+	return dispatch.Full
+}
+
 // refusalBody is how much of a refusal's body is read away.
 const refusalBody = 4 << 10
 
@@ -114,6 +120,10 @@
 	case isTimeout(err):
 		outcome.Kind = dispatch.TimedOut
 	}
+	if v.begun && v.unnamed {
+		v.proxy.admission.finished(send, outcome)
+		return cut, true
+	}
 	if !time.Now().Before(v.deadline) {
 		v.proxy.admission.finished(send, outcome)
 		return v.expire(), true
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -11,6 +11,7 @@
 	headerRequestID      = "Emberquay-Request-Id"
 	headerDeadline       = "Emberquay-Deadline-Ms"
 	headerExpectInstance = "Emberquay-Expect-Instance"
+	headerInstance       = "Emberquay-Instance-Id"
 	headerStamp          = "Emberquay-Server-Stamp"
 	headerModel          = "Emberquay-Model-Name"
 	headerTokenUsage     = "Emberquay-Token-Usage"
--- a/internal/proxy/outbound/exchange.go
+++ b/internal/proxy/outbound/exchange.go
@@ -38,7 +38,7 @@
 	response   *http.Response
 	connection *connection
 	written    <-chan writeResult // of a request that may still be written; nil: it is
-	detach     func() bool // ends the watch over the context; false: it has closed the connection
+	detach     func() bool        // ends the watch over the context; false: it has closed the connection
 	idleFor    time.Duration
 	tainted    bool // the connection is not kept
 	whole      bool
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -130,6 +130,9 @@
 	p.snapshot.Store(snapshot)
 }
 
+// spareConnections go beyond a receiver's slots where it tells no bound: for its report, and one that is being closed.
+const spareConnections = 2
+
 // SetReceivers takes the whole list of receivers, whenever it or the number of proxies changes.
 func (p *Proxy) SetReceivers(receivers []dispatch.Receiver) {
 	proxies := max(1, p.options.LiveProxies())
@@ -138,7 +141,7 @@
 		if receiver.MaxConnections > 0 {
 			limits = append(limits, outbound.Limit{Address: receiver.Address, Connections: receiver.MaxConnections / proxies})
 		} else {
-			limits = append(limits, outbound.Limit{Address: receiver.Address, Connections: receiver.Slots})
+			limits = append(limits, outbound.Limit{Address: receiver.Address, Connections: receiver.Slots + spareConnections})
 		}
 	}
 	p.pool.SetLimits(limits)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -49,6 +49,7 @@
 	if v.turn != nil {
 		v.turn.record(event.Data, event.HasData)
 	}
+	v.unnamed = v.unnamed || !event.HasID
 	if event.HasID {
 		v.lastID, v.lastText = event.ID, string(event.IDText)
 	}
--- a/internal/proxy/visit.go
+++ b/internal/proxy/visit.go
@@ -39,6 +39,7 @@
 	begun    bool   // part of an answer has gone to the client
 	lastID   uint64 // of the events passed on
 	lastText string // the same as it came; "" before the first
+	unnamed  bool   // an event without an id was passed on: no other receiver could go on behind it
 }
 
 // ending is how a visit ends for its client's connection.
