The decision module stands in files by concern and shares its figures with the tier's

Moved unchanged: entry points, list, buckets, queue, retries, choice, outages, idle connections, outcomes; what only keeps state or reads settings went to state.go and settings.go. Shared figures stand in package admission. All draws and sums keep their order.

--- a/admission/dispatch/conformance_test.go
+++ b/admission/dispatch/conformance_test.go
@@ -351,7 +351,7 @@
 		s := newScript(plain("a", 9), plain("b", 9)).warm(10 * ms)
 		sick := s.buckets["a"]
 		for range 5 {
-			sick.ill.Seen(true, 1)
+			sick.ill.Seen(true)
 		}
 		for i := range 9 {
 			s.arrive(RequestID(fmt.Sprint(i)))
--- a/admission/dispatch/outcome.go
+++ b/admission/dispatch/outcome.go
@@ -86,7 +86,7 @@
 	case Success:
 		b.lives(d.now)
 		b.fails = 0
-		b.ill.Seen(false, 1)
+		b.ill.Seen(false)
 		b.window.Answered()
 		d.learnUsual(s, q, o)
 		if usual := d.usual(s, q).whole(); usual > 0 {
@@ -95,7 +95,7 @@
 	case ErrorAnswer:
 		b.lives(d.now)
 		b.fails = 0
-		b.ill.Seen(true, 1)
+		b.ill.Seen(true)
 	case Full:
 		b.refused(d.now, q.sent, o.RetryAfter, time.Duration(d.chance.Unit()*float64(usual)))
 	case Elsewhere:
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -570,14 +570,6 @@
 	}
 }
 
-func TestPCGIsSeeded(t *testing.T) {
-	a, b, c := newPCG(1), newPCG(1), newPCG(2)
-	x, y, z := a.next(), b.next(), c.next()
-	if x != y || x == z {
-		t.Fatalf("same seed %d %d, other seed %d", x, y, z)
-	}
-}
-
 // A repeat asked for in time had its connection a second later and left when it was known no more.
 func TestALateConnectionIsAskedAgain(t *testing.T) {
 	w := newWorld(1, nil)
--- a/control/settings.go
+++ b/control/settings.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -11,6 +12,33 @@
 
 // How the settings are read; what is read is picked where it is needed.
 
+// New makes an instance. Settings that make no sense are an error that names them.
+func New(seed uint64, set Settings, out Outlet) (*Sender, error) {
+	if err := set.Check(); err != nil {
+		return nil, fmt.Errorf("setting %w", err)
+	}
+	s := newState(seed, set, out)
+	for _, name := range slices.Sorted(maps.Keys(set)) {
+		if strings.HasSuffix(name, "Us") && s.number(name, 0) < 0 {
+			return nil, fmt.Errorf("setting %s is a negative time", name)
+		}
+	}
+	for _, name := range []string{"Specifics.MaxCalls", "Permissions.TryLimit", "RequestClasses.count"} {
+		if s.number(name, 0) < 1 {
+			return nil, fmt.Errorf("setting %s is less than 1 or no number", name)
+		}
+	}
+	s.slots = int(s.number("Specifics.MaxCalls", 1))
+	s.readProducts()
+	for _, p := range s.products {
+		s.longestSLA = max(s.longestSLA, p.sla)
+		s.shortestSLA = min(cmp.Or(s.shortestSLA, p.sla), p.sla)
+		p.pace = float64(p.sla) / firstPace
+	}
+	s.readBrands()
+	return s, nil
+}
+
 func (s *Sender) number(name string, otherwise float64) float64 {
 	if n, err := strconv.ParseFloat(s.set[name], 64); err == nil {
 		return n
--- a/control/state.go
+++ b/control/state.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
+	"strconv"
+
+	"emberquay/admission"
 )
 
 // What lasts for one submit.
@@ -89,12 +91,12 @@
 	fulls        int     // refusals since the last delivery
 	strain       float64 // share of late calls that were refused
 	flight       int
-	window       float64 // calls that have been found bearable at once
-	refusedSince Time    // first refusal for another reason than the limit with no delivery after it; 0 if none
-	refusedAt    Time    // the last such
-	refusedFree  Time    // the last refusal with the allowance untouched and no delivery after it
-	waitUntil    Time    // told
-	heldUntil    Time    // by the allowance
+	window       admission.Window // calls that have been found bearable at once
+	refusedSince Time             // first refusal for another reason than the limit with no delivery after it; 0 if none
+	refusedAt    Time             // the last such
+	refusedFree  Time             // the last refusal with the allowance untouched and no delivery after it
+	waitUntil    Time             // told
+	heldUntil    Time             // by the allowance
 	used         int64
 }
 
@@ -112,7 +114,7 @@
 	busy      bool    // stands in Sender.busy
 	arrived   float64 // texts handed in for it
 	pace      float64
-	through   fading // texts that got through of late
+	through   admission.Fading // texts that got through of late
 }
 
 // What lasts as long as the instance.
@@ -132,19 +134,7 @@
 
 type brand struct {
 	part float64 // this sender's even part of its share, texts a second
-	sent fading
-}
-
-// fading counts what came of late: each fades away over a span.
-type fading struct {
-	sum float64
-	at  Time
-}
-
-func (f *fading) add(n float64, now Time, span float64) float64 {
-	f.sum = f.sum*math.Exp(-float64(now-f.at)/span) + n
-	f.at = now
-	return f.sum
+	sent admission.Fading
 }
 
 type keyLine struct {
@@ -182,7 +172,7 @@
 	set          Settings
 	now          Time
 	began        Time // when it was first told the time
-	chance       pcg
+	chance       admission.PCG
 	products     map[string]*product
 	texts        map[string]*text
 	keys         map[string]*keyLine
@@ -229,7 +219,7 @@
 
 func newState(seed uint64, set Settings, out Outlet) *Sender {
 	return &Sender{
-		out: out, set: set, chance: newPCG(seed),
+		out: out, set: set, chance: admission.NewPCG(seed),
 		products: map[string]*product{}, texts: map[string]*text{}, keys: map[string]*keyLine{},
 		receivers: map[ReceiverID]*receiver{}, buckets: map[bucketKey]*bucket{},
 		destinations: map[int64]*destination{},
@@ -244,10 +234,65 @@
 	return len(r.weighed)
 }
 
-func smooth(mean *float64, v float64) {
-	*mean = cmp.Or(*mean, v)
-	*mean += smoothing * (v - *mean)
-}
-
 // Noted takes a note of another sender. None is sent, so none is expected.
 func (s *Sender) Noted(int, []byte) {}
+
+// Listed takes news of the list; whole: what is not in it is gone.
+func (s *Sender) Listed(whole bool, entries []Entry) {
+	s.asks = 0
+	if whole {
+		for _, r := range s.receivers {
+			r.listing = Removed
+		}
+	}
+	for _, e := range entries {
+		r := s.receivers[e.Receiver]
+		if r == nil {
+			if e.Listing == Removed {
+				continue
+			}
+			r = &receiver{id: e.Receiver, dest: s.destination(e.Destination), kind: e.Kind, rank: s.chance.Unit(),
+				apart: s.perKind("Specifics.RoutesApart", e.Kind) == "true"}
+			r.bundle, _ = strconv.Atoi(s.perKind("Specifics.BundleMax", e.Kind))
+			s.receivers[e.Receiver] = r
+			byID := func(o *receiver, id ReceiverID) int { return cmp.Compare(o.id, id) }
+			at, _ := slices.BinarySearchFunc(r.dest.receivers, r.id, byID)
+			r.dest.receivers = slices.Insert(r.dest.receivers, at, r)
+		}
+		if e.Listing == Removed && r.listing != Removed {
+			s.gone = append(s.gone, r)
+		}
+		r.listing, r.rate, r.zone = e.Listing, e.Rate, e.Zone
+		if r.apart {
+			r.fee, _ = strconv.ParseFloat(s.perName("Specifics.Carriage", "FailureDomains", r.zone), 64)
+		}
+	}
+	if whole {
+		s.gone = slices.Collect(maps.Values(s.receivers))
+	}
+	s.forget()
+}
+
+// hold puts a text in its destination's queue, by arrival: one that comes back stands at the head again.
+func (s *Sender) hold(t *text) {
+	bySeq := func(o *text, seq int64) int { return cmp.Compare(o.seq, seq) }
+	i, _ := slices.BinarySearchFunc(t.dest.queue, t.seq, bySeq)
+	t.dest.queue = slices.Insert(t.dest.queue, i, t)
+	s.attend(t.dest)
+}
+
+// finish closes a text; while a submit of it is out it is remembered, so that its end can be told apart.
+func (s *Sender) finish(t *text) {
+	t.over = true
+	t.dest.queue = slices.DeleteFunc(t.dest.queue, func(o *text) bool { return o == t })
+	if t.out != nil {
+		return
+	}
+	delete(s.texts, t.id)
+	if k := s.keys[t.key]; k != nil && t.product.inOrder {
+		k.texts = slices.DeleteFunc(k.texts, func(o *text) bool { return o == t })
+		if len(k.texts) == 0 {
+			s.forgetKeys()
+		}
+	}
+}
