--- a/admission/dispatch/choice.go
+++ b/admission/dispatch/choice.go
@@ -53,7 +53,7 @@
 	if b.ColdRemaining > 0 {
 		cost += coldShare * usual
 	}
-	if b == q.failedAt {
+	if b.ID == q.failedAt {
 		cost += triedCost
 	}
 	if !b.good(d.now) {
--- a/admission/dispatch/conformance_test.go
+++ b/admission/dispatch/conformance_test.go
@@ -302,6 +302,17 @@
 		s.list()
 		Expect(s.buckets).To(BeEmpty())
 	})
+	ginkgo.It("that are listed again are not asked for a second run", func() {
+		s := newScript(plain("a", 1)).warm(10 * ms)
+		s.arrive("0", kind(Safe, 2), objective(time.Second))
+		s.list(plain("b", 1, draining))
+		s.end("0", Outcome{Kind: Broken})
+		s.pass(100 * ms)
+		s.list(plain("b", 1, draining)) // a is forgotten
+		s.list(plain("a", 1), plain("b", 1, draining))
+		Expect(s.sends).To(HaveLen(1))
+		Expect(s.refusal("0").Executed).To(BeTrue())
+	})
 	ginkgo.It("rest after two failures in a row, longer each time, and come back with one call", func() {
 		s := newScript(plain("a", 4), plain("b", 4), plain("c", 4)).warm(10 * ms)
 		b := s.buckets["a"]
--- a/admission/dispatch/dispatch.go
+++ b/admission/dispatch/dispatch.go
@@ -64,10 +64,10 @@
 	to       *bucket // where a call is out; nil: none is
 	sent     Instant
 	attempt  int
-	unread   int // prompt tokens that its receiver has yet to read
-	unrun    int // calls of it that were proven not run
-	ran      []*bucket
-	failedAt *bucket // the last that failed it
+	unread   int          // prompt tokens that its receiver has yet to read
+	unrun    int          // calls of it that were proven not run
+	ran      []InstanceID // receivers that may have run it
+	failedAt InstanceID   // the last that failed it
 
 	mayHaveRun bool
 	failure    int  // the status that tells how the last call that may have run failed
@@ -278,7 +278,7 @@
 func (d *Dispatcher) forget(q *request) {
 	delete(d.requests, q.ID)
 	if len(d.spare) < spareRequests {
-		clear(q.ran)
+		clear(q.ran[:cap(q.ran)])
 		*q = request{ran: q.ran[:0]}
 		d.spare = append(d.spare, q)
 	}
--- a/admission/dispatch/outcome.go
+++ b/admission/dispatch/outcome.go
@@ -25,7 +25,7 @@
 }
 
 // ranAt: the receiver may have run the request already.
-func (q *request) ranAt(b *bucket) bool { return slices.Contains(q.ran, b) }
+func (q *request) ranAt(b *bucket) bool { return slices.Contains(q.ran, b.ID) }
 
 // mayGoAgain is the one place that allows another call of a request after one has ended.
 func (q *request) mayGoAgain() bool {
@@ -66,7 +66,7 @@
 		q.unrun++
 	} else {
 		q.mayHaveRun = true
-		q.ran = append(q.ran, b)
+		q.ran = append(q.ran, b.ID)
 	}
 	switch kind {
 	case Broken:
@@ -75,7 +75,7 @@
 		q.failure = StatusGatewayTimeout
 	}
 	if kind != Full {
-		q.failedAt = b
+		q.failedAt = b.ID
 	}
 }
 
