--- a/internal/routing/match_test.go
+++ b/internal/routing/match_test.go
@@ -1,6 +1,8 @@
 package routing_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -32,6 +34,52 @@
 	Entry("all paths", "ficu95.example", "*", ""),
 )
 
+// many is a configuration of many routes on a few hosts.
+func many(routes int) string {
+	var out strings.Builder
+	out.WriteString(`{"version":1,"services":[{"name":"s"}],"routes":[`)
+	for i := range routes {
+		if i > 0 {
+			out.WriteByte(',')
+		}
+		fmt.Fprintf(&out, `{"name":"r%d","authority":"host%d.example","path_prefix":"/p%d/","timeout_ms":5,"service":"s"}`, i, i%3, i)
+	}
+	out.WriteString("]}")
+	return out.String()
+}
+
+var _ = Describe("many routes", func() {
+	It("are all found, each at its place only", func() {
+		snapshot := parse(many(300))
+		for i := range 300 {
+			for host := range 3 {
+				route, found := snapshot.Match(fmt.Sprintf("host%d.example", host), fmt.Sprintf("/p%d/x", i))
+				Expect(found).To(Equal(host == i%3))
+				if found {
+					Expect(route.Name).To(Equal(fmt.Sprintf("r%d", i)))
+				}
+			}
+		}
+	})
+
+	It("are looked up without memory of the heap", func() {
+		snapshot := parse(many(300))
+		path := "/p77/" + strings.Repeat("x", 5000)
+		Expect(testing.AllocsPerRun(100, func() { snapshot.Match("Host2.example:8080", path) })).To(BeZero())
+	})
+})
+
+var _ = Describe("prefixes inside each other", func() {
+	It("go to the longest", func() {
+		snapshot := parse(with("/lohu930/", "/pufi791/deep/"))
+		for path, want := range map[string]string{"/pufi791/deep/x": "r-zji9n73", "/pufi791/deep": "r-hh2b9wu", "/pufi791/deeper/": "r-hh2b9wu"} {
+			route, found := snapshot.Match("ficu95.example", path)
+			Expect(found).To(BeTrue())
+			Expect(route.Name).To(Equal(want), path)
+		}
+	})
+})
+
 func BenchmarkMatch(b *testing.B) {
 	snapshot, err := routing.Parse([]byte(example))
 	if err != nil {
@@ -44,3 +92,27 @@
 		}
 	}
 }
+
+func BenchmarkMatchOfMany(b *testing.B) {
+	snapshot, err := routing.Parse([]byte(many(2000)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, found := snapshot.Match("host1.example", "/p1999/4b/some/longer/path"); found != (1999%3 == 1) {
+			b.Fatal("another host's route")
+		}
+	}
+}
+
+func BenchmarkParse(b *testing.B) {
+	body := []byte(many(200))
+	b.ReportAllocs()
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		if _, err := routing.Parse(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/routing/object.go
+++ b/internal/routing/object.go
@@ -147,10 +147,10 @@
 	var list []*object
 	for i, value := range o.list(key) {
 		item := &object{path: fmt.Sprintf("%s[%d]", o.keyPath(key), i), first: o.first}
-		item.fill(value)
-		if name := item.values["name"]; name.Type == gjson.String && name.Str != "" {
+		if name := value.Get("name"); name.Type == gjson.String && name.Str != "" {
 			item.path = fmt.Sprintf("%s[%s]", o.keyPath(key), name.Str)
 		}
+		item.fill(value)
 		list = append(list, item)
 	}
 	return list
