--- a/coordination/budget/ledger.go
+++ b/coordination/budget/ledger.go
@@ -91,37 +91,48 @@
 
 // Reserve opens a reservation of at most so many tokens.
 func (l *Ledger) Reserve(turn Key, most int64) Outcome {
-	if s, ok := l.entries[turn]; ok {
-		if s < 0 {
-			return Known
-		}
-		return Closed
+	outcome := l.Find(turn)
+	if outcome == Opened {
+		l.put(Entry{Turn: turn, Tokens: max(0, most), Open: true})
 	}
-	if len(l.entries) >= MaxEntries {
+	return outcome
+}
+
+// Find gives Known or Closed for a turn that has an entry, else Crowded or, if there is room, Opened: what Reserve would
+// come to.
+func (l *Ledger) Find(turn Key) Outcome {
+	s, ok := l.entries[turn]
+	switch {
+	case ok && s < 0:
+		return Known
+	case ok:
+		return Closed
+	case len(l.entries) >= MaxEntries:
 		return Crowded
 	}
-	l.put(Entry{Turn: turn, Tokens: max(0, most), Open: true})
 	return Opened
 }
 
-// Merge takes in what another holder knows, and says whether it was news. A settled entry replaces an open one; of two
-// settled ones the greater stays. Entries beyond MaxEntries are left out only if they settle a turn that is not known.
-func (l *Ledger) Merge(e Entry) bool {
-	e.Tokens = max(0, e.Tokens)
+// News says whether Merge would change anything.
+func (l *Ledger) News(e Entry) bool {
 	s, ok := l.entries[e.Turn]
 	if !ok {
-		// One that is open must never be lost: the budget could be passed.
-		if len(l.entries) >= MaxEntries && !e.Open && e.Tokens == 0 {
-			return false
-		}
-		l.put(e)
-		return true
+		// An open one must never be lost, or the budget could be passed; nor one that used tokens.
+		return len(l.entries) < MaxEntries || e.Open || e.Tokens > 0
 	}
-	known := s.entry(e.Turn)
-	if !newer(known, e) {
+	return newer(s.entry(e.Turn), e)
+}
+
+// Merge takes in what another holder knows, and says whether it was news. A settled entry replaces an open one; of two
+// settled ones the greater stays. Beyond MaxEntries only withdrawals of turns that are not known are left out.
+func (l *Ledger) Merge(e Entry) bool {
+	e.Tokens = max(0, e.Tokens)
+	if !l.News(e) {
 		return false
 	}
-	l.drop(known)
+	if s, ok := l.entries[e.Turn]; ok {
+		l.drop(s.entry(e.Turn))
+	}
 	l.put(e)
 	return true
 }
--- /dev/null
+++ b/internal/store/catchup.go
@@ -0,0 +1,213 @@
+package store
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+
+	"emberquay/internal/storewire"
+)
+
+// inventory is what another store holds.
+type inventory struct {
+	member   int
+	turns    []storewire.Listed
+	programs []storewire.Program
+}
+
+// catchUp compares with the other members until it lacks nothing, and says whether it does.
+func (s *Store) catchUp(ctx context.Context, d duty) bool {
+	inventories := s.inventories(ctx, d)
+	if len(inventories) < d.view.CatchUp() {
+		return false
+	}
+	for _, inventory := range inventories {
+		if !s.takePrograms(ctx, inventory.programs) {
+			return false
+		}
+	}
+	if !s.fetchAll(ctx, d, inventories) {
+		return false
+	}
+	settled := false
+	err := s.do(ctx, func(t *table) bool {
+		// A machine that was removed meanwhile may have held what is missing now.
+		if t.meta.View.Epoch != d.view.Epoch && removed(d.view, t.meta.View) {
+			return false
+		}
+		meta := t.meta
+		meta.Complete, meta.Unsettled = true, false
+		settled = t.keepMeta(meta)
+		return settled
+	})
+	return err == nil && settled
+}
+
+// inventories asks all others at once. Those that don't answer whole, or are not complete themselves, are left out.
+func (s *Store) inventories(ctx context.Context, d duty) []inventory {
+	answers := make(chan *inventory, len(d.view.Members))
+	var asking sync.WaitGroup
+	for member := range d.view.Members {
+		if member == d.self {
+			continue
+		}
+		asking.Add(1)
+		go func() {
+			defer asking.Done()
+			i := &inventory{member: member}
+			if s.listTurns(ctx, d, i) && (d.complete || s.listPrograms(ctx, d, i)) {
+				answers <- i
+			}
+		}()
+	}
+	asking.Wait()
+	close(answers)
+	var all []inventory
+	for i := range answers {
+		all = append(all, *i)
+	}
+	return all
+}
+
+func (s *Store) listTurns(ctx context.Context, d duty, i *inventory) bool {
+	q := storewire.ListRequest{Header: d.header(i.member), Sender: s.id, First: true}
+	for {
+		a, err := s.list(ctx, d, i.member, q)
+		if err != nil || !s.heed(a.Reply) || !a.Reply.Complete {
+			return false
+		}
+		page, err := storewire.ListedTurns(a.Turns)
+		if err != nil || len(page) == 0 && a.More {
+			return false
+		}
+		i.turns = append(i.turns, page...)
+		if !a.More {
+			return true
+		}
+		q.First, q.After = false, int64(page[len(page)-1].Key)
+	}
+}
+
+func (s *Store) list(ctx context.Context, d duty, member int, q storewire.ListRequest) (storewire.ListAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerLimit)
+	defer cancel()
+	return s.caller.List(ctx, d.view.Members[member].Address, q)
+}
+
+func (s *Store) listPrograms(ctx context.Context, d duty, i *inventory) bool {
+	q := storewire.ProgramsRequest{Header: d.header(i.member)}
+	for {
+		callContext, cancel := context.WithTimeout(ctx, peerLimit)
+		a, err := s.caller.Programs(callContext, d.view.Members[i.member].Address, q)
+		cancel()
+		if err != nil || !s.heed(a.Reply) || !a.Reply.Complete || len(a.Programs) == 0 && a.More {
+			return false
+		}
+		i.programs = append(i.programs, a.Programs...)
+		if !a.More {
+			return true
+		}
+		q.After = a.Programs[len(a.Programs)-1].Name
+	}
+}
+
+// takePrograms takes in what another store knows of budgets.
+func (s *Store) takePrograms(ctx context.Context, programs []storewire.Program) bool {
+	for page := range slices.Chunk(programs, offerPrograms) {
+		in, err := read(nil, page)
+		if err != nil || !s.takeIn(ctx, in) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Store) takeIn(ctx context.Context, in *intake) bool {
+	taken := false
+	err := s.do(ctx, func(t *table) bool {
+		taken = t.take(in)
+		return taken
+	})
+	return err == nil && taken
+}
+
+// wanted is a turn that is to be brought here.
+type wanted struct {
+	holders []int
+	placed  bool
+}
+
+// fetchAll brings the turns that belong here, and those that too few of the others hold: this store may have been one
+// of theirs before it lost its disk.
+func (s *Store) fetchAll(ctx context.Context, d duty, inventories []inventory) bool {
+	missing, ok := s.missing(ctx, d, inventories)
+	if !ok {
+		return false
+	}
+	loads := map[int][]uint64{}
+	for key, w := range missing {
+		// The holder with the least to send, so that they send side by side.
+		best := slices.MinFunc(w.holders, func(a, b int) int { return len(loads[a]) - len(loads[b]) })
+		loads[best] = append(loads[best], key)
+	}
+	results := make(chan bool, len(loads))
+	for _, member := range slices.Sorted(maps.Keys(loads)) {
+		go func() { results <- s.fetch(ctx, d, member, loads[member]) }()
+	}
+	all := true
+	for range loads {
+		all = <-results && all
+	}
+	return all
+}
+
+// missing works out what is to be brought.
+func (s *Store) missing(ctx context.Context, d duty, inventories []inventory) (map[uint64]*wanted, bool) {
+	all := map[uint64]*wanted{}
+	for _, inventory := range inventories {
+		for _, l := range inventory.turns {
+			w := all[l.Key]
+			if w == nil {
+				w = &wanted{}
+				all[l.Key] = w
+			}
+			w.holders = append(w.holders, inventory.member)
+			w.placed = w.placed || l.Placed
+		}
+	}
+	copies := d.view.Copies()
+	err := s.do(ctx, func(t *table) bool {
+		for key, w := range all {
+			if t.holds(key) || !w.placed && len(w.holders) >= copies {
+				delete(all, key)
+			}
+		}
+		return false
+	})
+	return all, err == nil
+}
+
+// fetch brings turns from one holder.
+func (s *Store) fetch(ctx context.Context, d duty, member int, keys []uint64) bool {
+	for len(keys) > 0 {
+		page := keys[:min(len(keys), offerPage)]
+		var packed []byte
+		for _, key := range page {
+			packed = storewire.AppendKey(packed, key)
+		}
+		callContext, cancel := context.WithTimeout(ctx, peerLimit)
+		a, err := s.caller.Fetch(callContext, d.view.Members[member].Address,
+			storewire.FetchRequest{Header: d.header(member), Keys: packed})
+		cancel()
+		if err != nil || !s.heed(a.Reply) || a.Looked < 1 || a.Looked > len(page) {
+			return false
+		}
+		in, err := read(a.Parcels, nil)
+		if err != nil || !s.takeIn(ctx, in) {
+			return false
+		}
+		keys = keys[a.Looked:]
+	}
+	return true
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,265 @@
+// Package store keeps the turns of conversations and the budgets of programs on the disk of one machine, together with
+// the other stores of the view:
+//
+//	s, err := store.Start(store.Options{Files: vfs.OS{}, Dir: dir, DiskBytes: bytes, Bootstrap: bootstrap,
+//		Caller: storewire.NewCaller(calls), Newer: askForView, Retired: reportRetired})
+//	storewire.Register(mux, s)
+//	s.SetView(view)  // controlstate.StoreView, at each change; the store registers itself under s.ID()
+//	defer s.Close()
+//
+// One goroutine owns the table of all that is known (type table) and works through a queue of commands; a second one
+// syncs the journal for all commands that wait for the disk; a third repairs. Texts of turns stay on the disk.
+//
+// Invariants:
+//   - Whatever was acknowledged is on the disk, and is served after a restart.
+//   - A store answers only requests that mean its disk, and none that chose it by a view older than one it has served
+//     before (the fence, kept on the disk): so what a store with a fresh disk learned from others can't become outdated
+//     by a request that was on its way.
+//   - A store with a fresh disk is incomplete until it has compared itself with View.CatchUp others. Of what was
+//     acknowledged before, one of them knows; a turn that too few of them hold is taken over, wherever it belongs.
+package store
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"emberquay/internal/controlstate"
+	"emberquay/internal/journal"
+	"emberquay/internal/storewire"
+	"emberquay/internal/vfs"
+)
+
+const (
+	// diskShare is the part of the disk that the ring of files may take.
+	diskShare = 0.8
+	// segments of the ring: so many that a segment kept free costs little.
+	segments = 16
+	// leastSegment holds the longest turns on all but the smallest disks, mostSegment keeps a reclaim short.
+	leastSegment = 1 << 20
+	mostSegment  = 16 << 20
+	// defaultDisk is taken where no limit is told.
+	defaultDisk = 256 << 20
+	// queueLength bounds the commands that wait for the owner of the table; callers wait beyond it.
+	queueLength = 256
+	// drainMost bounds the commands that are worked through before a sync for them begins.
+	drainMost = 64
+	// defaultRepairInterval lies between two comparisons with another store.
+	defaultRepairInterval = 500 * time.Millisecond
+)
+
+// ErrClosed: the store has been closed.
+var ErrClosed = eris.New("store: closed")
+
+// Options of a store.
+type Options struct {
+	Files     vfs.FS
+	Dir       string
+	DiskBytes int64 // of the disk; four fifths are used. 0: 256 MiB
+	Bootstrap bool  // the whole system starts for the first time: an empty disk lacks nothing
+	Caller    storewire.Caller
+	// Newer is called when a caller works by a view newer than the store's, in a goroutine of its own. May be nil.
+	Newer func(epoch uint64)
+	// Retired is called once all that this store held is on the disks of the others, while the view says that it is
+	// retiring; it is called again from time to time until the view changes. May be nil.
+	Retired func()
+	// Now is a clock that never steps, from any zero. nil: the machine's.
+	Now func() time.Duration
+	// RepairInterval: 0: 500 ms; below 0: repair is never begun by itself (tests).
+	RepairInterval time.Duration
+}
+
+// Store is an open store. It implements storewire.Server.
+type Store struct {
+	options  Options
+	now      func() time.Duration
+	journal  *journal.Journal
+	id       string
+	caller   storewire.Caller
+	commands chan *command
+	kick     chan struct{} // wakes the repair
+	reported retiredReport
+
+	ctx  context.Context
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+var _ storewire.Server = (*Store)(nil)
+
+// command is a piece of work for the owner of the table.
+type command struct {
+	run  func(*table) (durable bool) // durable: it is done only once all that was appended is on the disk
+	done chan struct{}
+	err  error // of the disk; set before done is closed
+}
+
+// syncing is a sync for a group of commands.
+type syncing struct {
+	group   []*command
+	through uint64 // appended records that it covers
+	err     error
+}
+
+// Start opens the store of a folder. Errors: those of the disk.
+func Start(o Options) (*Store, error) {
+	if o.DiskBytes == 0 {
+		o.DiskBytes = defaultDisk
+	}
+	if o.RepairInterval == 0 {
+		o.RepairInterval = defaultRepairInterval
+	}
+	if o.Now == nil {
+		start := time.Now()
+		o.Now = func() time.Duration { return time.Since(start) }
+	}
+	t, err := openTable(o)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{
+		options:  o,
+		now:      o.Now,
+		journal:  t.journal,
+		id:       t.meta.ID,
+		caller:   o.Caller,
+		commands: make(chan *command, queueLength),
+		kick:     make(chan struct{}, 1),
+	}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	syncs := make(chan *syncing, 1)
+	synced := make(chan *syncing, 1)
+	s.done.Add(2)
+	go s.own(t, syncs, synced)
+	go s.sync(syncs, synced)
+	if o.RepairInterval > 0 {
+		s.done.Add(1)
+		go s.repair()
+	}
+	return s, nil
+}
+
+// ID was drawn when the disk was first used.
+func (s *Store) ID() string { return s.id }
+
+// SetView tells of the stores; a view older than the one in use is ignored.
+func (s *Store) SetView(stores controlstate.StoreView) { s.adopt(storewire.ViewOf(stores)) }
+
+func (s *Store) adopt(v storewire.View) {
+	if v.Epoch == 0 {
+		return
+	}
+	changed := false
+	err := s.do(s.ctx, func(t *table) bool {
+		changed = t.setView(v)
+		return false
+	})
+	if err != nil || !changed {
+		return
+	}
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Complete says whether the store holds all that it should.
+func (s *Store) Complete() bool {
+	complete := false
+	err := s.do(s.ctx, func(t *table) bool {
+		complete = t.meta.Complete
+		return false
+	})
+	return err == nil && complete
+}
+
+// Close ends the store. What was not acknowledged may be lost.
+func (s *Store) Close() error {
+	s.stop()
+	s.done.Wait()
+	return s.journal.Close()
+}
+
+// do has the owner of the table run a command and waits for its end, on the disk if it is durable. Errors: the
+// context's, ErrClosed, or the disk's; after them the command may have run or not, or may run later.
+func (s *Store) do(ctx context.Context, run func(*table) (durable bool)) error {
+	c := &command{run: run, done: make(chan struct{})}
+	select {
+	case s.commands <- c:
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "store")
+	case <-s.ctx.Done():
+		return ErrClosed
+	}
+	select {
+	case <-c.done:
+		return c.err
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "store")
+	case <-s.ctx.Done():
+		return ErrClosed
+	}
+}
+
+// own works through the commands. Those that come while a sync runs share the next one.
+func (s *Store) own(t *table, syncs chan<- *syncing, synced <-chan *syncing) {
+	defer s.done.Done()
+	defer close(syncs)
+	for {
+		select {
+		case c := <-s.commands:
+			s.serve(t, c)
+			s.drain(t)
+		case ended := <-synced:
+			t.syncEnded(ended)
+		case <-s.ctx.Done():
+			return
+		}
+		if next := t.nextSync(); next != nil {
+			syncs <- next
+		}
+	}
+}
+
+func (s *Store) drain(t *table) {
+	for range drainMost {
+		select {
+		case c := <-s.commands:
+			s.serve(t, c)
+		default:
+			return
+		}
+	}
+}
+
+func (s *Store) serve(t *table, c *command) {
+	if c.run(t) && t.unsynced() {
+		t.waiting = append(t.waiting, c)
+	} else {
+		close(c.done)
+	}
+	if epoch := t.newer; epoch != 0 {
+		t.newer = 0
+		if s.options.Newer != nil {
+			go s.options.Newer(epoch)
+		}
+	}
+}
+
+// sync brings the journal to the disk, one group of commands after the other.
+func (s *Store) sync(syncs <-chan *syncing, synced chan<- *syncing) {
+	defer s.done.Done()
+	for next := range syncs {
+		next.err = s.journal.Sync()
+		for _, c := range next.group {
+			c.err = next.err
+			close(c.done)
+		}
+		select {
+		case synced <- next:
+		case <-s.ctx.Done():
+		}
+	}
+}
