dispatch: a load that fades and fresh tokens in the cost; several proxies on one pool simulated

What no receiver keeps is counted instead, and half of a difference. Holding a request for the engine that keeps its prompt was not tried: it helps beyond what the pool bears only, and departs from the free receiver of the design.

--- a/admission/dispatch/choice.go
+++ b/admission/dispatch/choice.go
@@ -13,6 +13,9 @@
 	// batchStep is the share of a call by which one more running request lengthens it: a step's time is that of
 	// reading the weights, which the whole batch shares; each request adds only its own context.
 	batchStep = 1.0 / 200
+	// loadLasts is the share of a difference in load that is still there while the call runs: reports are old, and those
+	// that run end.
+	loadLasts = 0.5
 	// crowding is the share of a call by which a full plain receiver lengthens it.
 	crowding = 0.5
 	// zoneCost stands for the way there and back between zones, and the price of the bytes.
@@ -40,7 +43,7 @@
 // the time that it takes from those that run beside it.
 func (d *Dispatcher) cost(s *service, q *request, b *bucket) float64 {
 	usual := milliseconds(d.usual(s, q).whole())
-	load := float64(b.load(d.now))
+	load := d.meanLoad + loadLasts*(float64(b.load(d.now))-d.meanLoad)
 	cost := errorCost * float64(b.ill)
 	if b.Engine != nil {
 		cost += d.engineCost(s, q, b, usual, load)
@@ -67,9 +70,10 @@
 // read too. Where memory runs out somebody is read anew.
 func (d *Dispatcher) engineCost(s *service, q *request, b *bucket, usual, load float64) float64 {
 	missing := float64(q.missing(d.now, b))
+	q.least = min(q.least, missing)
 	reading := missing / prefillTokensPerMs
 	cost := reading*(1+load) + float64(b.unread)/prefillTokensPerMs
-	cost += load * (s.missing/prefillTokensPerMs + batchStep*usual)
+	cost += load * (s.fresh/prefillTokensPerMs + batchStep*usual)
 	if total := float64(b.reading.KVTotal); total > 0 && b.reading.told {
 		filled := (float64(b.reading.KVUsed) + missing + float64(q.TokensOut)) / total
 		pressure := max(0, filled-memoryAmple) / (1 - memoryAmple)
@@ -89,6 +93,11 @@
 func (d *Dispatcher) choose(s *service, q *request, free []*bucket) *bucket {
 	d.costs = d.costs[:0]
 	least := math.Inf(1)
+	d.meanLoad = 0
+	for _, b := range free {
+		d.meanLoad += float64(b.load(d.now)) / float64(len(free))
+	}
+	q.least = math.Inf(1)
 	for _, b := range free {
 		cost := math.Inf(1)
 		if !q.ranAt(b) {
--- a/admission/dispatch/dispatch.go
+++ b/admission/dispatch/dispatch.go
@@ -44,11 +44,12 @@
 	wake     Instant // the earliest that this event found
 
 	// Kept between events, so that they need not be made anew.
-	effects Effects
-	free    []*bucket
-	costs   []float64
-	spare   []*request
-	guess   usual
+	effects  Effects
+	free     []*bucket
+	costs    []float64
+	meanLoad float64 // of the receivers among which one is chosen
+	spare    []*request
+	guess    usual
 }
 
 // request is a request that has no end yet, or whose call has none.
@@ -65,6 +66,7 @@
 	sent     Instant
 	attempt  int
 	unread   int          // prompt tokens that its receiver has yet to read
+	least    float64      // prompt tokens that the free receiver which keeps most would have to read
 	unrun    int          // calls of it that were proven not run
 	ran      []InstanceID // receivers that may have run it
 	failedAt InstanceID   // the last that failed it
@@ -229,7 +231,7 @@
 	q.attempt++
 	if b.Engine != nil {
 		q.unread = q.missing(d.now, b)
-		admission.Smooth(&s.missing, float64(q.unread))
+		admission.Smooth(&s.fresh, q.least)
 		b.parts.add(d.now, q.Prefix, b.Engine.KVCapacityTokens)
 	}
 	b.sent(q)
--- a/admission/dispatch/queue.go
+++ b/admission/dispatch/queue.go
@@ -31,7 +31,7 @@
 	queue   []*request
 	out     int     // calls out
 	took    float64 // a usual call, any size
-	missing float64 // prompt tokens that a usual call had to have read
+	fresh   float64 // prompt tokens of a usual call that no receiver keeps
 }
 
 // outlook is how long the held requests of a service have to wait.
