--- a/cmd/emberquay/main.go
+++ b/cmd/emberquay/main.go
@@ -18,6 +18,11 @@
 	Serve   serveCmd   `cmd:"" help:"Serve clients until told to stop."`
 	Check   checkCmd   `cmd:"" help:"Read the configuration and say what it comes to."`
 	Ledger  ledgerCmd  `cmd:"" help:"Look into the folder that lasts."`
+
+	Proxy        proxyCmd        `cmd:"" help:"Run the data plane of the serving tier on this machine."`
+	ControlPlane controlPlaneCmd `cmd:"" help:"Run the control plane of the serving tier on this machine."`
+	Store        storeCmd        `cmd:"" help:"Run a store of the serving tier on this machine."`
+
 	Version versionCmd `cmd:"" help:"Say which build this is."`
 }
 
--- /dev/null
+++ b/cmd/emberquay/tier.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"os"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+
+	"emberquay/internal/controlplane"
+	"emberquay/internal/dataplane"
+	"emberquay/internal/lifecycle"
+	"emberquay/internal/settings"
+	"emberquay/internal/storeplane"
+)
+
+// tierCmd are the flags that the planes of the tier share.
+type tierCmd struct {
+	Settings string `help:"The settings file of this machine (TOML)." env:"EMBERQUAY_NODE_FILE" default:"/etc/emberquay/boot.toml" type:"path"`
+	LogLevel string `help:"The least level that is logged: debug, info, warn, error." default:"info" enum:"debug,info,warn,error"`
+}
+
+// run reads the settings and runs a plane until the platform stops it.
+func (c tierCmd) run(kind string, start func(*settings.Node, log.Interface) (lifecycle.Plane, error)) error {
+	node, err := settings.LoadFile(c.Settings)
+	if err != nil {
+		return err
+	}
+	logger := &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.MustParseLevel(c.LogLevel)}
+	entry := logger.WithField("node", node.Name).WithField("plane", kind)
+	return lifecycle.Run(c.Settings, node, entry, func() (lifecycle.Plane, error) { return start(node, entry) })
+}
+
+type proxyCmd struct{ tierCmd }
+
+func (c *proxyCmd) Run() error {
+	return c.run("proxy", func(node *settings.Node, logger log.Interface) (lifecycle.Plane, error) {
+		return dataplane.Start(node, logger)
+	})
+}
+
+type controlPlaneCmd struct{ tierCmd }
+
+func (c *controlPlaneCmd) Run() error {
+	return c.run("control-plane", func(node *settings.Node, logger log.Interface) (lifecycle.Plane, error) {
+		return controlplane.Start(node, logger)
+	})
+}
+
+type storeCmd struct{ tierCmd }
+
+func (c *storeCmd) Run() error {
+	return c.run("store", func(node *settings.Node, logger log.Interface) (lifecycle.Plane, error) {
+		return storeplane.Start(node, logger)
+	})
+}
--- /dev/null
+++ b/internal/controlplane/plane.go
@@ -0,0 +1,209 @@
+// Package controlplane assembles the control plane of one machine: its replica of the control state, the
+// operator's and the receivers' API, and the part it takes in the cluster.
+//
+//	plane, err := controlplane.Start(node, logger)
+//	...
+//	plane.Shutdown(ctx)
+//
+// It owns the table of the receivers whose heartbeats come here; the control state is owned by the replica, what
+// is spread by the cluster.
+package controlplane
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+
+	"emberquay/coordination/chain"
+	"emberquay/internal/cluster"
+	"emberquay/internal/cluster/records"
+	"emberquay/internal/controlstate"
+	"emberquay/internal/registration"
+	"emberquay/internal/replica"
+	"emberquay/internal/settings"
+	"emberquay/internal/storeview"
+	"emberquay/internal/transport"
+	"emberquay/internal/vfs"
+)
+
+const (
+	// commandBound is how many commands may wait for the owner of the receivers.
+	commandBound = 256
+	// headerTimeout bounds the head of a call: callers are machines, not people.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	maxHeaderSize = 16 << 10
+	// replicaDiskShare is the part of the disk that the replica's journal may take.
+	replicaDiskShare = 0.6
+)
+
+// Plane is a running control plane.
+type Plane struct {
+	settings *settings.Node
+	log      log.Interface
+	client   *transport.Client
+	internal *transport.Server
+	cluster  *cluster.Cluster
+	replica  *replica.Replica
+	server   *http.Server
+	started  time.Time
+
+	receiverCommands chan func(*registration.Table)
+	done             chan struct{}
+	stop             context.CancelFunc
+
+	mutex sync.Mutex
+	ended bool // guarded by mutex
+}
+
+// Start opens the replica on the machine's disk, joins the others and serves.
+func Start(node *settings.Node, logger log.Interface) (*Plane, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	p := &Plane{
+		settings: node, log: logger, client: transport.NewClient(), started: time.Now(), stop: stop,
+		receiverCommands: make(chan func(*registration.Table), commandBound),
+		done:             make(chan struct{}),
+	}
+	if err := p.open(); err != nil {
+		p.close()
+		return nil, err
+	}
+	go p.ownReceivers(ctx)
+	return p, p.listen()
+}
+
+// open starts what other nodes call.
+func (p *Plane) open() error {
+	mux := transport.NewMux()
+	address := p.settings.InternalAddress(settings.ControlPlane)
+	var err error
+	p.cluster, err = cluster.Start(cluster.Options{
+		Self: cluster.Identity{Name: p.settings.Name, Role: cluster.Control, Zone: p.settings.Zone,
+			Region: p.settings.Region, Address: address},
+		Seeds: p.settings.SeedInternalAddresses(), Client: p.client, Mux: mux, Log: p.log,
+	})
+	if err != nil {
+		return err
+	}
+	if p.replica, err = p.openReplica(mux, address); err != nil {
+		return err
+	}
+	p.registerStores(mux)
+	p.internal, err = transport.Listen(address, mux)
+	return err
+}
+
+// listen serves the operator and the receivers.
+func (p *Plane) listen() error {
+	listener, err := net.Listen("tcp4", p.settings.Listen.Control)
+	if err != nil {
+		p.close()
+		return eris.Wrapf(err, "listen.control")
+	}
+	mux := http.NewServeMux()
+	p.registerOperator(mux)
+	p.registerReceivers(mux)
+	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderSize}
+	go func() {
+		if err := p.server.Serve(listener); err != http.ErrServerClosed {
+			p.log.WithError(err).Error("the control listener ended")
+		}
+	}()
+	return nil
+}
+
+// openReplica takes up the control state that the disk holds. A machine without a disk only forwards calls.
+func (p *Plane) openReplica(mux *transport.Mux, address string) (*replica.Replica, error) {
+	return replica.Open(replica.Options{
+		Name: p.settings.Name, Address: address, Zone: p.settings.Zone,
+		Seeds: p.settings.SeedInternalAddresses(), Bootstrap: p.settings.Bootstrap, Voter: p.settings.HasDisk(),
+		Files: vfs.OS{}, Dir: p.settings.DataDir, DiskBytes: int64(replicaDiskShare * float64(p.settings.Limits.DiskMB<<20)),
+		Machine:  func() chain.StateMachine { return controlstate.New() },
+		OnCommit: p.committed, Client: p.client, Mux: mux, Log: p.log,
+	})
+}
+
+// committed spreads a newly committed control state. Every member does; the same entry twice is one.
+func (p *Plane) committed(_, _ uint64, snapshot []byte) {
+	state := controlstate.New()
+	if err := state.Restore(snapshot); err != nil {
+		p.log.WithError(err).Error("committed state cannot be read")
+		return
+	}
+	if version, body := state.Configuration(); version > 0 {
+		p.publishConfiguration(version, body)
+	}
+	p.publishStores(state.Stores())
+}
+
+func (p *Plane) publishConfiguration(version uint64, body []byte) {
+	if known, ok := p.cluster.Get(cluster.ConfigurationKey); ok && known.Stamp.Epoch >= version {
+		return
+	}
+	value, err := records.Configurations.Encode(records.ConfigurationRecord{Version: version, Body: body})
+	if err != nil {
+		p.log.WithError(err).Error("configuration not spread")
+		return
+	}
+	p.cluster.Publish(cluster.Entry{Key: cluster.ConfigurationKey, Value: value, Stamp: cluster.Stamp{Epoch: version, Sequence: 1}})
+}
+
+func (p *Plane) publishStores(view controlstate.StoreView) {
+	if known, ok := p.cluster.Get(cluster.StoresKey); view.Epoch == 0 || ok && known.Stamp.Epoch >= view.Epoch {
+		return
+	}
+	entry, err := storeview.Entry(view)
+	if err != nil {
+		p.log.WithError(err).Error("store view not spread")
+		return
+	}
+	p.cluster.Publish(entry)
+}
+
+// heartbeatTarget is where receivers are asked to send their next heartbeats; empty while the plane ends.
+func (p *Plane) heartbeatTarget() string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.ended {
+		return ""
+	}
+	return p.settings.Listen.Control
+}
+
+// now is the plane's monotonic clock.
+func (p *Plane) now() time.Duration { return time.Since(p.started) }
+
+// Shutdown tells the others, answers what has been asked, and ends. It returns when all is done or ctx ends.
+func (p *Plane) Shutdown(ctx context.Context) {
+	p.mutex.Lock()
+	p.ended = true
+	p.mutex.Unlock()
+	if err := p.server.Shutdown(ctx); err != nil {
+		p.log.WithError(err).Warn("calls were cut off by the stop")
+	}
+	_ = p.cluster.Leave(ctx)
+	p.close()
+}
+
+func (p *Plane) close() {
+	p.stop()
+	close(p.done)
+	if p.replica != nil {
+		_ = p.replica.Close()
+	}
+	if p.cluster != nil {
+		p.cluster.Close()
+	}
+	if p.internal != nil {
+		_ = p.internal.Close()
+	}
+	p.client.Close()
+}
+
+// SetSeeds tells where other machines' control planes are.
+func (p *Plane) SetSeeds(addresses []string) { p.cluster.SetSeeds(addresses) }
--- /dev/null
+++ b/internal/controlplane/receivers.go
@@ -0,0 +1,206 @@
+package controlplane
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"emberquay/internal/cluster"
+	"emberquay/internal/cluster/records"
+	"emberquay/internal/registration"
+)
+
+const (
+	// maxHeartbeatBytes bounds a heartbeat: the protocol's own bound, with room.
+	maxHeartbeatBytes = 64 << 10
+	// confirmTimeout bounds the wait for others to confirm that a receiver ends. Its receiver goes on to
+	// another node after a second without an acknowledgement.
+	confirmTimeout = 600 * time.Millisecond
+	// watchInterval is the time between two looks for silent receivers.
+	watchInterval = 500 * time.Millisecond
+)
+
+// heartbeatBody is a heartbeat on the wire.
+type heartbeatBody struct {
+	Service         string         `json:"service"`
+	Address         string         `json:"address"`
+	Zone            string         `json:"zone"`
+	Version         string         `json:"version"`
+	Slots           int            `json:"slots"`
+	State           string         `json:"state"`
+	ColdRemainingMS float64        `json:"cold_remaining_ms"`
+	Stage           string         `json:"stage"`
+	Models          []modelOfABeat `json:"models"`
+	Sequence        uint64         `json:"sequence"`
+}
+
+type modelOfABeat struct {
+	Name string `json:"name"`
+}
+
+const stateDraining = "draining"
+
+// heartbeatAnswer names the address of the next heartbeats: while they stay here only changes are spread.
+type heartbeatAnswer struct {
+	Target string `json:"heartbeat_target,omitempty"`
+}
+
+// errUnconfirmed: nobody else has the news that a receiver ends.
+var errUnconfirmed = errors.New("no other node has confirmed the news")
+
+func (p *Plane) registerReceivers(mux *http.ServeMux) {
+	mux.HandleFunc("POST /api/Instances.Heartbeat/{id}", p.heartbeat)
+	mux.HandleFunc("POST /api/Instances.Leave/{id}", p.leave)
+}
+
+func (p *Plane) heartbeat(w http.ResponseWriter, r *http.Request) {
+	var body heartbeatBody
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxHeartbeatBytes)).Decode(&body); err != nil {
+		refuse(w, http.StatusBadRequest, "the heartbeat is not JSON: "+err.Error())
+		return
+	}
+	id := r.PathValue("id")
+	change := p.withReceivers(func(now time.Duration, table *registration.Table) registration.Change {
+		return table.Heartbeat(now, id, body.typed(), p.receiver(id))
+	})
+	p.spreadAndAnswer(w, r, change, heartbeatAnswer{Target: p.heartbeatTarget()})
+}
+
+func (b heartbeatBody) typed() registration.Heartbeat {
+	models := make([]string, 0, len(b.Models))
+	for _, m := range b.Models {
+		models = append(models, m.Name)
+	}
+	return registration.Heartbeat{
+		Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version, Slots: b.Slots,
+		Draining: b.State == stateDraining, ColdRemaining: time.Duration(b.ColdRemainingMS * float64(time.Millisecond)),
+		Stage: b.Stage, Models: models, Sequence: b.Sequence,
+	}
+}
+
+func (p *Plane) leave(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	change := p.withReceivers(func(_ time.Duration, table *registration.Table) registration.Change {
+		return table.Leave(id, p.receiver(id))
+	})
+	p.spreadAndAnswer(w, r, change, struct{}{})
+}
+
+// spreadAndAnswer spreads a change and acknowledges it. That a receiver ends is acknowledged only once others
+// know it: from then on no request may reach it for longer than the drain bound, whatever becomes of this node.
+func (p *Plane) spreadAndAnswer(w http.ResponseWriter, r *http.Request, change registration.Change, body any) {
+	if err := p.spread(r.Context(), change); err != nil {
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	answer(w, body)
+}
+
+func (p *Plane) spread(ctx context.Context, change registration.Change) error {
+	if !change.News {
+		return nil
+	}
+	value, err := records.Receivers.Encode(change.Record)
+	if err != nil {
+		return err
+	}
+	entry := cluster.Entry{Key: cluster.ReceiverPrefix + change.Record.ID, Value: value, Stamp: change.Stamp}
+	if !change.Ends {
+		p.cluster.Publish(entry)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	confirmed, _ := p.cluster.PublishConfirmed(ctx, entry, cluster.Control, cluster.Proxy)
+	if confirmed == 0 && p.hasPeers() {
+		return errUnconfirmed
+	}
+	return nil
+}
+
+// hasPeers says whether any other control node or proxy is known.
+func (p *Plane) hasPeers() bool {
+	for _, n := range p.cluster.Nodes() {
+		if n.Role != cluster.Store && n.Name != p.settings.Name && n.State != cluster.Left {
+			return true
+		}
+	}
+	return false
+}
+
+// receiver gives what the cluster knows of a receiver.
+func (p *Plane) receiver(id string) *records.ReceiverRecord {
+	entry, known := p.cluster.Get(cluster.ReceiverPrefix + id)
+	if !known {
+		return nil
+	}
+	record, err := records.Receivers.Decode(entry.Value)
+	if err != nil {
+		return nil
+	}
+	return &record
+}
+
+// receivers gives all known receivers.
+func (p *Plane) receivers() []records.ReceiverRecord {
+	entries := p.cluster.List(cluster.ReceiverPrefix)
+	list := make([]records.ReceiverRecord, 0, len(entries))
+	for _, e := range entries {
+		if r, err := records.Receivers.Decode(e.Value); err == nil {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// ownReceivers owns the table of receivers: it works through the commands that come, and looks for silent
+// receivers, until the plane ends.
+func (p *Plane) ownReceivers(ctx context.Context) {
+	table := registration.New(p.settings.Name, p.settings.HeartbeatInterval)
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case command := <-p.receiverCommands:
+			command(table)
+		case <-ticker.C:
+			p.tickReceivers(ctx, table)
+		}
+	}
+}
+
+func (p *Plane) tickReceivers(ctx context.Context, table *registration.Table) {
+	living := map[string]bool{}
+	for _, n := range p.cluster.Nodes() {
+		if n.Role == cluster.Control && (n.State == cluster.Alive || n.State == cluster.Suspect) {
+			living[n.Name] = true
+		}
+	}
+	changes := table.Tick(p.now(), p.receivers(), func(owner string) bool { return living[owner] })
+	for _, change := range changes {
+		p.log.WithField("receiver", change.Record.ID).WithField("state", change.Record.State.String()).Info("receiver silent")
+		_ = p.spread(ctx, change)
+	}
+}
+
+// withReceivers runs a step on the table of receivers, on its owner. A plane that ends changes nothing.
+func (p *Plane) withReceivers(step func(time.Duration, *registration.Table) registration.Change) registration.Change {
+	result := make(chan registration.Change, 1)
+	command := func(table *registration.Table) { result <- step(p.now(), table) }
+	select {
+	case p.receiverCommands <- command:
+	case <-p.done:
+		return registration.Change{}
+	}
+	select {
+	case change := <-result:
+		return change
+	case <-p.done:
+		return registration.Change{}
+	}
+}
--- /dev/null
+++ b/internal/dataplane/plane.go
@@ -0,0 +1,231 @@
+// Package dataplane assembles the data plane of one machine: the proxy, the part that it takes in the cluster,
+// and the client of the stores.
+//
+//	plane, err := dataplane.Start(node, logger)
+//	...
+//	plane.Shutdown(ctx) // serves what has been read
+//
+// It owns nothing itself: the configuration, the receivers and the stores' view come from the cluster's table
+// and are handed to those who work by them, from the one goroutine in which the cluster calls its watchers.
+package dataplane
+
+import (
+	"context"
+	"hash/maphash"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"emberquay/admission/dispatch"
+	"emberquay/internal/cluster"
+	"emberquay/internal/cluster/records"
+	"emberquay/internal/proxy"
+	"emberquay/internal/routing"
+	"emberquay/internal/settings"
+	"emberquay/internal/storeclient"
+	"emberquay/internal/storeview"
+	"emberquay/internal/storewire"
+	"emberquay/internal/transport"
+)
+
+// readyPollInterval is the time between two looks whether a starting plane knows enough to serve.
+const readyPollInterval = 50 * time.Millisecond
+
+// Plane is a running data plane.
+type Plane struct {
+	settings *settings.Node
+	log      log.Interface
+	client   *transport.Client
+	internal *transport.Server
+	cluster  *cluster.Cluster
+	stores   *storeclient.Client
+	proxy    *proxy.Proxy
+	stop     context.CancelFunc
+	stopped  context.Context
+
+	receivers  *receiverList
+	assignment atomic.Pointer[assignment]
+	proxies    atomic.Int64 // live ones, this one among them
+	snapshot   *routing.Snapshot
+}
+
+// Start joins the others and serves; the plane is ready once it knows the configuration and the receivers.
+func Start(node *settings.Node, logger log.Interface) (*Plane, error) {
+	stopped, stop := context.WithCancel(context.Background())
+	p := &Plane{settings: node, log: logger, client: transport.NewClient(), stop: stop, stopped: stopped, receivers: newReceiverList()}
+	p.proxies.Store(1)
+	if err := p.open(); err != nil {
+		p.close()
+		return nil, err
+	}
+	p.watch()
+	go func() {
+		if err := p.proxy.Run(); err != nil {
+			p.log.WithError(err).Error("the proxy ended")
+		}
+	}()
+	go p.becomeReady()
+	return p, nil
+}
+
+func (p *Plane) open() error {
+	mux := transport.NewMux()
+	address := p.settings.InternalAddress(settings.Proxy)
+	var err error
+	p.cluster, err = cluster.Start(cluster.Options{
+		Self: cluster.Identity{Name: p.settings.Name, Role: cluster.Proxy, Zone: p.settings.Zone,
+			Region: p.settings.Region, Address: address},
+		Seeds: p.settings.SeedInternalAddresses(), Client: p.client, Mux: mux, Log: p.log,
+	})
+	if err != nil {
+		return err
+	}
+	p.stores = storeclient.New(storeclient.Options{Caller: storewire.NewCaller(p.client), Zone: p.settings.Zone})
+	p.proxy, err = proxy.New(proxy.Options{
+		Front: p.settings.Listen.Front, Readiness: p.settings.Listen.Readiness,
+		Stores: p.stores, Logger: p.log, Seed: maphash.Comparable(maphash.MakeSeed(), p.settings.Name),
+		LiveProxies:   func() int { return int(p.proxies.Load()) },
+		Assigned:      p.assigned,
+		PublishReport: p.publishReport,
+	})
+	if err != nil {
+		return err
+	}
+	p.internal, err = transport.Listen(address, mux)
+	return err
+}
+
+// watch hands what the cluster tells to those who work by it.
+func (p *Plane) watch() {
+	p.cluster.Watch(cluster.ConfigurationKey, p.takeConfiguration)
+	p.cluster.Watch(cluster.StoresKey, p.takeStores)
+	p.cluster.Watch(cluster.ReceiverPrefix, p.takeReceiver)
+	p.cluster.Watch(cluster.ReportPrefix, p.takeReport)
+	p.cluster.WatchNodes(func(cluster.Node) { p.takeNodes() })
+}
+
+func (p *Plane) takeConfiguration(entry cluster.Entry) {
+	record, err := records.Configurations.Decode(entry.Value)
+	if err != nil {
+		p.log.WithError(err).Error("configuration cannot be read")
+		return
+	}
+	snapshot, err := routing.Parse(record.Body)
+	if err != nil {
+		p.log.WithError(err).WithField("version", record.Version).Error("configuration is not valid")
+		return
+	}
+	if p.snapshot != nil && p.snapshot.Version >= snapshot.Version {
+		return
+	}
+	p.snapshot = snapshot
+	p.proxy.SetConfiguration(snapshot)
+	p.proxy.SetReceivers(p.receivers.dispatchable(snapshot))
+	p.log.WithField("version", snapshot.Version).Info("configuration in force")
+}
+
+func (p *Plane) takeStores(entry cluster.Entry) {
+	view, err := storeview.Read(entry)
+	if err != nil {
+		p.log.WithError(err).Error("store view cannot be read")
+		return
+	}
+	p.stores.SetView(view)
+}
+
+func (p *Plane) takeReceiver(entry cluster.Entry) {
+	record, err := records.Receivers.Decode(entry.Value)
+	if err != nil {
+		p.log.WithError(err).Error("receiver's record cannot be read")
+		return
+	}
+	p.receivers.take(record)
+	p.proxy.SetReceivers(p.receivers.dispatchable(p.snapshot))
+	p.takeNodes()
+}
+
+// takeNodes counts the live proxies and shares the receivers' reports out among them.
+func (p *Plane) takeNodes() {
+	live := liveProxies(p.cluster.Nodes())
+	p.proxies.Store(int64(max(1, len(live))))
+	p.assignment.Store(assign(p.settings.Name, live, p.receivers.all()))
+}
+
+func (p *Plane) assigned(id dispatch.InstanceID) bool {
+	a := p.assignment.Load()
+	return a != nil && a.own[id]
+}
+
+func (p *Plane) publishReport(id dispatch.InstanceID, report dispatch.Report) {
+	value, err := records.Reports.Encode(records.ReportRecord{
+		Instance: string(id), Running: report.Running, Queued: report.Queued, KVUsed: int64(report.KVUsed),
+		KVTotal: int64(report.KVTotal), AgeMillis: report.Age.Milliseconds(), Sequence: int64(report.Sequence),
+	})
+	if err != nil {
+		return
+	}
+	p.cluster.Publish(cluster.Entry{Key: cluster.ReportPrefix + string(id), Value: value})
+}
+
+func (p *Plane) takeReport(entry cluster.Entry) {
+	record, err := records.Reports.Decode(entry.Value)
+	if err != nil || p.assigned(dispatch.InstanceID(record.Instance)) {
+		return
+	}
+	p.proxy.Report(dispatch.InstanceID(record.Instance), dispatch.Report{
+		Running: record.Running, Queued: record.Queued, KVUsed: int(record.KVUsed), KVTotal: int(record.KVTotal),
+		Age: time.Duration(record.AgeMillis) * time.Millisecond, Sequence: uint64(record.Sequence),
+	})
+}
+
+// becomeReady tells the platform that clients may come, once this plane has compared what it knows with others
+// and has a configuration: before, it could refuse routes that are there, or send to receivers that drain.
+func (p *Plane) becomeReady() {
+	select {
+	case <-p.cluster.Ready():
+	case <-p.stopped.Done():
+		return
+	}
+	ticker := time.NewTicker(readyPollInterval)
+	defer ticker.Stop()
+	for !p.knowsEnough() {
+		select {
+		case <-ticker.C:
+		case <-p.stopped.Done():
+			return
+		}
+	}
+	p.proxy.SetReady(true)
+	p.log.Info("ready")
+}
+
+func (p *Plane) knowsEnough() bool {
+	_, known := p.cluster.Get(cluster.ConfigurationKey)
+	return known
+}
+
+// Shutdown lets the platform notice, serves what has been read and ends, when ctx ends at the latest.
+func (p *Plane) Shutdown(ctx context.Context) {
+	p.stop()
+	p.proxy.Shutdown(ctx)
+	_ = p.cluster.Leave(ctx)
+	p.close()
+}
+
+func (p *Plane) close() {
+	p.stop()
+	if p.stores != nil {
+		p.stores.Close()
+	}
+	if p.cluster != nil {
+		p.cluster.Close()
+	}
+	if p.internal != nil {
+		_ = p.internal.Close()
+	}
+	p.client.Close()
+}
+
+// SetSeeds tells where other machines' control planes are.
+func (p *Plane) SetSeeds(addresses []string) { p.cluster.SetSeeds(addresses) }
--- /dev/null
+++ b/internal/dataplane/receivers.go
@@ -0,0 +1,73 @@
+package dataplane
+
+import (
+	"sync"
+	"time"
+
+	"emberquay/admission/dispatch"
+	"emberquay/internal/cluster/records"
+	"emberquay/internal/routing"
+)
+
+// receiverList holds what is known of each receiver. It is written by the goroutine of the cluster's watchers.
+type receiverList struct {
+	mutex sync.Mutex
+	known map[string]records.ReceiverRecord // guarded by mutex
+}
+
+func newReceiverList() *receiverList {
+	return &receiverList{known: map[string]records.ReceiverRecord{}}
+}
+
+// take notes a record. One that is gone takes nothing any more.
+func (l *receiverList) take(record records.ReceiverRecord) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if record.State == records.ReceiverGone {
+		delete(l.known, record.ID)
+		return
+	}
+	l.known[record.ID] = record
+}
+
+// all gives the receivers that are not gone.
+func (l *receiverList) all() []records.ReceiverRecord {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	list := make([]records.ReceiverRecord, 0, len(l.known))
+	for _, r := range l.known {
+		list = append(list, r)
+	}
+	return list
+}
+
+// dispatchable gives the receivers as the dispatcher has them, with what the configuration tells of their
+// services; a service that it does not name has none of that.
+func (l *receiverList) dispatchable(snapshot *routing.Snapshot) []dispatch.Receiver {
+	all := l.all()
+	list := make([]dispatch.Receiver, 0, len(all))
+	for _, r := range all {
+		list = append(list, dispatchReceiver(r, snapshot))
+	}
+	return list
+}
+
+func dispatchReceiver(r records.ReceiverRecord, snapshot *routing.Snapshot) dispatch.Receiver {
+	receiver := dispatch.Receiver{
+		ID: dispatch.InstanceID(r.ID), Service: r.Service, Address: r.Address, Zone: r.Zone, Slots: r.Slots,
+		Draining: r.State == records.ReceiverDraining, Silent: r.State == records.ReceiverSilent,
+		ColdRemaining: time.Duration(r.ColdRemainingMillis) * time.Millisecond,
+	}
+	if snapshot == nil {
+		return receiver
+	}
+	service := snapshot.Services[r.Service]
+	if service == nil {
+		return receiver
+	}
+	receiver.MaxConnections = service.MaxConnections
+	if service.Engine != nil {
+		receiver.Engine = &dispatch.EngineInfo{KVCapacityTokens: service.Engine.KVCapacityTokens, ChunkTokens: service.Engine.ChunkTokens}
+	}
+	return receiver
+}
--- /dev/null
+++ b/internal/lifecycle/lifecycle.go
@@ -0,0 +1,111 @@
+// Package lifecycle runs a plane from its start to the platform's word to stop.
+//
+//	return lifecycle.Run(node, logger, func() (lifecycle.Plane, error) { return store.Start(node, logger) })
+//
+// SIGTERM and SIGINT stop the plane within the platform's grace. SIGHUP has the settings file read again; it may
+// also change without a signal, so its time is looked at now and then. Of a changed file only the seeds count
+// while a process runs; a faulty one is logged and changes nothing.
+package lifecycle
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+
+	"emberquay/internal/settings"
+)
+
+const (
+	// graceReserve is what is left of the platform's grace for the process to end.
+	graceReserve = 500 * time.Millisecond
+	// fileInterval is the time between two looks at the settings file.
+	fileInterval = 2 * time.Second
+	// memoryShare is how much of the machine's memory the heap may take before it is collected more often: the
+	// bytes that wait in sockets, stacks and the program itself count too.
+	memoryShare = 0.6
+)
+
+// Plane is what runs.
+type Plane interface {
+	// Shutdown serves what has been begun and ends the plane; it returns when ctx ends at the latest.
+	Shutdown(ctx context.Context)
+	// SetSeeds tells the internal addresses of other machines' control planes.
+	SetSeeds(addresses []string)
+}
+
+// Run starts a plane and returns once it has been told to stop and has ended.
+func Run(path string, node *settings.Node, logger log.Interface, start func() (Plane, error)) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(node.Limits.MemoryMB<<20)))
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	plane, err := start()
+	if err != nil {
+		return err
+	}
+	logger.Info("started")
+	watch := newFileWatch(path)
+	ticker := time.NewTicker(fileInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			logger.Info("stopping")
+			shutdown(plane, node.Bounds.Grace-graceReserve)
+			logger.Info("stopped")
+			return nil
+		case <-reload:
+			watch.changed()
+			readAgain(path, plane, logger)
+		case <-ticker.C:
+			if watch.changed() {
+				readAgain(path, plane, logger)
+			}
+		}
+	}
+}
+
+func shutdown(plane Plane, grace time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	plane.Shutdown(ctx)
+}
+
+func readAgain(path string, plane Plane, logger log.Interface) {
+	node, err := settings.LoadFile(path)
+	if err != nil {
+		logger.WithError(err).Error("the changed settings are not taken")
+		return
+	}
+	plane.SetSeeds(node.SeedInternalAddresses())
+	logger.Info("settings read again")
+}
+
+// fileWatch tells whether a file has another time or size than when it was last looked at.
+type fileWatch struct {
+	path string
+	time time.Time
+	size int64
+}
+
+func newFileWatch(path string) *fileWatch {
+	w := &fileWatch{path: filepath.Clean(path)}
+	w.changed()
+	return w
+}
+
+func (w *fileWatch) changed() bool {
+	info, err := os.Stat(w.path)
+	if err != nil || info.ModTime().Equal(w.time) && info.Size() == w.size {
+		return false
+	}
+	w.time, w.size = info.ModTime(), info.Size()
+	return true
+}
