--- a/internal/controlstate/command.go
+++ b/internal/controlstate/command.go
@@ -1,13 +1,10 @@
 package controlstate
 
 import (
-	"fmt"
 	"strconv"
 
 	"github.com/hamba/avro/v2"
 	"github.com/rotisserie/eris"
-
-	"emberquay/internal/routing"
 )
 
 // Kind says what a command asks for. The numbers stand in what replicas keep and must not change.
@@ -77,12 +74,6 @@
 	Version uint64
 }
 
-// records codes all that this package keeps and exchanges.
-var records = avro.Config{
-	MaxByteSliceSize:  routing.MaxBodyBytes + 1<<20, // a configuration, or all digests
-	MaxSliceAllocSize: maxMembers + maxRetirements,  // elements of one list
-}.Freeze()
-
 var commandSchema = avro.MustParse(`{"type":"record","name":"command","fields":[
 	{"name":"kind","type":"int"},
 	{"name":"base","type":"long"},
@@ -147,7 +138,7 @@
 // DecodeCommand reads what EncodeCommand wrote.
 func DecodeCommand(raw []byte) (Command, error) {
 	var record commandRecord
-	if err := records.Unmarshal(commandSchema, raw, &record); err != nil {
+	if err := unmarshal(commandSchema, raw, &record); err != nil {
 		return Command{}, eris.Wrap(err, "command")
 	}
 	c := Command{
@@ -175,17 +166,8 @@
 // DecodeResult reads what Apply gave.
 func DecodeResult(raw []byte) (Result, error) {
 	var record resultRecord
-	if err := records.Unmarshal(resultSchema, raw, &record); err != nil {
+	if err := unmarshal(resultSchema, raw, &record); err != nil {
 		return Result{}, eris.Wrap(err, "result")
 	}
 	return Result{Status: int(record.Status), Message: record.Message, Version: uint64(record.Version)}, nil
 }
-
-// mustMarshal codes a record of this package. It fails only where a schema and its type disagree.
-func mustMarshal(schema avro.Schema, record any) []byte {
-	raw, err := records.Marshal(schema, record)
-	if err != nil {
-		panic(fmt.Sprintf("controlstate: %T does not fit its schema: %v", record, err))
-	}
-	return raw
-}
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -128,10 +128,10 @@
 		return nil, err
 	}
 	var record snapshotRecord
-	if err := records.Unmarshal(snapshotSchema, raw, &record); err != nil {
+	if err := unmarshal(snapshotSchema, raw, &record); err != nil {
 		return nil, err
 	}
-	// Coding again finds bytes behind the record and forms that this package never writes.
+	// Coding again finds forms that this package never writes, as a list whose count is negative.
 	if again := mustMarshal(snapshotSchema, record); !bytes.Equal(again, raw) {
 		return nil, eris.Errorf("the record of %d bytes is coded otherwise, in %d", len(raw), len(again))
 	}
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -53,7 +53,7 @@
 func (s *State) Apply(command []byte) (result []byte, changed bool) {
 	c, err := DecodeCommand(command)
 	if err != nil {
-		return encodeResult(Result{Status: StatusBadRequest, Message: err.Error()}), false
+		return encodeResult(s.refuse(StatusBadRequest, err.Error())), false
 	}
 	r, changed := s.apply(c)
 	return encodeResult(r), changed
@@ -72,5 +72,5 @@
 	case RemoveStore:
 		return s.remove(c)
 	}
-	return Result{Status: StatusBadRequest, Message: c.Kind.String() + " is not known"}, false
+	return s.refuse(StatusBadRequest, c.Kind.String()+" is not known"), false
 }
