dispatch: state in its own file, no allocation a request, a pool's good part without those that drain

Draining receivers counted towards the pool of which most must not be done without, so that in a rolling replacement silent ones were tried sooner than they need; those that wait only for a moment now count as places in the estimated wait.

--- a/admission/dispatch/buckets.go
+++ b/admission/dispatch/buckets.go
@@ -8,64 +8,18 @@
 )
 
 const (
-	// defaultPause is how long a bucket holds where no wait is told, and how long a report is good for: the design's
-	// one second, after which one call looks.
+	// defaultPause is how long a bucket holds where no wait is told, and how long a report is good for: the
+	// design's one second, after which one call looks.
 	defaultPause = time.Second
 	// firstRest is half of the pause after two failures in a row, which doubles with each further one.
 	firstRest     = time.Second / 8
 	mostDoublings = 4
 	restSpread    = 0.25 // of a pause, either way, so that senders do not come back together
-	// endedKept bounds the ended calls that are remembered for the next report, which may be older than their ends.
-	// Those past it count as still running, the safe side.
+	// endedKept bounds the ended calls that are remembered for the next report, which may be older than their
+	// ends. Those past it count as still running, the safe side.
 	endedKept = 64
 )
 
-// bucket is what this sender knows of one receiver endpoint, and what it has out there.
-type bucket struct {
-	Receiver
-	known     bool // a call was answered since the bucket was new, waited or rested; until then one call is out
-	elsewhere bool // another instance answered at its address: nothing until the list says otherwise
-	window    admission.Window
-	waitUntil Instant // told with a refusal
-	fullAt    Instant // when a refusal was last counted; those refused together count once
-	restUntil Instant // after failures
-	fails     int     // in a row
-	answered  Instant // last sign of life
-	ill       admission.Share
-	slowness  float64 // how long its calls take against usual ones; 0: not known
-	out       []*request
-	unread    int // prompt tokens of calls out that have not begun to answer
-	reading   reading
-	parts     prefixCache
-}
-
-// reading is the newest report, and what own calls have changed since the moment it speaks of.
-type reading struct {
-	Report
-	told     bool
-	at       Instant // the moment that it speaks of
-	since    int     // own calls sent after it that are out
-	returned int     // own calls that were out then and have ended
-	ended    []endedCall
-}
-
-type endedCall struct{ sent, ended Instant }
-
-func newBucket(r Receiver) *bucket {
-	return &bucket{Receiver: r, window: admission.Window(max(1, r.Slots))}
-}
-
-// list takes what the list says of the receiver now.
-func (b *bucket) list(r Receiver) {
-	if r.Address != b.Address {
-		b.elsewhere = false
-	}
-	if r.Slots > b.Slots {
-		b.window = admission.Window(r.Slots)
-	}
-	b.Receiver = r
-}
-
 // binds: something hangs on the bucket that must not be forgotten.
 func (b *bucket) binds(now Instant) bool {
 	return len(b.out) > 0 || now < max(b.waitUntil, b.restUntil) || b.told(now)
@@ -85,12 +39,12 @@
 // good: nothing speaks against it but its allowance and told waits, which bind in any case.
 func (b *bucket) good(now Instant) bool { return b.usable() && !b.Silent && now >= b.restUntil }
 
-// bearable: it may do where most of a pool is not good. One that rests gets one call at a time. Silence of most says
-// more of the way that heartbeats take than of the receivers.
+// bearable: it may do where most of a pool is not good. One that rests gets one call at a time. Silence of
+// most says more of the way that heartbeats take than of the receivers.
 func (b *bucket) bearable(now Instant) bool { return now >= b.restUntil || len(b.out) == 0 }
 
-// told: a report speaks of the bucket as it is now. One that read nought says no more once the hold of a bucket at
-// nought is over; then one call looks.
+// told: a report speaks of the bucket as it is now. One that read nought says no more once the hold of a
+// bucket at nought is over; then one call looks.
 func (b *bucket) told(now Instant) bool {
 	r := &b.reading
 	if r.told && now >= r.at.Add(defaultPause) {
@@ -114,8 +68,9 @@
 	return len(b.out)
 }
 
-// allowance is how many calls more may go out now: slots less what the last report counts and own calls sent since;
-// where no report is to be had, slots less own calls out. After a refusal no more are out than the learned window.
+// allowance is how many calls more may go out now: slots less what the last report counts and own calls sent
+// since; where no report is to be had, slots less own calls out. After a refusal no more are out than the
+// learned window.
 func (b *bucket) allowance(now Instant) int {
 	if !b.usable() || now < b.waitUntil {
 		return 0
@@ -135,7 +90,8 @@
 // report takes a report; false if it is older than what is known.
 func (b *bucket) report(now Instant, told Report) bool {
 	r, at := &b.reading, now.Add(-told.Age)
-	if r.at != 0 && at <= r.at || told.Sequence > 0 && told.Sequence < r.Sequence || now >= at.Add(defaultPause) {
+	older := r.at != 0 && at <= r.at || told.Sequence > 0 && told.Sequence < r.Sequence
+	if older || now >= at.Add(defaultPause) {
 		return false
 	}
 	r.Report, r.told, r.at = told, true, at
@@ -182,8 +138,8 @@
 	r.ended = append(r.ended, endedCall{q.sent, now})
 }
 
-// refused takes a refusal as full: nothing goes there until the told wait is over, and then one call first. Up to
-// spread longer, as all who were told the same moment must not come back at once.
+// refused takes a refusal as full: nothing goes there until the told wait is over, and then one call first.
+// Up to spread longer, as all who were told the same moment must not come back at once.
 func (b *bucket) refused(now, sent Instant, wait, spread time.Duration) {
 	if wait <= 0 {
 		wait = defaultPause
--- a/admission/dispatch/choice.go
+++ b/admission/dispatch/choice.go
@@ -6,21 +6,22 @@
 	"time"
 )
 
-// What a receiver costs a request, in estimated milliseconds. The constants speak of model engines and web services
-// of any make; none is fitted to one deployment.
+// What a receiver costs a request, in estimated milliseconds. The constants speak of model engines and web
+// services of any make; none is fitted to one deployment.
 const (
 	prefillTokensPerMs = 38.0 // prompt tokens that an engine reads in a millisecond
 	// batchStep is the share of a call by which one more running request lengthens it: a step's time is that of
 	// reading the weights, which the whole batch shares; each request adds only its own context.
 	batchStep = 1.0 / 200
-	// loadLasts is the share of a difference in load that is still there while the call runs: reports are old, and those
-	// that run end.
+	// loadLasts is the share of a difference in load that is still there while the call runs: reports are old,
+	// and those that run end.
 	loadLasts = 0.5
 	// crowding is the share of a call by which a full plain receiver lengthens it.
 	crowding = 0.5
 	// zoneCost stands for the way there and back between zones, and the price of the bytes.
 	zoneCost = 5.0
-	// coldShare is the share of a call by which a receiver that is still slow from its start is taken to lengthen it.
+	// coldShare is the share of a call by which a receiver that is still slow from its start is taken to
+	// lengthen it.
 	coldShare = 0.5
 	// memoryAmple is the share of an engine's memory up to which nobody is preempted.
 	memoryAmple = 0.8
@@ -39,10 +40,9 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// cost estimates what it costs, all told, to have a receiver run a request: its own time there and, for engines,
-// the time that it takes from those that run beside it.
-func (d *Dispatcher) cost(s *service, q *request, b *bucket) float64 {
-	usual := milliseconds(d.usual(s, q).whole())
+// cost estimates what it costs, all told, to have a receiver run a request: its own time there and, for
+// engines, the time that it takes from those that run beside it.
+func (d *Dispatcher) cost(s *service, q *request, b *bucket, usual float64) float64 {
 	load := d.meanLoad + loadLasts*(float64(b.load(d.now))-d.meanLoad)
 	cost := errorCost * float64(b.ill)
 	if b.Engine != nil {
@@ -65,9 +65,9 @@
 	return cost
 }
 
-// engineCost: the prompt's parts that are not kept there must be read, after those of calls that wait, and halt the
-// tokens of all that run; each of those in turn lengthens every step and, replaced about once meanwhile, has a prompt
-// read too. Where memory runs out somebody is read anew.
+// engineCost: the prompt's parts that are not kept there must be read, after those of calls that wait, and
+// halt the tokens of all that run; each of those in turn lengthens every step and, replaced about once
+// meanwhile, has a prompt read too. Where memory runs out somebody is read anew.
 func (d *Dispatcher) engineCost(s *service, q *request, b *bucket, usual, load float64) float64 {
 	missing := float64(q.missing(d.now, b))
 	q.least = min(q.least, missing)
@@ -87,11 +87,12 @@
 	return max(0, q.prompt-b.parts.kept(now, q.Prefix))
 }
 
-// choose finds the cheapest free receiver for a request; nil if it may use none. Other senders choose by the same
-// old reports: among those that cost about the same, two are drawn, and the one with most allowance left goes
-// (Mitzenmacher, The Power of Two Choices in Randomized Load Balancing).
+// choose finds the cheapest free receiver for a request; nil if it may use none. Other senders choose by the
+// same old reports: among those that cost about the same, two are drawn, and the one with most allowance left
+// goes (Mitzenmacher, The Power of Two Choices in Randomized Load Balancing).
 func (d *Dispatcher) choose(s *service, q *request, free []*bucket) *bucket {
 	d.costs = d.costs[:0]
+	usual := milliseconds(d.usual(s, q).whole())
 	least := math.Inf(1)
 	d.meanLoad = 0
 	for _, b := range free {
@@ -101,7 +102,7 @@
 	for _, b := range free {
 		cost := math.Inf(1)
 		if !q.ranAt(b) {
-			cost = d.cost(s, q, b)
+			cost = d.cost(s, q, b, usual)
 		}
 		d.costs = append(d.costs, cost)
 		least = min(least, cost)
@@ -109,7 +110,7 @@
 	if math.IsInf(least, 1) {
 		return nil
 	}
-	noise := leastNoise + milliseconds(d.usual(s, q).whole())*batchStep
+	noise := leastNoise + usual*batchStep
 	near := 0
 	for _, cost := range d.costs {
 		if cost <= least+noise {
@@ -133,9 +134,9 @@
 	return chosen
 }
 
-// priority derives the one that receivers are told. They admit the urgent first and preempt the others, so what is
-// told must mean the same at every sender: the route's rank about the default, and one step more urgent for a
-// program that has little of its time left, as all of its turns are lost with this one.
+// priority derives the one that receivers are told. They admit the urgent first and preempt the others, so
+// what is told must mean the same at every sender: the route's rank about the default, and one step more
+// urgent for a program that has little of its time left, as all of its turns are lost with this one.
 func (d *Dispatcher) priority(s *service, q *request) int {
 	priority := min(DefaultPriority-1+q.Priority, 8)
 	if q.Begun && q.Finish > 0 && q.Finish < 2*d.usual(s, q).whole() {
--- a/admission/dispatch/dispatch.go
+++ b/admission/dispatch/dispatch.go
@@ -1,7 +1,8 @@
-// Package dispatch decides for one proxy where and when each request is sent to a receiver, and which are refused.
+// Package dispatch decides for one proxy where and when each request is sent to a receiver, and which are
+// refused.
 //
-// It is pure: time comes in with each event, chance from a seed, and what is to be done goes out as Effects. One
-// goroutine owns a Dispatcher, tells it what happens and carries out what it returns:
+// It is pure: time comes in with each event, chance from a seed, and what is to be done goes out as Effects.
+// One goroutine owns a Dispatcher, tells it what happens and carries out what it returns:
 //
 //	d := dispatch.New(seed, zone)
 //	d.SetReceivers(now, list)                  // whole, whenever it changes
@@ -11,13 +12,14 @@
 //	effects = d.Answered(now, id, attempt, o)  // once for each Send
 //	effects = d.Tick(now)                      // at the instant that Effects.Wake named last
 //
-// The ordinary path is the design's: one bucket a receiver endpoint, whose allowance is its slots less what it last
-// reported and own calls sent since; requests held in order of arrival; nothing during a told wait; one call out
-// until the first answer; a request refused once its wait plus a usual call would pass its deadline.
+// The ordinary path is the design's: one bucket a receiver endpoint, whose allowance is its slots less what
+// it last reported and own calls sent since; requests held in order of arrival; nothing during a told wait;
+// one call out until the first answer; a request refused once its wait plus a usual call would pass its
+// deadline.
 //
-// Invariants: of a request at most one call is out; it runs on at most MaxAttempts receivers; one that may have run
-// goes again only if its kind allows it, to another receiver; each arrival has exactly one end, be it an answer, a
-// refusal or a withdrawal.
+// Invariants: of a request at most one call is out; it runs on at most MaxAttempts receivers; one that may
+// have run goes again only if its kind allows it, to another receiver; each arrival has exactly one end, be
+// it an answer, a refusal or a withdrawal.
 package dispatch
 
 import (
@@ -30,56 +32,6 @@
 	"emberquay/admission"
 )
 
-// Dispatcher holds the decisions of one proxy. It belongs to one goroutine.
-type Dispatcher struct {
-	now      Instant
-	zone     string
-	chance   admission.PCG
-	services map[string]*service
-	buckets  map[InstanceID]*bucket
-	requests map[RequestID]*request
-	usuals   map[usualKey]*usual
-	arrivals uint64
-	wakeAt   Instant // asked for and not come; 0: none
-	wake     Instant // the earliest that this event found
-
-	// Kept between events, so that they need not be made anew.
-	effects  Effects
-	free     []*bucket
-	costs    []float64
-	meanLoad float64 // of the receivers among which one is chosen
-	spare    []*request
-	guess    usual
-}
-
-// request is a request that has no end yet, or whose call has none.
-type request struct {
-	Request
-	usualKey     usualKey
-	seq          uint64 // order of arrival
-	prompt       int    // tokens
-	arrived      Instant
-	end          Instant // the deadline, or the route's timeout
-	mayWaitUntil Instant // what the objective bears
-
-	to       *bucket // where a call is out; nil: none is
-	sent     Instant
-	attempt  int
-	unread   int          // prompt tokens that its receiver has yet to read
-	least    float64      // prompt tokens that the free receiver which keeps most would have to read
-	unrun    int          // calls of it that were proven not run
-	ran      []InstanceID // receivers that may have run it
-	failedAt InstanceID   // the last that failed it
-
-	mayHaveRun bool
-	failure    int  // the status that tells how the last call that may have run failed
-	started    bool // part of an answer has gone to the client
-	over       bool // nobody waits for it any more
-}
-
-// spareRequests bounds the request records that are kept for reuse.
-const spareRequests = 256
-
 // New makes a dispatcher of a proxy that stands in a zone; the same seed and events give the same decisions.
 func New(seed uint64, zone string) *Dispatcher {
 	return &Dispatcher{zone: zone, chance: admission.NewPCG(seed), services: map[string]*service{},
@@ -93,8 +45,8 @@
 	d.effects = Effects{Sends: d.effects.Sends[:0], Refusals: d.effects.Refusals[:0]}
 }
 
-// done closes an event; a wake is asked for only if none is due by then. One that is due already is made good, as the
-// caller may replace it by the next.
+// done closes an event; a wake is asked for only if none is due by then. One that is due already is made
+// good, as the caller may replace it by the next.
 func (d *Dispatcher) done() Effects {
 	if d.wakeAt > 0 && d.wakeAt <= d.now {
 		d.wakeAt = 0
@@ -107,17 +59,8 @@
 	return d.effects
 }
 
-func (d *Dispatcher) service(name string) *service {
-	s := d.services[name]
-	if s == nil {
-		s = &service{name: name}
-		d.services[name] = s
-	}
-	return s
-}
-
-// SetReceivers takes the whole list. What it leaves out gets nothing any more; calls that are out there still end, and
-// what binds is remembered, as the list may name it again.
+// SetReceivers takes the whole list. What it leaves out gets nothing any more; calls that are out there still
+// end, and what binds is remembered, as the list may name it again.
 func (d *Dispatcher) SetReceivers(now Instant, list []Receiver) Effects {
 	d.begin(now)
 	for _, s := range d.services {
@@ -189,11 +132,8 @@
 }
 
 func (d *Dispatcher) newRequest(r Request) *request {
-	q := &request{}
-	if n := len(d.spare); n > 0 {
-		q, d.spare = d.spare[n-1], d.spare[:n-1]
-	}
 	d.arrivals++
+	q := d.record()
 	*q = request{Request: r, usualKey: keyOf(&r), seq: d.arrivals, arrived: d.now, ran: q.ran[:0],
 		end: math.MaxInt64, mayWaitUntil: math.MaxInt64}
 	for _, p := range r.Prefix {
@@ -211,8 +151,8 @@
 	return q
 }
 
-// bears says until when a request may be held for its objective's sake: a part of what its program has left, else
-// what the objective leaves beside a usual call's start.
+// bears says until when a request may be held for its objective's sake: a part of what its program has left,
+// else what the objective leaves beside a usual call's start.
 func (d *Dispatcher) bears(q *request) Instant {
 	least := q.TargetLatency / heldFree
 	switch {
@@ -253,8 +193,8 @@
 	return d.done()
 }
 
-// Withdraw notes that the client waits no more. A call that is out is called off by the caller, and its end told
-// with Answered like any other.
+// Withdraw notes that the client waits no more. A call that is out is called off by the caller, and its end
+// told with Answered like any other.
 func (d *Dispatcher) Withdraw(now Instant, id RequestID) Effects {
 	d.begin(now)
 	if q := d.requests[id]; q != nil {
@@ -272,22 +212,12 @@
 // Tick tells the time.
 func (d *Dispatcher) Tick(now Instant) Effects {
 	d.begin(now)
-	d.settleAll()
+	d.wakeAt = d.now
 	return d.done()
 }
 
-// forget drops a request that has its end and no call out.
-func (d *Dispatcher) forget(q *request) {
-	delete(d.requests, q.ID)
-	if len(d.spare) < spareRequests {
-		clear(q.ran[:cap(q.ran)])
-		*q = request{ran: q.ran[:0]}
-		d.spare = append(d.spare, q)
-	}
-}
-
-// timeout bounds an attempt: by the time that the request has, or sooner where another receiver may run it after a
-// machine that has fallen silent.
+// timeout bounds an attempt: by the time that the request has, or sooner where another receiver may run it
+// after a machine that has fallen silent.
 func (d *Dispatcher) timeout(s *service, q *request) time.Duration {
 	left := q.end.Sub(d.now)
 	whole := d.usual(s, q).whole()
--- a/admission/dispatch/drawn_test.go
+++ b/admission/dispatch/drawn_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 )
 
-// drawn plays receivers and clients at random and keeps its own account of what the design and the rules demand of
-// each send. It knows nothing of how the dispatcher keeps its state.
+// drawn plays receivers and clients at random and keeps its own account of what the design and the rules
+// demand of each send. It knows nothing of how the dispatcher keeps its state.
 type drawn struct {
 	t        *rapid.T
 	d        *Dispatcher
--- a/admission/dispatch/messages.go
+++ b/admission/dispatch/messages.go
@@ -46,7 +46,8 @@
 	// Age is how old the told state is, with the receiver's own lag. When unsure tell it too old: a call is then
 	// counted twice for a moment rather than not at all.
 	Age time.Duration
-	// Sequence orders the reports of one receiver where the caller numbers them; a lower one is old news. 0: unknown.
+	// Sequence orders the reports of one receiver where the caller numbers them; a lower one is old news. 0:
+	// unknown.
 	Sequence uint64
 }
 
@@ -126,8 +127,8 @@
 	Priority int           // for the receiver: 0 first, 9 last, DefaultPriority if nothing is to be gained
 }
 
-// Refuse asks to answer a request at once; the dispatcher has forgotten it. Where part of an answer has gone to the
-// client, only the cut of it is left.
+// Refuse asks to answer a request at once; the dispatcher has forgotten it. Where part of an answer has gone
+// to the client, only the cut of it is left.
 type Refuse struct {
 	Request    RequestID
 	Status     int // 503 where it has not run and never will; 502 or 504 where it may have run
--- a/admission/dispatch/outcome.go
+++ b/admission/dispatch/outcome.go
@@ -18,8 +18,8 @@
 
 func (q *request) attempts() int { return max(1, q.MaxAttempts) }
 
-// idempotent: it may run again after it may have run. What has begun to reach the client goes on only as a stream
-// that may be taken up.
+// idempotent: it may run again after it may have run. What has begun to reach the client goes on only as a
+// stream that may be taken up.
 func (q *request) idempotent() bool {
 	return q.Kind == Safe && !q.started || q.Kind == Streaming && q.Resumable
 }
@@ -106,8 +106,8 @@
 	}
 }
 
-// failed tells a receiver that fails from one that is only crowded: who has answered others since the call was sent
-// is there. Its connections may all be taken; the next try is at a moment of this sender's.
+// failed tells a receiver that fails from one that is only crowded: who has answered others since the call
+// was sent is there. Its connections may all be taken; the next try is at a moment of this sender's.
 func (d *Dispatcher) failed(q *request, b *bucket, kind OutcomeKind, usual time.Duration) {
 	answers := b.answered > q.sent
 	switch {
--- a/admission/dispatch/prefix.go
+++ b/admission/dispatch/prefix.go
@@ -5,14 +5,14 @@
 const (
 	// partsKept bounds the parts of prompts that are remembered of one receiver, whatever its memory.
 	partsKept = 1024
-	// partLife is how long a part that this sender sent is taken to be kept: other senders' prompts, which it does not
-	// see, push it out meanwhile.
+	// partLife is how long a part that this sender sent is taken to be kept: other senders' prompts, which it
+	// does not see, push it out meanwhile.
 	partLife = 30 * time.Second
 )
 
-// prefixCache is this sender's guess of what a receiver keeps of prompts: the parts that it was sent lately, least
-// recently used first to go. A part counts only after the same parts as when it was sent, so each is kept under a
-// hash of itself and all before it.
+// prefixCache is this sender's guess of what a receiver keeps of prompts: the parts that it was sent lately,
+// least recently used first to go. A part counts only after the same parts as when it was sent, so each is
+// kept under a hash of itself and all before it.
 type prefixCache struct {
 	parts    map[uint64]*cachedPart
 	newest   *cachedPart // of a ring
@@ -47,8 +47,8 @@
 	return tokens
 }
 
-// add notes that a prompt was sent. Parts that come first are noted as used last, as the others are worth nothing
-// without them.
+// add notes that a prompt was sent. Parts that come first are noted as used last, as the others are worth
+// nothing without them.
 func (c *prefixCache) add(now Instant, prefix []PrefixPart, capacity int) {
 	if len(prefix) == 0 || capacity <= 0 {
 		return
--- a/admission/dispatch/queue.go
+++ b/admission/dispatch/queue.go
@@ -14,26 +14,20 @@
 	roomShare = 0.5
 	// finishShare of what a program has left is what one wait may take: there are more turns to come.
 	finishShare = 3
-	// heldFree is the part of the objective for which a request may be held at no price where it is refused after all.
+	// heldFree is the part of the objective for which a request may be held at no price where it is refused
+	// after all.
 	heldFree = 4
-	// leastOffer is the part of the objective that a call must have: with less, no receiver can be said to be offered it.
+	// leastOffer is the part of the objective that a call must have: with less, no receiver can be said to be
+	// offered it.
 	leastOffer = 10
+	// leastGood is the part of a pool that must be good for the rest to be done without.
+	leastGood = 3
 	// retrySpread of the told wait is added by chance, so that those refused together do not come back together.
 	retrySpread = 0.25
 	// wakeGrain is the least time to the next wake: time alone changes nothing in less.
 	wakeGrain = time.Millisecond
 )
 
-// service is the receivers of one service and what is held for them, in order of arrival.
-type service struct {
-	name    string
-	buckets []*bucket
-	queue   []*request
-	out     int     // calls out
-	took    float64 // a usual call, any size
-	fresh   float64 // prompt tokens of a usual call that no receiver keeps
-}
-
 // outlook is how long the held requests of a service have to wait.
 type outlook struct {
 	hold   time.Duration // until any receiver takes calls at all
@@ -56,7 +50,7 @@
 		o.usable++
 		hold := max(0, b.waitUntil.Sub(now), b.restUntil.Sub(now))
 		o.hold = min(o.hold, hold)
-		if hold == 0 {
+		if hold <= defaultPause {
 			places += max(1, len(b.out))
 		}
 		taken += b.load(now)
@@ -70,18 +64,6 @@
 	return o
 }
 
-// hold puts a request in its place by arrival: one that comes back stands at the head again.
-func (s *service) hold(q *request) {
-	i, _ := slices.BinarySearchFunc(s.queue, q.seq, func(o *request, seq uint64) int { return cmp.Compare(o.seq, seq) })
-	s.queue = slices.Insert(s.queue, i, q)
-}
-
-func (s *service) unhold(q *request) {
-	if i := slices.Index(s.queue, q); i >= 0 {
-		s.queue = slices.Delete(s.queue, i, i+1)
-	}
-}
-
 // settle decides for a service what goes, what is refused and when time alone next changes something.
 func (d *Dispatcher) settle(s *service) {
 	if len(s.queue) == 0 {
@@ -93,23 +75,10 @@
 	d.plan(s)
 }
 
-// release sends from the head on while receivers are free. A request that can use none of them lets others by, as
-// each bucket has its own order.
+// release sends from the head on while receivers are free. A request that can use none of them lets others
+// by, as each bucket has its own order.
 func (d *Dispatcher) release(s *service) {
-	free := d.free[:0]
-	good := 0
-	for _, b := range s.buckets {
-		if b.good(d.now) {
-			good++
-		}
-	}
-	few := good*3 < len(s.buckets) // never do without most of a pool: then the least bad are tried
-	for _, b := range s.buckets {
-		if b.allowance(d.now) > 0 && (b.good(d.now) || few && b.bearable(d.now)) {
-			free = append(free, b)
-		}
-	}
-	d.free = free
+	free := d.freeBuckets(s)
 	for i := 0; i < len(s.queue) && len(free) > 0; {
 		q := s.queue[i]
 		if d.hopeless(s, q) {
@@ -129,20 +98,42 @@
 	}
 }
 
-// hopeless: a usual call passes the time that the request has, or hardly any is left. Where nothing is out one goes in
-// spite of its usual call: an old mean must not refuse all for ever.
+// hopeless: a usual call passes the time that the request has, or hardly any is left. Where nothing is out
+// one goes in spite of its usual call: an old mean must not refuse all for ever.
 func (d *Dispatcher) hopeless(s *service, q *request) bool {
 	left := q.end.Sub(d.now)
 	return left < max(wakeGrain, q.TargetLatency/leastOffer) || s.out > 0 && d.late(s, q, 0)
 }
 
+// freeBuckets finds the receivers that may get a call now. Never is most of a pool done without: then the
+// least bad are tried.
+func (d *Dispatcher) freeBuckets(s *service) []*bucket {
+	good, usable := 0, 0
+	for _, b := range s.buckets {
+		if b.good(d.now) {
+			good++
+		}
+		if b.usable() {
+			usable++
+		}
+	}
+	few := good*leastGood < usable
+	d.free = d.free[:0]
+	for _, b := range s.buckets {
+		if b.allowance(d.now) > 0 && (b.good(d.now) || few && b.bearable(d.now)) {
+			d.free = append(d.free, b)
+		}
+	}
+	return d.free
+}
+
 // late: the wait and a usual call pass the time that the request has.
 func (d *Dispatcher) late(s *service, q *request, wait time.Duration) bool {
 	return d.now.Add(wait+d.usual(s, q).whole()) > q.end
 }
 
-// refuseLate refuses what cannot be answered in time, and what no receiver can run; where no receiver is known at
-// all, after as long as a request may be held for nothing, as one may be a moment late.
+// refuseLate refuses what cannot be answered in time, and what no receiver can run; where no receiver is
+// known at all, after as long as a request may be held for nothing, as one may be a moment late.
 func (d *Dispatcher) refuseLate(s *service) {
 	o := s.outlook(d.now)
 	for i := 0; i < len(s.queue); {
@@ -162,9 +153,10 @@
 	return slices.ContainsFunc(s.buckets, func(b *bucket) bool { return b.usable() && !q.ranAt(b) })
 }
 
-// shed bounds a queue that outgrows its receivers. Where a request would wait longer than its objective bears, the
-// least urgent before it, or itself, is refused, those of programs under way last and the newest first: a less
-// urgent kind must not be served more often than a more urgent one. Nothing is refused while there is room.
+// shed bounds a queue that outgrows its receivers. Where a request would wait longer than its objective
+// bears, the least urgent before it, or itself, is refused, those of programs under way last and the newest
+// first: a less urgent kind must not be served more often than a more urgent one. Nothing is refused while
+// there is room.
 func (d *Dispatcher) shed(s *service) {
 	for len(s.queue) > 0 {
 		o := s.outlook(d.now)
@@ -180,7 +172,8 @@
 	}
 }
 
-// firstOver finds the first place in the queue that waits longer than its request bears; below 0 if none does.
+// firstOver finds the first place in the queue that waits longer than its request bears; below 0 if none
+// does.
 func (d *Dispatcher) firstOver(s *service, o outlook) int {
 	for i, q := range s.queue {
 		if i >= mostHeld || !o.room && d.now.Add(o.wait(i)) > q.mayWaitUntil {
@@ -215,8 +208,8 @@
 	return cmp.Compare(o.seq, q.seq)
 }
 
-// giveUp answers a request at once. What has not run is told when to come back; what may have run is not told that
-// it has not.
+// giveUp answers a request at once. What has not run is told when to come back; what may have run is not told
+// that it has not.
 func (d *Dispatcher) giveUp(s *service, q *request, wait time.Duration) {
 	s.unhold(q)
 	refusal := Refuse{Request: q.ID, Status: q.failure, Executed: q.mayHaveRun}
--- a/admission/dispatch/usual.go
+++ b/admission/dispatch/usual.go
@@ -37,8 +37,8 @@
 // start is the time to the first byte, which a stream's objective bounds.
 func (u *usual) start() time.Duration { return time.Duration(cmp.Or(u.first, u.took)) }
 
-// usual finds what a call for the request takes as a rule; until the first answer that of the service, or a guess:
-// half of the objective.
+// usual finds what a call for the request takes as a rule; until the first answer that of the service, or a
+// guess: half of the objective.
 func (d *Dispatcher) usual(s *service, q *request) *usual {
 	if u := d.usuals[q.usualKey]; u != nil {
 		return u
