emberquay: settings check, config check and diff, config read and replace

Cause: an operator must see which key is wrong before a file reaches a process, and read or replace the configuration by hand. Ruled out: reading the base version for the caller (it would overwrite whatever another operator put into force meanwhile).

--- a/cmd/emberquay/main.go
+++ b/cmd/emberquay/main.go
@@ -15,15 +15,17 @@
 )
 
 var cli struct {
-	Serve   serveCmd   `cmd:"" help:"Serve clients until told to stop."`
-	Check   checkCmd   `cmd:"" help:"Read the configuration and say what it comes to."`
-	Ledger  ledgerCmd  `cmd:"" help:"Look into the folder that lasts."`
+	Serve  serveCmd  `cmd:"" help:"Serve clients until told to stop."`
+	Check  checkCmd  `cmd:"" help:"Read the configuration and say what it comes to."`
+	Ledger ledgerCmd `cmd:"" help:"Look into the folder that lasts."`
 
 	Proxy        proxyCmd        `cmd:"" help:"Run the data plane of the serving tier on this machine."`
 	ControlPlane controlPlaneCmd `cmd:"" help:"Run the control plane of the serving tier on this machine."`
 	Store        storeCmd        `cmd:"" help:"Run a store of the serving tier on this machine."`
 
-	Version versionCmd `cmd:"" help:"Say which build this is."`
+	Settings settingsCmd `cmd:"" help:"Look at a settings file of the serving tier."`
+	Config   configCmd   `cmd:"" help:"The configuration of the serving tier: check, compare, read, replace."`
+	Version  versionCmd  `cmd:"" help:"Say which build this is."`
 }
 
 // where are the flags that the commands which read the configuration share.
