--- a/admission/pauses.go
+++ b/admission/pauses.go
@@ -7,8 +7,8 @@
 	FirstWindow = 8.0
 )
 
-// Window is how many calls out at once have been found bearable: halved at a refusal as full, one more for each
-// windowful that is answered (additive increase, multiplicative decrease).
+// Window is how many calls out at once have been found bearable: halved at a refusal as full, one more for
+// each windowful that is answered (additive increase, multiplicative decrease).
 type Window float64
 
 // Refused takes a refusal that came while so many calls were out.
