--- a/coordination/chain/adopt.go
+++ b/coordination/chain/adopt.go
@@ -67,7 +67,7 @@
 }
 
 // adopt goes on in a decided view. What this member had taken beyond the state was never acknowledged.
-func (n *Node) adopt(next view.View, s State, committed uint64) {
+func (n *Node) adopt(next view.View, s State, committed int64) {
 	if n.has(s) {
 		s = State{Epoch: s.Epoch, Sequence: s.Sequence}
 	}
--- a/coordination/chain/calls.go
+++ b/coordination/chain/calls.go
@@ -1,7 +1,6 @@
 package chain
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -10,41 +9,41 @@
 const callAgainAfter = 400 * time.Millisecond
 
 // noState is the Have of a Read whose sender has no committed state.
-const noState = math.MaxUint64
+const noState = -1
 
 // calls are the calls of this process that wait for an answer.
 type calls struct {
-	last    uint64
-	pending map[uint64]*call
+	last    int64
+	pending map[int64]*call
 	turn    int // of the addresses asked for a view
 }
 
 // call is a command or read of this process. It is sent again, under the same id, until it is answered or withdrawn: the
 // state knows its latest commands, so one that was carried out is not carried out again.
 type call struct {
-	number  uint64
+	number  int64
 	command []byte // nil: a read
-	after   uint64
+	after   int64
 	sends   int
 	sent    time.Duration
-	epoch   uint64 // of the view that told where to send it
+	epoch   int64  // of the view that told where to send it
 	have    Commit // of a read: the state at hand
 }
 
 // Propose brings a command to the head; the Reply has the number. It is false if too many calls wait.
-func (n *Node) Propose(now time.Duration, command []byte) (number uint64, out Output, ok bool) {
+func (n *Node) Propose(now time.Duration, command []byte) (number int64, out Output, ok bool) {
 	return n.begin(now, &call{command: slices.Clip(append([]byte{}, command...)), after: n.knownCommit})
 }
 
 // Read asks for a state that is no older than this call; the Reply has the number. It is false if too many calls wait.
-func (n *Node) Read(now time.Duration) (number uint64, out Output, ok bool) {
+func (n *Node) Read(now time.Duration) (number int64, out Output, ok bool) {
 	return n.begin(now, &call{})
 }
 
 // Withdraw ends the waiting for a call; its fate stays open.
-func (n *Node) Withdraw(number uint64) { delete(n.calls.pending, number) }
+func (n *Node) Withdraw(number int64) { delete(n.calls.pending, number) }
 
-func (n *Node) begin(now time.Duration, c *call) (uint64, Output, bool) {
+func (n *Node) begin(now time.Duration, c *call) (int64, Output, bool) {
 	n.now = max(n.now, now)
 	if len(n.calls.pending) >= maxPending {
 		return 0, n.finish(), false
@@ -119,11 +118,11 @@
 	}
 }
 
-func (n *Node) sortedCalls() []uint64 {
+func (n *Node) sortedCalls() []int64 {
 	if len(n.calls.pending) == 0 {
 		return nil
 	}
-	numbers := make([]uint64, 0, len(n.calls.pending))
+	numbers := make([]int64, 0, len(n.calls.pending))
 	for number := range n.calls.pending {
 		numbers = append(numbers, number)
 	}
@@ -168,7 +167,7 @@
 
 // tooOld ends a call that may have been carried out before. One that was sent only once was not: its only copy has come
 // back.
-func (n *Node) tooOld(c *call, sequence uint64) {
+func (n *Node) tooOld(c *call, sequence int64) {
 	if c.sends == 1 {
 		c.after, c.sends = sequence, 0
 		n.submit(c)
--- a/coordination/chain/confirm.go
+++ b/coordination/chain/confirm.go
@@ -10,7 +10,7 @@
 // confirmation is the questions to the members whether the epoch is open. One round is under way at a time; a call that
 // comes during one waits for the next, which is asked after it came.
 type confirmation struct {
-	nonce    uint64 // of the present round, or the last
+	nonce    int64 // of the present round, or the last
 	active   bool
 	sent     time.Duration
 	answered map[view.MemberID]bool
@@ -22,9 +22,9 @@
 	to     Peer
 	id     CommandID
 	read   bool
-	have   uint64 // of a read
+	have   int64  // of a read
 	result []byte // of a refusal
-	nonce  uint64 // of the round that answers it
+	nonce  int64  // of the round that answers it
 	open   bool   // the epoch was open
 }
 
--- a/coordination/chain/machine.go
+++ b/coordination/chain/machine.go
@@ -18,13 +18,13 @@
 
 // CommandID names a command for good: the process that proposed it, and its number there.
 type CommandID struct {
-	Process uint64
-	Number  uint64
+	Process int64
+	Number  int64
 }
 
 // Entry is one change on its way down the chain.
 type Entry struct {
-	Sequence uint64
+	Sequence int64
 	ID       CommandID
 	Command  []byte
 }
@@ -32,7 +32,7 @@
 // Outcome is what a change came to. The latest are part of the state, so a command that is sent again is known.
 type Outcome struct {
 	ID       CommandID
-	Sequence uint64
+	Sequence int64
 	Result   []byte
 }
 
@@ -41,8 +41,8 @@
 
 // State is the state after an entry of an epoch. Without Full only its place is told: the receiver has it.
 type State struct {
-	Epoch    uint64
-	Sequence uint64
+	Epoch    int64
+	Sequence int64
 	Full     bool
 	Snapshot []byte
 	Recent   []Outcome
--- a/coordination/chain/members.go
+++ b/coordination/chain/members.go
@@ -14,7 +14,7 @@
 	heard    time.Duration                   // when it last said anything
 	reported map[view.MemberID]time.Duration // whom it said it hears, and when
 	assumed  time.Duration                   // when it is taken to have heard those whom it never named
-	epoch    uint64                          // as it last told
+	epoch    int64                           // as it last told
 }
 
 // never is before any time of a node.
@@ -96,7 +96,7 @@
 
 // sameEpoch says whether a message is from a member of this view, in this view. One from a later epoch is asked for it;
 // one from an earlier is told, if it wants to go on.
-func (n *Node) sameEpoch(from Peer, epoch uint64, tell bool) bool {
+func (n *Node) sameEpoch(from Peer, epoch int64, tell bool) bool {
 	switch {
 	case epoch > n.view.Epoch:
 		n.ask(from)
--- a/coordination/chain/message.go
+++ b/coordination/chain/message.go
@@ -21,25 +21,25 @@
 
 // Heartbeat is sent by each member to each other.
 type Heartbeat struct {
-	Epoch     uint64
-	Committed uint64
+	Epoch     int64
+	Committed int64
 	Heard     []view.MemberID // lately
 }
 
 // Hint tells of a decided view without its state.
 type Hint struct {
 	View      view.View
-	Committed uint64
+	Committed int64
 }
 
 // Ask wants a view later than an epoch: with its state if the sender is a member of it.
-type Ask struct{ Epoch uint64 }
+type Ask struct{ Epoch int64 }
 
 // Adopt gives a decided view, and a state of it.
 type Adopt struct {
 	View      view.View
 	State     State
-	Committed uint64
+	Committed int64
 }
 
 // Join asks to become a member.
@@ -50,70 +50,70 @@
 
 // Prepare asks for a promise.
 type Prepare struct {
-	Epoch    uint64
+	Epoch    int64
 	Ballot   view.Ballot
-	Sequence uint64 // of the proposer, whose state is not needed again
+	Sequence int64 // of the proposer, whose state is not needed again
 }
 
 // Promise seals the epoch at its sender.
 type Promise struct {
-	Epoch    uint64
+	Epoch    int64
 	Ballot   view.Ballot
 	Accepted view.Ballot
 	Value    Proposal // of Accepted
-	Sequence uint64   // of the sender
+	Sequence int64    // of the sender
 	State    State    // Full if nothing was accepted and the proposer's is older
 }
 
 // Outbid says that a later ballot was promised.
 type Outbid struct {
-	Epoch    uint64
+	Epoch    int64
 	Ballot   view.Ballot
 	Promised view.Ballot
 }
 
 // Accept asks to accept a proposal.
 type Accept struct {
-	Epoch  uint64
+	Epoch  int64
 	Ballot view.Ballot
 	Value  Proposal
 }
 
 // Accepted says that the proposal of a ballot was accepted.
 type Accepted struct {
-	Epoch  uint64
+	Epoch  int64
 	Ballot view.Ballot
 }
 
 // Append passes an entry down the chain.
 type Append struct {
-	Epoch     uint64
+	Epoch     int64
 	Entry     Entry
-	Committed uint64
+	Committed int64
 }
 
 // Ack tells up the chain what is committed.
 type Ack struct {
-	Epoch    uint64
-	Sequence uint64
+	Epoch    int64
+	Sequence int64
 }
 
 // Confirm asks whether an epoch is open.
 type Confirm struct {
-	Epoch uint64
-	Nonce uint64
+	Epoch int64
+	Nonce int64
 }
 
 // Confirmed says that the epoch was not sealed at the sender when the question came.
 type Confirmed struct {
-	Epoch uint64
-	Nonce uint64
+	Epoch int64
+	Nonce int64
 }
 
 // Propose brings a command to the head.
 type Propose struct {
 	ID      CommandID
-	After   uint64 // if the command was carried out, then by a later entry than this
+	After   int64 // if the command was carried out, then by a later entry than this
 	Command []byte
 }
 
@@ -132,23 +132,23 @@
 type Result struct {
 	ID       CommandID
 	Verdict  Verdict
-	Epoch    uint64
-	Sequence uint64
+	Epoch    int64
+	Sequence int64
 	Result   []byte
 }
 
 // Read asks the tail for the state.
 type Read struct {
 	ID   CommandID
-	Have uint64 // committed state that the sender has
+	Have int64 // committed state that the sender has
 }
 
 // ReadResult answers Read.
 type ReadResult struct {
 	ID       CommandID
 	Verdict  Verdict // Done or Moved
-	Epoch    uint64
-	Sequence uint64
+	Epoch    int64
+	Sequence int64
 	Full     bool // false: the sender has it
 	Snapshot []byte
 }
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -52,19 +53,19 @@
 
 // Commit is a state that is known to be committed. Not every one is told, but never an older after a newer.
 type Commit struct {
-	Epoch    uint64
-	Sequence uint64
+	Epoch    int64
+	Sequence int64
 	Snapshot []byte
 }
 
 // Reply ends a Propose or Read of this process.
 type Reply struct {
-	Number   uint64
+	Number   int64
 	Unknown  bool // the fate of the command is open
 	Changed  bool
 	Result   []byte
-	Epoch    uint64 // of a Read, as the two below
-	Sequence uint64
+	Epoch    int64 // of a Read, as the two below
+	Sequence int64
 	Snapshot []byte
 }
 
@@ -72,7 +73,7 @@
 type Node struct {
 	settings Settings
 	self     view.Member
-	process  uint64 // names this process in CommandIDs
+	process  int64 // names this process in CommandIDs
 	random   *rand.Rand
 	machine  StateMachine
 
@@ -86,14 +87,14 @@
 	known    view.View // the newest heard of
 	acceptor view.Acceptor[Proposal]
 
-	sequence   uint64
-	committed  uint64
+	sequence   int64
+	committed  int64
 	recent     []Outcome
 	last       *Entry // newest of this epoch
 	lastAppend time.Duration
 
 	newest      Commit // newest committed state whose bytes are here
-	knownCommit uint64 // newest sequence heard of as committed
+	knownCommit int64  // newest sequence heard of as committed
 
 	queue  []proposed // head
 	flight flight     // head
@@ -105,7 +106,7 @@
 	joining  map[view.MemberID]view.Member
 
 	attempt    *attempt
-	highest    uint64        // round heard of
+	highest    int64         // round heard of
 	lastBallot time.Duration // when the last ballot was heard of
 	retryAt    time.Duration
 	wanted     wanted
@@ -125,9 +126,9 @@
 		contacts: map[view.MemberID]*contact{},
 		joining:  map[view.MemberID]view.Member{},
 	}
-	n.process = n.random.Uint64()
-	n.confirm.nonce = n.random.Uint64()
-	n.calls.pending = map[uint64]*call{}
+	n.process = n.random.Int64()
+	n.confirm.nonce = n.random.Int64N(math.MaxInt64 / 2)
+	n.calls.pending = map[int64]*call{}
 	n.self = view.Member{Name: s.Name, Address: s.Address, Zone: s.Zone}
 	if err := n.start(d); err != nil {
 		return nil, Output{}, err
@@ -197,10 +198,10 @@
 
 // FirstID is the id of the first member at an address: all know it without a message.
 func FirstID(address string) view.MemberID {
-	return view.MemberID(max(xxhash.Sum64String(address), 1))
+	return view.MemberID(max(int64(xxhash.Sum64String(address)>>1), 1))
 }
 
-func (n *Node) newID() view.MemberID { return view.MemberID(max(n.random.Uint64(), 1)) }
+func (n *Node) newID() view.MemberID { return view.MemberID(max(n.random.Int64(), 1)) }
 
 // Step takes a message.
 func (n *Node) Step(now time.Duration, e Envelope) Output {
@@ -316,7 +317,7 @@
 func (n *Node) Member() bool { return n.member() }
 
 // Position is the newest entry taken and the newest known as committed.
-func (n *Node) Position() (sequence, committed uint64) { return n.sequence, n.committed }
+func (n *Node) Position() (sequence, committed int64) { return n.sequence, n.committed }
 
 // Checkpoint gives records that stand for all before them.
 func (n *Node) Checkpoint() []Record {
--- a/coordination/chain/reconfigure.go
+++ b/coordination/chain/reconfigure.go
@@ -30,8 +30,8 @@
 	proposer  *view.Proposer[Proposal]
 	started   time.Duration
 	sent      time.Duration
-	sequences map[view.MemberID]uint64 // of those that promised
-	best      State                    // newest state among the promises
+	sequences map[view.MemberID]int64 // of those that promised
+	best      State                   // newest state among the promises
 }
 
 // wanted is the change that this node waits to propose.
@@ -116,7 +116,7 @@
 		proposer:  view.NewProposer[Proposal](ballot, n.view.Majority()),
 		started:   n.now,
 		sent:      n.now,
-		sequences: map[view.MemberID]uint64{},
+		sequences: map[view.MemberID]int64{},
 		best:      State{Epoch: n.view.Epoch, Sequence: n.sequence},
 	}
 	for _, m := range n.view.Members {
@@ -207,7 +207,7 @@
 
 // stateFor gives a state of this epoch as it has to be sent to one that is at a sequence of this epoch: with its bytes
 // only if the other is elsewhere. A sealed member's sequence stays what it told.
-func (n *Node) stateFor(s State, sequence uint64) State {
+func (n *Node) stateFor(s State, sequence int64) State {
 	if s.Sequence == sequence {
 		return State{Epoch: s.Epoch, Sequence: s.Sequence}
 	}
@@ -218,7 +218,7 @@
 }
 
 // current says whether a message answers the present attempt.
-func (n *Node) current(from Peer, epoch uint64, b view.Ballot) bool {
+func (n *Node) current(from Peer, epoch int64, b view.Ballot) bool {
 	return epoch == n.view.Epoch && n.attempt != nil && n.attempt.proposer.Ballot == b && n.view.Has(from.ID)
 }
 
--- a/coordination/chain/record.go
+++ b/coordination/chain/record.go
@@ -19,19 +19,19 @@
 type Adoption struct {
 	View      view.View
 	State     State
-	Committed uint64
+	Committed int64
 	Last      []Entry // of a checkpoint: the newest entry, if it is of this epoch
 }
 
 // Addition is an entry taken.
 type Addition struct {
-	Epoch uint64
+	Epoch int64
 	Entry Entry
 }
 
 // Vote is the acceptor of an epoch.
 type Vote struct {
-	Epoch    uint64
+	Epoch    int64
 	Acceptor view.Acceptor[Proposal]
 }
 
@@ -45,7 +45,7 @@
 	Member    view.Member
 	View      view.View
 	State     State // Full, or zero
-	Committed uint64
+	Committed int64
 	Last      []Entry // as of State
 	Entries   []Entry // since State
 	Acceptor  view.Acceptor[Proposal]
@@ -78,8 +78,8 @@
 	return nil
 }
 
-func (d *Durable) sequence() uint64 {
-	return d.State.Sequence + uint64(len(d.Entries))
+func (d *Durable) sequence() int64 {
+	return d.State.Sequence + int64(len(d.Entries))
 }
 
 func (d *Durable) adopt(r Adoption) error {
--- /dev/null
+++ b/coordination/chain/register_test.go
@@ -0,0 +1,59 @@
+package chain_test
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+// register is a register with versions: version v has the v-th value. A command puts a value on top of a base version.
+type register struct{ values []uint64 }
+
+func command(base, value uint64) []byte {
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, base), value)
+}
+
+// Apply gives the version that is current afterwards, and whether the command's value is at its place.
+func (r *register) Apply(command []byte) ([]byte, bool) {
+	base, value := binary.BigEndian.Uint64(command), binary.BigEndian.Uint64(command[8:])
+	current := uint64(len(r.values))
+	if base == current {
+		r.values = append(r.values, value)
+		return outcome(current+1, true), true
+	}
+	return outcome(current, base < current && r.values[base] == value), false
+}
+
+func outcome(version uint64, taken bool) []byte {
+	b := binary.BigEndian.AppendUint64(nil, version)
+	if taken {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
+func (r *register) Snapshot() []byte {
+	b := []byte{'v'}
+	for _, v := range r.values {
+		b = binary.BigEndian.AppendUint64(b, v)
+	}
+	return b
+}
+
+func (r *register) Restore(snapshot []byte) error {
+	values, err := parse(snapshot)
+	r.values = values
+	return err
+}
+
+func parse(snapshot []byte) ([]uint64, error) {
+	if len(snapshot)%8 != 1 || snapshot[0] != 'v' {
+		return nil, eris.Errorf("snapshot of %d bytes", len(snapshot))
+	}
+	var values []uint64
+	for part := range slices.Chunk(snapshot[1:], 8) {
+		values = append(values, binary.BigEndian.Uint64(part))
+	}
+	return values, nil
+}
--- a/coordination/chain/write.go
+++ b/coordination/chain/write.go
@@ -86,7 +86,7 @@
 		n.answerAgain(p.from, o)
 		return
 	}
-	if p.After+uint64(len(n.recent)) < n.sequence {
+	if p.After+int64(len(n.recent)) < n.sequence {
 		n.send(p.from, Result{ID: p.ID, Verdict: TooOld, Epoch: n.view.Epoch, Sequence: n.sequence})
 		return
 	}
@@ -155,7 +155,7 @@
 }
 
 // commitTo notes that entries are committed, tells it up the chain and whoever waits.
-func (n *Node) commitTo(sequence uint64) {
+func (n *Node) commitTo(sequence int64) {
 	if sequence <= n.committed {
 		return
 	}
--- a/coordination/view/paxos.go
+++ b/coordination/view/paxos.go
@@ -2,7 +2,7 @@
 
 // Ballot orders the attempts to decide one epoch. The zero Ballot is before all.
 type Ballot struct {
-	Round    uint64
+	Round    int64
 	Proposer MemberID
 }
 
--- a/coordination/view/view.go
+++ b/coordination/view/view.go
@@ -7,7 +7,7 @@
 )
 
 // MemberID names one member for the life of its disk. A node that lost its disk comes back under another.
-type MemberID uint64
+type MemberID int64
 
 // MaxMembers bounds a view: every member sends heartbeats to every other.
 const MaxMembers = 9
@@ -22,7 +22,7 @@
 
 // View says who votes on the next view and who replicates until then.
 type View struct {
-	Epoch   uint64
+	Epoch   int64
 	Initial int // members of the first view
 	Members []Member
 	Chain   []MemberID // head first
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,224 @@
+package replica_test
+
+import (
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"emberquay/coordination/chain"
+	"emberquay/internal/replica"
+	"emberquay/internal/transport"
+	"emberquay/internal/vfs/memfs"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestReplica(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "replica")
+}
+
+// counter has a version; a command names the version it builds on.
+type counter struct{ version uint64 }
+
+func (c *counter) Apply(command []byte) ([]byte, bool) {
+	if binary.BigEndian.Uint64(command) != c.version {
+		return c.Snapshot(), false
+	}
+	c.version++
+	return c.Snapshot(), true
+}
+
+func (c *counter) Snapshot() []byte { return binary.BigEndian.AppendUint64(nil, c.version) }
+
+func (c *counter) Restore(snapshot []byte) error {
+	c.version = binary.BigEndian.Uint64(snapshot)
+	return nil
+}
+
+func on(version uint64) []byte { return binary.BigEndian.AppendUint64(nil, version) }
+
+// machine is one replica with its server and its disk.
+type machine struct {
+	address string
+	seeds   []string
+	voter   bool
+	disk    *memfs.Mem
+	replica *replica.Replica
+	server  *transport.Server
+	client  *transport.Client
+
+	mutex     sync.Mutex
+	committed []uint64 // versions told; guarded by mutex
+}
+
+func (m *machine) start(bootstrap bool) {
+	mux := transport.NewMux()
+	m.client = transport.NewClient()
+	var err error
+	m.replica, err = replica.Open(replica.Options{
+		Name: m.address, Address: m.address, Zone: "a", Seeds: m.seeds, Bootstrap: bootstrap, Voter: m.voter,
+		Files: m.disk, Dir: "control", DiskBytes: 48 << 10,
+		Machine: func() chain.StateMachine { return &counter{} },
+		OnCommit: func(_, sequence uint64, snapshot []byte) {
+			m.mutex.Lock()
+			defer m.mutex.Unlock()
+			Expect(binary.BigEndian.Uint64(snapshot)).To(Equal(sequence))
+			m.committed = append(m.committed, sequence)
+		},
+		Client: m.client, Mux: mux, Log: &log.Logger{Handler: discard.Default},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	m.server, err = transport.Listen(m.address, mux)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (m *machine) kill() {
+	if m.replica == nil {
+		return
+	}
+	Expect(m.replica.Close()).To(Succeed())
+	Expect(m.server.Close()).To(Succeed())
+	m.client.Close()
+	m.replica = nil
+}
+
+func (m *machine) newest() uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if len(m.committed) == 0 {
+		return 0
+	}
+	return m.committed[len(m.committed)-1]
+}
+
+// freeAddress is one on which nobody listens.
+func freeAddress() string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func cluster(size int) []*machine {
+	var machines []*machine
+	var seeds []string
+	for range size {
+		m := &machine{address: freeAddress(), disk: memfs.New(), voter: true}
+		machines = append(machines, m)
+		seeds = append(seeds, m.address)
+	}
+	for _, m := range machines {
+		m.seeds = seeds
+		m.start(true)
+		DeferCleanup(m.kill)
+	}
+	return machines
+}
+
+// version reads the counter at a replica.
+func version(ctx context.Context, m *machine) uint64 {
+	snapshot, err := m.replica.Read(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	return binary.BigEndian.Uint64(snapshot)
+}
+
+// advance brings the counter on by one.
+func advance(ctx context.Context, m *machine, from uint64) {
+	result, err := m.replica.Propose(ctx, on(from))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(binary.BigEndian.Uint64(result)).To(Equal(from + 1))
+}
+
+var _ = Describe("three replicas", func() {
+	It("agree, go on without one, and take it back", func(ctx SpecContext) {
+		machines := cluster(3)
+		for i := range uint64(9) {
+			advance(ctx, machines[i%3], i)
+		}
+		for _, m := range machines {
+			Expect(version(ctx, m)).To(Equal(uint64(9)))
+		}
+		result, err := machines[1].replica.Propose(ctx, on(3))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(binary.BigEndian.Uint64(result)).To(Equal(uint64(9)), "refused")
+
+		head, _ := machines[0].replica.View().Head()
+		var dead *machine
+		var alive []*machine
+		for _, m := range machines {
+			if m.address == head.Address {
+				dead = m
+			} else {
+				alive = append(alive, m)
+			}
+		}
+		dead.kill()
+		advance(ctx, alive[0], 9)
+		advance(ctx, alive[1], 10)
+		Expect(version(ctx, alive[1])).To(Equal(uint64(11)))
+
+		dead.disk = dead.disk.After(memfs.Process, nil)
+		dead.start(false)
+		Expect(version(ctx, dead)).To(Equal(uint64(11)))
+		Eventually(ctx, func() int { return len(alive[0].replica.View().Chain) }).Should(Equal(3))
+		advance(ctx, dead, 11)
+		for _, m := range machines {
+			Eventually(ctx, m.newest).Should(Equal(uint64(12)))
+		}
+	}, NodeTimeout(time.Minute))
+
+	It("keep what was acknowledged when all lose power and one its disk", func(ctx SpecContext) {
+		machines := cluster(3)
+		for i := range uint64(400) { // several laps of the journal
+			advance(ctx, machines[i%3], i)
+		}
+		chance := rand.New(rand.NewPCG(1, 2))
+		for _, m := range machines {
+			m.kill()
+			m.disk = m.disk.After(memfs.Power, chance)
+		}
+		machines[1].disk = memfs.New()
+		for _, m := range machines {
+			m.start(false)
+		}
+		for _, m := range machines {
+			Expect(version(ctx, m)).To(Equal(uint64(400)))
+		}
+		Eventually(ctx, func() []string {
+			var chain []string
+			v := machines[1].replica.View()
+			for _, id := range v.Chain {
+				member, _ := v.Member(id)
+				chain = append(chain, member.Address)
+			}
+			return chain
+		}).Should(ConsistOf(machines[0].address, machines[1].address, machines[2].address))
+		advance(ctx, machines[1], 400)
+	}, NodeTimeout(time.Minute))
+
+	It("serve one that only forwards, and take in a fourth", func(ctx SpecContext) {
+		machines := cluster(3)
+		forwards := &machine{address: freeAddress(), seeds: machines[0].seeds}
+		forwards.start(false)
+		DeferCleanup(forwards.kill)
+		advance(ctx, forwards, 0)
+		Expect(version(ctx, forwards)).To(Equal(uint64(1)))
+		Expect(forwards.replica.Status().Member).To(BeFalse())
+
+		fourth := &machine{address: freeAddress(), seeds: machines[0].seeds, voter: true, disk: memfs.New()}
+		fourth.start(false)
+		DeferCleanup(fourth.kill)
+		Eventually(ctx, func() int { return len(fourth.replica.View().Chain) }).Should(Equal(4))
+		advance(ctx, fourth, 1)
+		Expect(version(ctx, machines[0])).To(Equal(uint64(2)))
+	}, NodeTimeout(time.Minute))
+})
