--- a/internal/standin/child_other.go
+++ /dev/null
@@ -1,8 +0,0 @@
-//go:build !linux
-
-package standin
-
-import "syscall"
-
-// childAttr: a child is in a group of its own, so that Ctrl-C is for us alone.
-func childAttr() *syscall.SysProcAttr { return &syscall.SysProcAttr{Setpgid: true} }
--- a/internal/standin/senders.go
+++ b/internal/standin/senders.go
@@ -8,10 +8,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strings"
 	"syscall"
 	"time"
+
+	"emberquay/internal/processes"
 )
 
 // sender is one real sender: its process, started anew as the day has it.
@@ -74,7 +75,7 @@
 }
 
 // start starts the process.
-func (o *sender) start(ctx context.Context, launch *launcher) error {
+func (o *sender) start(ctx context.Context, launch *processes.Launcher) error {
 	if err := o.configure(); err != nil {
 		return err
 	}
@@ -92,9 +93,8 @@
 	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + o.dir(), "TMPDIR=" + o.dir(), "GW_NAME=" + o.name(),
 		"GW_LISTEN=" + s.net.front(o.no), "GW_DISCOVERY=" + o.discovery(), "GW_STATE=" + filepath.Join(o.dir(), "state"),
 		"GW_CONFIG=" + filepath.Join(o.dir(), "config.json")}, s.opt.Env...)
-	cmd.SysProcAttr = childAttr()
 	s.see(func(now time.Duration) { s.ref.SenderStarted(now, o.no) })
-	if err := launch.start(cmd); err != nil {
+	if err := launch.Start(cmd); err != nil {
 		return fmt.Errorf("sender %s: %w", o.name(), err)
 	}
 	exited := make(chan struct{})
@@ -188,7 +188,7 @@
 }
 
 // fates plays what befalls the sender, one thing after the other.
-func (o *sender) fates(ctx context.Context, launch *launcher) {
+func (o *sender) fates(ctx context.Context, launch *processes.Launcher) {
 	s := o.stage
 	for _, f := range s.day.Fates {
 		if f.Sender != o.no || !s.until(ctx, time.Duration(f.AtS*float64(time.Second))) {
@@ -299,28 +299,3 @@
 		<-exited
 	}
 }
-
-// launcher starts processes from one thread that lives as long as they do: they end with it, so that none is left
-// behind even if this process is killed.
-type launcher struct {
-	ask  chan *exec.Cmd
-	tell chan error
-}
-
-func newLauncher() *launcher {
-	l := &launcher{make(chan *exec.Cmd), make(chan error)}
-	go func() {
-		runtime.LockOSThread()
-		for cmd := range l.ask {
-			l.tell <- cmd.Start()
-		}
-	}()
-	return l
-}
-
-func (l *launcher) start(cmd *exec.Cmd) error {
-	l.ask <- cmd
-	return <-l.tell
-}
-
-func (l *launcher) close() { close(l.ask) }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -26,6 +26,7 @@
 	"syscall"
 	"time"
 
+	"emberquay/internal/processes"
 	"emberquay/internal/referee"
 	"emberquay/internal/world"
 )
@@ -175,8 +176,8 @@
 func (s *Stage) play(parent context.Context) (*Result, error) {
 	ctx, stop := context.WithCancel(parent)
 	defer stop()
-	launch := newLauncher()
-	defer launch.close()
+	launch := processes.NewLauncher()
+	defer launch.Close()
 	// The outside stands before the senders start, and until they have ended.
 	if err := s.stand(ctx); err != nil {
 		stop()
@@ -217,7 +218,7 @@
 }
 
 // startAll starts the senders and waits until all are ready; the day begins then.
-func (s *Stage) startAll(ctx context.Context, launch *launcher) error {
+func (s *Stage) startAll(ctx context.Context, launch *processes.Launcher) error {
 	for _, snd := range s.senders {
 		if err := os.MkdirAll(filepath.Join(s.opt.Dir, snd.name(), "state"), 0o700); err != nil {
 			return err
@@ -237,7 +238,7 @@
 }
 
 // run plays from the first text until nothing is open any more.
-func (s *Stage) run(ctx context.Context, launch *launcher) error {
+func (s *Stage) run(ctx context.Context, launch *processes.Launcher) error {
 	f := newFront(ctx, s)
 	defer f.close()
 	fates, cancel := context.WithCancel(ctx)
