--- /dev/null
+++ b/internal/referee/tierrules/judge.go
@@ -0,0 +1,168 @@
+package tierrules
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Rule is the name of a rule.
+type Rule string
+
+// The rules that are judged.
+const (
+	Mixed   Rule = "MIXED"
+	Unasked Rule = "UNASKED"
+	Twice   Rule = "TWICE"
+	Refused Rule = "REFUSED"
+	Denied  Rule = "DENIED"
+	Budget  Rule = "BUDGET"
+	Misrout Rule = "ROUTE"
+	Drain   Rule = "DRAIN"
+	Lost    Rule = "LOST"
+	Config  Rule = "CONFIG"
+	Order   Rule = "ORDER"
+	Recover Rule = "RECOVER"
+)
+
+// Rules are all of them, in the order of the verdict.
+var Rules = []Rule{Mixed, Unasked, Twice, Refused, Denied, Budget, Misrout, Drain, Lost, Config, Order, Recover}
+
+// Breach is one broken rule.
+type Breach struct {
+	Rule    Rule
+	At      time.Duration
+	Request string // its id, if it is about one
+	Machine string
+	Why     string
+}
+
+func (b Breach) String() string {
+	about := ""
+	if b.Request != "" {
+		about = ", request " + b.Request
+	}
+	if b.Machine != "" {
+		about += ", machine " + b.Machine
+	}
+	return fmt.Sprintf("%s at %.3fs%s: %s", b.Rule, b.At.Seconds(), about, b.Why)
+}
+
+// Verdict is what a day came to.
+type Verdict struct {
+	Breaches []Breach
+	Checked  map[Rule]int // observations that the rule was held against
+}
+
+// Kept says whether no rule was broken.
+func (v *Verdict) Kept() bool { return len(v.Breaches) == 0 }
+
+// Broken counts the breaches of a rule.
+func (v *Verdict) Broken(rule Rule) int {
+	n := 0
+	for _, b := range v.Breaches {
+		if b.Rule == rule {
+			n++
+		}
+	}
+	return n
+}
+
+// String is a line for each rule.
+func (v *Verdict) String() string {
+	var out strings.Builder
+	for _, rule := range Rules {
+		said := "kept"
+		if n := v.Broken(rule); n > 0 {
+			said = fmt.Sprintf("BROKEN %d times", n)
+		}
+		fmt.Fprintf(&out, "%-8s %-18s %6d looked at\n", rule, said, v.Checked[rule])
+	}
+	return out.String()
+}
+
+// judge holds the history by what it is asked for.
+type judge struct {
+	*History
+	verdict  *Verdict
+	requests map[string]*Request
+	runs     map[string][]*Run
+	turned   map[string][]*Turned
+	versions []*Change // distinct changes, as sent
+}
+
+// Judge holds a day against all rules. The history is only read.
+func Judge(history *History) *Verdict {
+	j := &judge{
+		History:  history,
+		verdict:  &Verdict{Checked: map[Rule]int{}},
+		requests: make(map[string]*Request, len(history.Requests)),
+		runs:     make(map[string][]*Run, len(history.Runs)),
+		turned:   map[string][]*Turned{},
+		versions: history.Changes,
+	}
+	for _, r := range history.Requests {
+		j.requests[r.ID] = r
+	}
+	for _, run := range history.Runs {
+		j.runs[run.RequestID] = append(j.runs[run.RequestID], run)
+	}
+	for _, t := range history.Turned {
+		j.turned[t.RequestID] = append(j.turned[t.RequestID], t)
+	}
+	j.answers()
+	j.streams()
+	j.executions()
+	j.denials()
+	j.programs()
+	j.routes()
+	j.configuration()
+	j.drains()
+	j.losses()
+	j.recovery()
+	slices.SortStableFunc(j.verdict.Breaches, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
+	return j.verdict
+}
+
+func (j *judge) checked(rule Rule) { j.verdict.Checked[rule]++ }
+
+func (j *judge) breach(rule Rule, at time.Duration, r *Request, format string, args ...any) {
+	b := Breach{Rule: rule, At: at, Why: fmt.Sprintf(format, args...)}
+	if r != nil {
+		b.Request, b.Machine = r.ID, r.Machine
+	}
+	j.verdict.Breaches = append(j.verdict.Breaches, b)
+}
+
+// touch says whether a machine was in touch at an instant: no trouble of its own and none of the core or of a store since
+// the contact bound before it. A planned stop is trouble of its machine here; after a final fault it takes twice as long.
+func (j *judge) touch(machine string, at time.Duration) bool {
+	for _, t := range j.Troubles {
+		if t.What == Reloaded || t.Machine != machine && !t.Core {
+			continue
+		}
+		contact := j.Bounds.Contact
+		if t.What == Final {
+			contact *= 2
+		}
+		if at >= t.From && at < t.To+contact {
+			return false
+		}
+	}
+	return true
+}
+
+// touchThrough says whether a machine was in touch all the while.
+func (j *judge) touchThrough(machine string, from, to time.Duration) bool {
+	if !j.touch(machine, from) || !j.touch(machine, to) {
+		return false
+	}
+	for _, t := range j.Troubles {
+		if t.What != Reloaded && (t.Machine == machine || t.Core) && t.From >= from && t.From <= to {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/referee/tierrules/planned.go
@@ -0,0 +1,156 @@
+package tierrules
+
+import (
+	"slices"
+	"time"
+)
+
+// drains judges DRAIN: later than the bound after a machine in touch acknowledged that a receiver ends, no request that
+// machines in touch sent on reaches it.
+func (j *judge) drains() {
+	for _, end := range j.Ends {
+		j.checked(Drain)
+		if !j.touch(end.Machine, end.Acked) {
+			continue
+		}
+		limit := end.Acked + j.Bounds.Drain
+		for _, run := range j.Runs {
+			r := j.requests[run.RequestID]
+			if run.Instance != end.Instance || run.Began <= limit || r == nil || !j.touchThrough(r.Machine, r.Sent, run.Began) {
+				continue
+			}
+			j.breach(Drain, run.Began, r, "%s runs it %.3fs after its end was acknowledged", end.Instance, (run.Began - end.Acked).Seconds())
+		}
+		for _, t := range j.Turned {
+			r := j.requests[t.RequestID]
+			if t.Instance != end.Instance || t.Status == statusMisdirected || t.At <= limit || r == nil || !j.touchThrough(r.Machine, r.Sent, t.At) {
+				continue
+			}
+			j.breach(Drain, t.At, r, "it reaches %s %.3fs after its end was acknowledged", end.Instance, (t.At - end.Acked).Seconds())
+		}
+	}
+}
+
+const statusMisdirected = 421
+
+// afterGrace is for how long behind the grace of a stop its connections count.
+const afterGrace = time.Second
+
+// losses judges LOST round planned stops: a request that was read whole gets a whole answer.
+func (j *judge) losses() {
+	for _, r := range j.Requests {
+		if r.Whole == 0 || r.GaveUp || r.Answer != nil && r.Answer.Complete {
+			continue
+		}
+		t := j.plannedStop(r)
+		if t == nil {
+			continue
+		}
+		j.checked(Lost)
+		if j.excused(r, t) {
+			continue
+		}
+		j.breach(Lost, r.Ended, r, "read whole, and its connection ends without a complete answer %.3fs after SIGTERM", (r.Ended - t.From).Seconds())
+	}
+}
+
+// plannedStop is the stop of the machine during which the request ended, with no other trouble near.
+func (j *judge) plannedStop(r *Request) *Trouble {
+	at := slices.IndexFunc(j.Troubles, func(t Trouble) bool {
+		return t.What == Terminated && t.Machine == r.Machine && r.Whole >= t.From-r.Deadline && r.Ended >= t.From && r.Ended <= t.From+j.Bounds.Grace+afterGrace
+	})
+	if at < 0 {
+		return nil
+	}
+	for i, t := range j.Troubles {
+		if i != at && t.What != Reloaded && t.From <= r.Ended && t.To > r.Sent-j.Bounds.Contact {
+			return nil
+		}
+	}
+	return &j.Troubles[at]
+}
+
+func (j *judge) excused(r *Request, t *Trouble) bool {
+	limit := r.Sent + min(r.Deadline, r.Timeout)
+	if r.Ended >= limit {
+		return true
+	}
+	runs := j.runs[r.ID]
+	if len(runs) == 0 {
+		return r.Ended <= r.Whole+j.Bounds.LossSlack
+	}
+	second := t.From + j.Bounds.Grace/2
+	return slices.ContainsFunc(runs, func(run *Run) bool {
+		return run.BrokeOff || run.Ended == 0 || run.Ended >= second
+	})
+}
+
+// recovery judges RECOVER after a final fault: of the requests sent later than the bound a quarter is served, if it was
+// before.
+func (j *judge) recovery() {
+	at := slices.IndexFunc(j.Troubles, func(t Trouble) bool { return t.What == Final })
+	if at < 0 {
+		return
+	}
+	fault := j.Troubles[at]
+	var before, servedBefore, after, servedAfter int
+	for _, r := range j.Requests {
+		switch {
+		case r.Ended < fault.From:
+			before++
+			servedBefore += served(r)
+		case r.Sent > fault.To+j.Bounds.Recovery:
+			after++
+			servedAfter += served(r)
+		}
+	}
+	j.verdict.Checked[Recover] = after
+	if 4*servedBefore >= before && 4*servedAfter < after {
+		j.breach(Recover, fault.To+j.Bounds.Recovery, nil, "%d of %d requests are served after the final fault, %d of %d before", servedAfter, after, servedBefore, before)
+	}
+	j.unrecovered(fault)
+}
+
+func served(r *Request) int {
+	if r.success() {
+		return 1
+	}
+	return 0
+}
+
+// lastSeconds is the span at the end of the traffic by which the recovery of turns is judged.
+const lastSeconds = 4 * time.Second
+
+// unrecovered judges LOST after a final fault: a turn that continues one from before reaches a receiver by the bound, if
+// four fifths of other turns are served in the last seconds.
+func (j *judge) unrecovered(fault Trouble) {
+	other, served := 0, 0
+	reached := map[string]bool{}
+	asked := map[string]*Request{}
+	for _, r := range j.Requests {
+		if !r.Retained {
+			continue
+		}
+		p := j.requests[r.Previous]
+		old := p != nil && p.success() && p.Ended < fault.From && r.Sent > fault.To
+		switch {
+		case old && len(j.runs[r.ID]) > 0:
+			reached[p.ID] = true
+		case old && r.Sent > fault.To+j.Bounds.Recovery && r.Sent < p.Ended+retentionOf(p):
+			asked[p.ID] = r
+		case !old && r.Sent > j.Length-lastSeconds:
+			other++
+			if r.success() {
+				served++
+			}
+		}
+	}
+	if other == 0 || 5*served < 4*other {
+		return
+	}
+	for id, r := range asked {
+		if !reached[id] {
+			j.breach(Lost, r.Ended, r, "turn %s from before the final fault is not continued by %.0fs", id, (fault.To + j.Bounds.Recovery).Seconds())
+		}
+	}
+}
