dataplane: a proxy or receiver that comes or goes costs one hash each, not all pairs

Each change of a node or receiver had every proxy hash all receivers with all proxies of their zones: at 340 proxies and 620 receivers some 42,000 hashes a change at each proxy. The rendezvous choice is kept and changed by what comes or goes.

--- a/internal/dataplane/assignment.go
+++ b/internal/dataplane/assignment.go
@@ -1,57 +1,130 @@
 package dataplane
 
 import (
+	"sync"
+
 	"github.com/cespare/xxhash/v2"
 
 	"emberquay/admission/dispatch"
-	"emberquay/internal/cluster"
-	"emberquay/internal/cluster/records"
 )
 
 // assignment says which receivers' reports this proxy asks for. A report is priced, and all proxies want the
 // same ones: each is asked for by one proxy, which spreads it.
+//
+// A receiver goes to the proxy with the highest hash of both names (rendezvous), among those of its own zone
+// where there are any. All proxies that know the same nodes come to the same. A proxy that comes or goes costs
+// one hash a receiver, and a receiver one hash a proxy of its zone: in a large fleet both come all the time.
 type assignment struct {
-	own map[dispatch.InstanceID]bool
+	self string
+
+	mutex     sync.Mutex
+	proxies   map[string]string          // guarded by mutex; the zone of each live proxy, by name
+	byZone    map[string]map[string]bool // guarded by mutex; names of the live proxies of a zone
+	receivers map[string]choice          // guarded by mutex
 }
 
-// liveProxies gives the proxies that are not known to be down or gone.
-func liveProxies(nodes []cluster.Node) []cluster.Node {
-	var live []cluster.Node
-	for _, n := range nodes {
-		if n.Role == cluster.Proxy && (n.State == cluster.Alive || n.State == cluster.Suspect) {
-			live = append(live, n)
-		}
+// choice is the proxy that asks for a receiver's reports, and what it was chosen by.
+type choice struct {
+	zone  string // of the receiver
+	proxy string // empty: none
+	hash  uint64
+}
+
+func newAssignment(self string) *assignment {
+	return &assignment{self: self, proxies: map[string]string{}, byZone: map[string]map[string]bool{}, receivers: map[string]choice{}}
+}
+
+// assigned tells whether this proxy asks for a receiver's reports.
+func (a *assignment) assigned(id dispatch.InstanceID) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	chosen, known := a.receivers[string(id)]
+	return known && chosen.proxy == a.self
+}
+
+// live is the number of live proxies.
+func (a *assignment) live() int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return len(a.proxies)
+}
+
+// setProxy notes whether a proxy is live.
+func (a *assignment) setProxy(name, zone string, live bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	known, there := a.proxies[name]
+	if there && (!live || known != zone) {
+		a.dropProxy(name, known)
+		there = false
+	}
+	if live && !there {
+		a.addProxy(name, zone)
 	}
-	return live
 }
 
-// assign shares the receivers out: each to the proxy with the highest hash of both names (rendezvous), among
-// those of its own zone where there are any. All proxies that know the same nodes come to the same.
-func assign(self string, live []cluster.Node, receivers []records.ReceiverRecord) *assignment {
-	a := &assignment{own: map[dispatch.InstanceID]bool{}}
-	for _, r := range receivers {
-		if choose(r, live) == self {
-			a.own[dispatch.InstanceID(r.ID)] = true
+func (a *assignment) addProxy(name, zone string) {
+	first := len(a.byZone[zone]) == 0
+	a.proxies[name] = zone
+	if first {
+		a.byZone[zone] = map[string]bool{}
+	}
+	a.byZone[zone][name] = true
+	for id, c := range a.receivers {
+		switch {
+		case c.zone == zone && first: // until now those of other zones stood in
+			a.receivers[id] = choice{zone: zone}.offer(id, name)
+		case c.zone == zone || len(a.byZone[c.zone]) == 0:
+			a.receivers[id] = c.offer(id, name)
 		}
 	}
-	return a
 }
 
-func choose(r records.ReceiverRecord, live []cluster.Node) string {
-	near := make([]cluster.Node, 0, len(live))
-	for _, n := range live {
-		if n.Zone == r.Zone {
-			near = append(near, n)
+func (a *assignment) dropProxy(name, zone string) {
+	delete(a.proxies, name)
+	delete(a.byZone[zone], name)
+	if len(a.byZone[zone]) == 0 {
+		delete(a.byZone, zone)
+	}
+	for id, c := range a.receivers {
+		if c.proxy == name {
+			a.receivers[id] = a.choose(id, c.zone)
 		}
 	}
-	if len(near) == 0 {
-		near = live
+}
+
+// setReceiver notes a receiver, or that it is gone.
+func (a *assignment) setReceiver(id, zone string, gone bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	known, there := a.receivers[id]
+	switch {
+	case gone:
+		delete(a.receivers, id)
+	case !there || known.zone != zone:
+		a.receivers[id] = a.choose(id, zone)
 	}
-	chosen, highest := "", uint64(0)
-	for _, n := range near {
-		if hash := xxhash.Sum64String(r.ID + "/" + n.Name); chosen == "" || hash > highest {
-			chosen, highest = n.Name, hash
+}
+
+func (a *assignment) choose(id, zone string) choice {
+	chosen := choice{zone: zone}
+	if near := a.byZone[zone]; len(near) > 0 {
+		for name := range near {
+			chosen = chosen.offer(id, name)
 		}
+		return chosen
+	}
+	for name := range a.proxies {
+		chosen = chosen.offer(id, name)
 	}
 	return chosen
 }
+
+// offer gives the choice between the present proxy and another.
+func (c choice) offer(id, name string) choice {
+	hash := xxhash.Sum64String(id + "/" + name)
+	if c.proxy == "" || hash > c.hash || hash == c.hash && name < c.proxy {
+		c.proxy, c.hash = name, hash
+	}
+	return c
+}
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"hash/maphash"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -45,16 +44,15 @@
 	stopped  context.Context
 
 	receivers  *receiverList
-	assignment atomic.Pointer[assignment]
-	proxies    atomic.Int64 // live ones, this one among them
+	assignment *assignment
 	snapshot   *routing.Snapshot
 }
 
 // Start joins the others and serves; the plane is ready once it knows the configuration and the receivers.
 func Start(node *settings.Node, logger log.Interface) (*Plane, error) {
 	stopped, stop := context.WithCancel(context.Background())
-	p := &Plane{settings: node, log: logger, client: transport.NewClient(), stop: stop, stopped: stopped, receivers: newReceiverList()}
-	p.proxies.Store(1)
+	p := &Plane{settings: node, log: logger, client: transport.NewClient(), stop: stop, stopped: stopped,
+		receivers: newReceiverList(), assignment: newAssignment(node.Name)}
 	if err := p.open(); err != nil {
 		p.close()
 		return nil, err
@@ -85,8 +83,8 @@
 	p.proxy, err = proxy.New(proxy.Options{
 		Front: p.settings.Listen.Front, Readiness: p.settings.Listen.Readiness,
 		Stores: p.stores, Logger: p.log, Seed: maphash.Comparable(maphash.MakeSeed(), p.settings.Name),
-		LiveProxies:   func() int { return int(p.proxies.Load()) },
-		Assigned:      p.assigned,
+		LiveProxies:   func() int { return max(1, p.assignment.live()) },
+		Assigned:      p.assignment.assigned,
 		PublishReport: p.publishReport,
 	})
 	if err != nil {
@@ -102,7 +100,7 @@
 	p.cluster.Watch(cluster.StoresKey, p.takeStores)
 	p.cluster.Watch(cluster.ReceiverPrefix, p.takeReceiver)
 	p.cluster.Watch(cluster.ReportPrefix, p.takeReport)
-	p.cluster.WatchNodes(func(cluster.Node) { p.takeNodes() })
+	p.cluster.WatchNodes(p.takeNode)
 }
 
 func (p *Plane) takeConfiguration(entry cluster.Entry) {
@@ -141,20 +139,15 @@
 		return
 	}
 	p.receivers.take(record)
+	p.assignment.setReceiver(record.ID, record.Zone, record.State == records.ReceiverGone)
 	p.proxy.SetReceivers(p.receivers.dispatchable(p.snapshot))
-	p.takeNodes()
 }
 
-// takeNodes counts the live proxies and shares the receivers' reports out among them.
-func (p *Plane) takeNodes() {
-	live := liveProxies(p.cluster.Nodes())
-	p.proxies.Store(int64(max(1, len(live))))
-	p.assignment.Store(assign(p.settings.Name, live, p.receivers.all()))
-}
-
-func (p *Plane) assigned(id dispatch.InstanceID) bool {
-	a := p.assignment.Load()
-	return a != nil && a.own[id]
+// takeNode counts the live proxies and shares the receivers' reports out among them.
+func (p *Plane) takeNode(n cluster.Node) {
+	if n.Role == cluster.Proxy {
+		p.assignment.setProxy(n.Name, n.Zone, n.Live())
+	}
 }
 
 func (p *Plane) publishReport(id dispatch.InstanceID, report dispatch.Report) {
@@ -170,7 +163,7 @@
 
 func (p *Plane) takeReport(entry cluster.Entry) {
 	record, err := records.Reports.Decode(entry.Value)
-	if err != nil || p.assigned(dispatch.InstanceID(record.Instance)) {
+	if err != nil || p.assignment.assigned(dispatch.InstanceID(record.Instance)) {
 		return
 	}
 	p.proxy.Report(dispatch.InstanceID(record.Instance), dispatch.Report{
@@ -213,6 +206,18 @@
 	p.close()
 }
 
+// Abort ends the plane at once and tells nobody, as the end of its process would.
+func (p *Plane) Abort() {
+	now, end := context.WithCancel(context.Background())
+	end()
+	p.proxy.Shutdown(now)
+	p.close()
+}
+
+// Cluster is the plane's part in the cluster, for those who look on. Who watches it after Start is told of a
+// change after the plane itself has taken it.
+func (p *Plane) Cluster() *cluster.Cluster { return p.cluster }
+
 func (p *Plane) close() {
 	p.stop()
 	if p.stores != nil {
