A store that died or was replaced no longer blocks the quorums of those that are there

Ruled out: removing a member in the step that adds one (its records would be at too few stores with nobody knowing); counting a fresh disk in a lost one's place at once. Change: the view says which store took the place of a lost disk; only that one has to catch up, an added one grows the quorums instead. A store down for 2 s is taken out where enough remain. After a removal reservations, like look-ups, count only at stores that have compared anew.

--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -74,6 +74,7 @@
 		return nil, err
 	}
 	go p.ownReceivers(ctx)
+	go p.watchStores(ctx)
 	return p, p.listen()
 }
 
--- a/internal/controlstate/command.go
+++ b/internal/controlstate/command.go
@@ -47,7 +47,7 @@
 	HasBase bool   // the caller named one
 	Body    []byte // as the operator sent it
 
-	Store     StoreMember // its Retiring, Founder and Joined are not read
+	Store     StoreMember // its Retiring, Replaced and Joined are not read
 	Bootstrap bool        // the store starts with the whole system, so that nothing can have been kept before
 	Tolerance int         // machines that may be lost at once; the first command that registers a store counts
 
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -30,7 +30,7 @@
 		{"name":"zone","type":"string"},
 		{"name":"address","type":"string"},
 		{"name":"retiring","type":"boolean"},
-		{"name":"founder","type":"boolean"},
+		{"name":"replaced","type":"boolean"},
 		{"name":"joined","type":"long"}]}}},
 	{"name":"retirements","type":{"type":"array","items":{"type":"record","name":"retirement","fields":[
 		{"name":"node","type":"string"},
@@ -55,7 +55,7 @@
 	Zone     string `avro:"zone"`
 	Address  string `avro:"address"`
 	Retiring bool   `avro:"retiring"`
-	Founder  bool   `avro:"founder"`
+	Replaced bool   `avro:"replaced"`
 	Joined   int64  `avro:"joined"`
 }
 
@@ -80,7 +80,7 @@
 	}
 	for _, m := range s.stores.Members {
 		record.Members = append(record.Members,
-			memberRecord{m.ID, m.Node, m.Zone, m.Address, m.Retiring, m.Founder, int64(m.Joined)})
+			memberRecord{m.ID, m.Node, m.Zone, m.Address, m.Retiring, m.Replaced, int64(m.Joined)})
 	}
 	for _, r := range s.retirements {
 		record.Retirements = append(record.Retirements, retirementRecord(r))
@@ -187,7 +187,7 @@
 			return eris.Errorf("members[%d]: store %q on node %q stands there twice", i, m.ID, m.Node)
 		}
 		s.stores.Members = append(s.stores.Members, StoreMember{ID: m.ID, Node: m.Node, Zone: m.Zone, Address: m.Address,
-			Retiring: m.Retiring, Founder: m.Founder, Joined: uint64(m.Joined)})
+			Retiring: m.Retiring, Replaced: m.Replaced, Joined: uint64(m.Joined)})
 	}
 	return nil
 }
--- a/internal/controlstate/stores_test.go
+++ b/internal/controlstate/stores_test.go
@@ -72,8 +72,8 @@
 	It("takes stores in, each in an epoch of its own", func() {
 		state := withStores(2)
 		one, two := store(1), store(2)
-		one.Founder, one.Joined = true, 1
-		two.Founder, two.Joined = true, 2
+		one.Replaced, one.Joined = false, 1
+		two.Replaced, two.Joined = false, 2
 		Expect(state.Stores()).To(Equal(controlstate.StoreView{Epoch: 2, Tolerance: 1, Members: []controlstate.StoreMember{one, two}}))
 		Expect(restored(state).Stores()).To(Equal(state.Stores()))
 	})
@@ -97,7 +97,7 @@
 		command := register(moved)
 		command.Bootstrap = false
 		taken(state, command)
-		moved.Founder, moved.Joined = true, 1
+		moved.Replaced, moved.Joined = false, 1
 		Expect(state.Stores().Members[0]).To(Equal(moved))
 		Expect(state.Stores().Epoch).To(BeEquivalentTo(3))
 	})
@@ -110,7 +110,8 @@
 		command.Bootstrap = false
 		taken(state, command)
 		Expect(ids(state)).To(Equal([]string{"id-fresh", "id-2"}))
-		Expect(state.Stores().Members[0].Founder).To(BeFalse())
+		Expect(state.Stores().Members[0].Replaced).To(BeTrue())
+		Expect(restored(state).Stores().Members[0].Replaced).To(BeTrue())
 		Expect(state.Stores().Members[0].Joined).To(BeEquivalentTo(3))
 	})
 
--- a/internal/store/catchup.go
+++ b/internal/store/catchup.go
@@ -16,8 +16,12 @@
 	programs []storewire.Program
 }
 
-// catchUp compares with the other members until it lacks nothing, and says whether it does.
+// catchUp compares with the other members until it lacks nothing, and says whether it does. A store that was added
+// lacks nothing that a quorum would miss, as the quorums grew with it: it has nothing to wait for.
 func (s *Store) catchUp(ctx context.Context, d duty) bool {
+	if !d.complete && !d.unsettled && !d.view.Members[d.self].Replaced {
+		return s.complete(ctx)
+	}
 	inventories := s.inventories(ctx, d)
 	if len(inventories) < d.view.CatchUp() {
 		return false
@@ -44,6 +48,18 @@
 	return err == nil && settled
 }
 
+// complete notes that this store's "unknown" counts.
+func (s *Store) complete(ctx context.Context) bool {
+	kept := false
+	err := s.do(ctx, func(t *table) bool {
+		meta := t.meta
+		meta.Complete = true
+		kept = t.keepMeta(meta)
+		return kept
+	})
+	return err == nil && kept
+}
+
 // inventories asks all others at once. Those that don't answer whole, or are not complete themselves, are left out.
 func (s *Store) inventories(ctx context.Context, d duty) []inventory {
 	answers := make(chan *inventory, len(d.view.Members))
@@ -56,7 +72,7 @@
 		go func() {
 			defer asking.Done()
 			i := &inventory{member: member}
-			if s.listTurns(ctx, d, i) && (d.complete || s.listPrograms(ctx, d, i)) {
+			if s.listTurns(ctx, d, i) && s.listPrograms(ctx, d, i) {
 				answers <- i
 			}
 		}()
--- a/internal/store/serve_client.go
+++ b/internal/store/serve_client.go
@@ -45,6 +45,8 @@
 	if !t.admit(q.Header, &a.Reply) {
 		return false
 	}
+	// With a machine less a quorum may be made of stores that never heard of what it took part in.
+	a.Reply.Complete = a.Reply.Complete && !t.meta.Unsettled
 	key := budget.KeyOf(q.Turn)
 	known := t.programs[q.Program]
 	if q.Recheck || known != nil && known.ledger.Settled() >= q.Budget {
--- a/internal/storeview/storeview.go
+++ b/internal/storeview/storeview.go
@@ -21,6 +21,7 @@
 	Zone     string `avro:"zone"`
 	Address  string `avro:"address"`
 	Retiring bool   `avro:"retiring"`
+	Replaced bool   `avro:"replaced"`
 }
 
 var views = transport.MustCodec[view](`{"type":"record","name":"View","fields":[
@@ -31,20 +32,21 @@
 		{"name":"node","type":"string"},
 		{"name":"zone","type":"string"},
 		{"name":"address","type":"string"},
-		{"name":"retiring","type":"boolean"}]}}}]}`)
+		{"name":"retiring","type":"boolean"},
+		{"name":"replaced","type":"boolean"}]}}}]}`)
 
 // Entry gives the entry that spreads a view. All who make it of the same view make the same.
 func Entry(stores controlstate.StoreView) (cluster.Entry, error) {
 	wire := view{Epoch: int64(stores.Epoch), Tolerance: stores.Tolerance, Members: make([]member, 0, len(stores.Members))}
 	for _, m := range stores.Members {
-		wire.Members = append(wire.Members, member{ID: m.ID, Node: m.Node, Zone: m.Zone, Address: m.Address, Retiring: m.Retiring})
+		wire.Members = append(wire.Members, member{ID: m.ID, Node: m.Node, Zone: m.Zone, Address: m.Address, Retiring: m.Retiring, Replaced: m.Replaced})
 	}
 	value, err := views.Encode(wire)
 	stamp := cluster.Stamp{Epoch: stores.Epoch, Sequence: 1}
 	return cluster.Entry{Key: cluster.StoresKey, Value: value, Stamp: stamp}, err
 }
 
-// Read gives the view that an entry spreads; its Founder and Joined are not told.
+// Read gives the view that an entry spreads; its Joined is not told.
 func Read(entry cluster.Entry) (controlstate.StoreView, error) {
 	wire, err := views.Decode(entry.Value)
 	if err != nil {
@@ -52,7 +54,7 @@
 	}
 	stores := controlstate.StoreView{Epoch: uint64(wire.Epoch), Tolerance: wire.Tolerance}
 	for _, m := range wire.Members {
-		stores.Members = append(stores.Members, controlstate.StoreMember{ID: m.ID, Node: m.Node, Zone: m.Zone, Address: m.Address, Retiring: m.Retiring})
+		stores.Members = append(stores.Members, controlstate.StoreMember{ID: m.ID, Node: m.Node, Zone: m.Zone, Address: m.Address, Retiring: m.Retiring, Replaced: m.Replaced})
 	}
 	return stores, nil
 }
--- a/internal/storewire/schema.go
+++ b/internal/storewire/schema.go
@@ -6,7 +6,8 @@
 const (
 	memberSchema = `{"type":"record","name":"Member","fields":[
 		{"name":"id","type":"string"},{"name":"node","type":"string"},{"name":"zone","type":"string"},
-		{"name":"address","type":"string"},{"name":"retiring","type":"boolean"}]}`
+		{"name":"address","type":"string"},{"name":"retiring","type":"boolean"},
+		{"name":"replaced","type":"boolean"}]}`
 	viewSchema = `{"type":"record","name":"View","fields":[
 		{"name":"epoch","type":"long"},{"name":"tolerance","type":"int"},
 		{"name":"members","type":{"type":"array","items":` + memberSchema + `}}]}`
--- a/internal/storewire/view.go
+++ b/internal/storewire/view.go
@@ -20,13 +20,14 @@
 	Zone     string `avro:"zone"`
 	Address  string `avro:"address"`  // IP:port of its internal calls
 	Retiring bool   `avro:"retiring"` // it takes nothing new and is being emptied
+	Replaced bool   `avro:"replaced"` // it took the place of a store whose disk is lost, and may lack what that one held
 }
 
 // ViewOf gives the view that the control state holds.
 func ViewOf(stores controlstate.StoreView) View {
 	view := View{Epoch: int64(stores.Epoch), Tolerance: stores.Tolerance, Members: make([]Member, 0, len(stores.Members))}
 	for _, m := range stores.Members {
-		view.Members = append(view.Members, Member{ID: m.ID, Node: m.Node, Zone: m.Zone, Address: m.Address, Retiring: m.Retiring})
+		view.Members = append(view.Members, Member{ID: m.ID, Node: m.Node, Zone: m.Zone, Address: m.Address, Retiring: m.Retiring, Replaced: m.Replaced})
 	}
 	return view
 }
