--- /dev/null
+++ b/coordination/placement/placement_test.go
@@ -0,0 +1,115 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/coordination/placement"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+// members gives one member to each zone named.
+func members(zones ...string) []placement.Member {
+	var list []placement.Member
+	for at, zone := range zones {
+		list = append(list, placement.Member{Name: fmt.Sprint("store-", at), Zone: zone})
+	}
+	return list
+}
+
+var _ = DescribeTable("the order of a key",
+	func(zones []string, home string, firstZones int) {
+		list := members(zones...)
+		table := placement.NewTable(list)
+		for key := range 200 {
+			order := table.Order(placement.Key(fmt.Sprint(key)), home, nil)
+			Expect(order).To(HaveLen(len(list)))
+			Expect(order).To(ConsistOf(all(len(list))...))
+			seen := map[string]bool{}
+			for _, at := range order[:firstZones] {
+				seen[list[at].Zone] = true
+			}
+			Expect(seen).To(HaveLen(firstZones), "distinct zones come first")
+			if home != "" {
+				Expect(list[order[0]].Zone).To(Equal(home))
+			}
+		}
+	},
+	Entry("three zones", []string{"a", "b", "c"}, "", 3),
+	Entry("three zones of two", []string{"a", "a", "b", "b", "c", "c"}, "", 3),
+	Entry("a home zone", []string{"a", "a", "b", "b", "c", "c"}, "b", 3),
+	Entry("uneven zones", []string{"a", "a", "a", "a", "b"}, "a", 2),
+	Entry("one zone", []string{"a", "a", "a"}, "a", 1),
+	Entry("one member", []string{"a"}, "", 1),
+)
+
+func all(count int) []any {
+	var list []any
+	for at := range count {
+		list = append(list, at)
+	}
+	return list
+}
+
+var _ = Describe("a table", func() {
+	It("leaves retiring members out", func() {
+		list := members("a", "b", "c")
+		list[1].Retiring = true
+		for key := range 50 {
+			Expect(placement.NewTable(list).Order(uint64(key), "b", nil)).To(ConsistOf(0, 2))
+		}
+	})
+
+	It("ignores a home that no member is in", func() {
+		table := placement.NewTable(members("a", "b", "c"))
+		Expect(table.Order(5, "elsewhere", nil)).To(Equal(table.Order(5, "", nil)))
+	})
+
+	It("appends, and holds nothing where nobody is", func() {
+		Expect(placement.NewTable(nil).Order(5, "", []int{7})).To(Equal([]int{7}))
+	})
+
+	It("spreads keys evenly", func() {
+		table := placement.NewTable(members("a", "b", "c", "d"))
+		counts := make([]int, 4)
+		for key := range 4000 {
+			counts[table.Order(placement.Key(fmt.Sprint(key)), "", nil)[0]]++
+		}
+		for _, count := range counts {
+			Expect(count).To(BeNumerically("~", 1000, 150))
+		}
+	})
+
+	It("moves only what a member that goes had", func() {
+		list := members("a", "b", "c", "d")
+		before := placement.NewTable(list)
+		list[2].Retiring = true
+		after := placement.NewTable(list)
+		for key := range 500 {
+			old := before.Order(uint64(key)*977, "", nil)
+			var left []int
+			for _, at := range old {
+				if at != 2 {
+					left = append(left, at)
+				}
+			}
+			Expect(after.Order(uint64(key)*977, "", nil)).To(Equal(left))
+		}
+	})
+})
+
+func BenchmarkOrder(b *testing.B) {
+	table := placement.NewTable(members("a", "a", "b", "b", "c", "c"))
+	var order []int
+	b.ReportAllocs()
+	for at := range b.N {
+		order = table.Order(uint64(at), "b", order[:0])
+	}
+}
