--- a/coordination/chain/calls.go
+++ b/coordination/chain/calls.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"emberquay/coordination/view"
 )
 
 // callAgainAfter is how long a call may be without an answer before it is sent again: a change takes the chain's syncs.
@@ -59,10 +61,7 @@
 func (n *Node) submit(c *call) {
 	c.sent = n.now
 	v := n.View()
-	target, ok := v.Head()
-	if c.command == nil {
-		target, ok = v.Tail()
-	}
+	target, ok := n.target(v, c)
 	if !ok {
 		n.askAround()
 		return
@@ -82,6 +81,18 @@
 	n.sendMember(target, Read{ID: id, Have: have})
 }
 
+// target is the head for a command. For a read it is this member if it is in the chain, or else the tail, which knows best
+// what is committed.
+func (n *Node) target(v view.View, c *call) (view.Member, bool) {
+	switch {
+	case c.command != nil:
+		return v.Head()
+	case v.Position(n.self.ID) >= 0 && n.member():
+		return n.self, true
+	}
+	return v.Tail()
+}
+
 // askAround asks the next address for a newer view.
 func (n *Node) askAround() {
 	all := n.addresses()
--- a/coordination/chain/confirm.go
+++ b/coordination/chain/confirm.go
@@ -17,7 +17,7 @@
 	waiters  []waiter
 }
 
-// waiter is a refusal at the head, or a read at the tail.
+// waiter is a refusal at the head, or a read at any of the chain.
 type waiter struct {
 	to     Peer
 	id     CommandID
@@ -33,7 +33,7 @@
 }
 
 func (n *Node) onRead(from Peer, m Read) {
-	if _, isTail := n.tailSelf(); !isTail {
+	if n.view.Position(n.self.ID) < 0 {
 		n.send(from, ReadResult{ID: m.ID, Verdict: Moved, Epoch: n.View().Epoch})
 		n.hint(from)
 		return
@@ -104,8 +104,8 @@
 	}
 }
 
-// releaseConfirmed answers what was confirmed. The tail's state is all acknowledged writes once all of it is known to be
-// committed.
+// releaseConfirmed answers what was confirmed. Each of the chain has all acknowledged writes of its epoch; once all that it
+// has is known to be committed, that is the state.
 func (n *Node) releaseConfirmed() {
 	c := &n.confirm
 	c.waiters = slices.DeleteFunc(c.waiters, func(w waiter) bool {
--- a/coordination/chain/members.go
+++ b/coordination/chain/members.go
@@ -173,8 +173,9 @@
 		n.known = n.view
 	}
 	n.leaveView()
+	n.rememberMembers()
 	n.self.ID = n.newID()
-	n.persist(Identity{n.self})
+	n.persist(Identity{Member: n.self, Known: n.remembered})
 	n.view = view.View{}
 	n.acceptor = view.Acceptor[Proposal]{}
 	n.sequence, n.committed, n.recent, n.last = 0, 0, nil, nil
@@ -182,6 +183,16 @@
 	clear(n.joining)
 }
 
+// rememberMembers keeps the addresses of the newest view known: the seeds may all be gone when this node starts again.
+func (n *Node) rememberMembers() {
+	n.remembered = nil
+	for _, m := range n.known.Members {
+		if m.Address != n.self.Address {
+			n.remembered = append(n.remembered, m.Address)
+		}
+	}
+}
+
 // leaveView ends what belonged to the present view.
 func (n *Node) leaveView() {
 	n.attempt, n.wanted, n.highest, n.retryAt = nil, wanted{}, 0, 0
@@ -209,13 +220,14 @@
 	}
 }
 
-// addresses are those of the newest view known, and the seeds.
+// addresses are those of the newest view known, the seeds, and those remembered.
 func (n *Node) addresses() []string {
 	var all []string
 	for _, m := range n.View().Members {
 		all = append(all, m.Address)
 	}
 	all = append(all, n.settings.Seeds...)
+	all = append(all, n.remembered...)
 	all = sortedDistinct(all)
 	return slices.DeleteFunc(all, func(a string) bool { return a == n.self.Address })
 }
--- a/coordination/chain/message.go
+++ b/coordination/chain/message.go
@@ -123,7 +123,7 @@
 // The verdicts.
 const (
 	Done    Verdict = iota
-	Moved           // not the head or tail (any more): ask again
+	Moved           // not the head, or not of the chain (any more): ask again
 	TooOld          // whether the command was carried out is not known any more; Sequence is the present one
 	Refused         // carried out without a change
 )
@@ -137,7 +137,7 @@
 	Result   []byte
 }
 
-// Read asks the tail for the state.
+// Read asks one of the chain for the state.
 type Read struct {
 	ID   CommandID
 	Have int64 // committed state that the sender has
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -83,9 +83,10 @@
 	out      Output
 	inbox    []Envelope // to itself, within the step
 
-	view     view.View // zero: not a member
-	known    view.View // the newest heard of
-	acceptor view.Acceptor[Proposal]
+	view       view.View // zero: not a member
+	known      view.View // the newest heard of
+	remembered []string  // addresses from before this node was removed
+	acceptor   view.Acceptor[Proposal]
 
 	sequence   int64
 	committed  int64
@@ -145,7 +146,7 @@
 	if d.Member.ID == 0 {
 		return n.startEmpty()
 	}
-	n.self.ID = d.Member.ID
+	n.self.ID, n.remembered = d.Member.ID, d.Known
 	if d.View.Epoch == 0 {
 		return nil
 	}
@@ -169,7 +170,7 @@
 func (n *Node) startEmpty() error {
 	if first, ok := n.firstView(); ok {
 		n.self.ID = FirstID(n.settings.Address)
-		n.persist(Identity{n.self})
+		n.persist(Identity{Member: n.self})
 		n.view, n.known = first, first
 		state := State{Epoch: 1, Full: true, Snapshot: n.machine.Snapshot()}
 		n.persist(Adoption{View: first, State: state})
@@ -178,7 +179,7 @@
 		return first.Validate()
 	}
 	n.self.ID = n.newID()
-	n.persist(Identity{n.self})
+	n.persist(Identity{Member: n.self})
 	return nil
 }
 
@@ -321,7 +322,7 @@
 
 // Checkpoint gives records that stand for all before them.
 func (n *Node) Checkpoint() []Record {
-	records := []Record{Identity{n.self}}
+	records := []Record{Identity{Member: n.self, Known: n.remembered}}
 	if !n.member() {
 		return records
 	}
--- a/coordination/chain/record.go
+++ b/coordination/chain/record.go
@@ -12,7 +12,10 @@
 type Record interface{ record() }
 
 // Identity is the first record. Another one later makes the disk that of a new member: nothing before it counts.
-type Identity struct{ Member view.Member }
+type Identity struct {
+	Member view.Member
+	Known  []string // addresses of members to ask, besides the seeds
+}
 
 // Adoption is a decided view and the state it begins with; without State.Full that is the state before. One of the
 // present epoch is a checkpoint, and everything before it but the identity and the vote may go.
@@ -43,6 +46,7 @@
 // Durable is what the records of a disk add up to. The zero value is an empty disk.
 type Durable struct {
 	Member    view.Member
+	Known     []string
 	View      view.View
 	State     State // Full, or zero
 	Committed int64
@@ -56,7 +60,7 @@
 	switch r := r.(type) {
 	case Identity:
 		if r.Member.ID != d.Member.ID {
-			*d = Durable{Member: r.Member}
+			*d = Durable{Member: r.Member, Known: r.Known}
 		}
 	case Adoption:
 		return d.adopt(r)
--- a/coordination/chain/simulation_test.go
+++ b/coordination/chain/simulation_test.go
@@ -49,10 +49,8 @@
 	hosts := 3 + int(seed%3)
 	w := newWorld(seed, hosts, min(3, hosts), trace)
 	w.judge = judge{refused: map[[2]uint64]bool{}, acked: map[uint64]uint64{}}
-	if seed%2 == 0 {
-		w.loss, w.repeat = 0.05, 0.03
-	}
 	t := &trouble{world: w}
+	t.begin()
 	for range 12 {
 		t.strike()
 		w.clients(w.between(200*time.Millisecond, 4*time.Second))
--- a/coordination/chain/trouble_test.go
+++ b/coordination/chain/trouble_test.go
@@ -30,10 +30,16 @@
 	return d
 }
 
+// begin draws what goes on all the time.
+func (t *trouble) begin() {
+	t.loss = []float64{0, 0, 0.05, 0.2}[t.random.IntN(4)]
+	t.repeat = []float64{0, 0.03, 0.1}[t.random.IntN(3)]
+	t.slow = []float64{0, 0.02, 0.2}[t.random.IntN(3)]
+	t.crash = []float64{0, 0.0005, 0.005, 0.02}[t.random.IntN(4)]
+	t.pause = []time.Duration{200 * time.Millisecond, 2 * time.Second}[t.random.IntN(2)]
+}
+
 func (t *trouble) strike() {
-	if t.crash == 0 && t.random.IntN(6) == 0 {
-		t.crash = 0.0005
-	}
 	switch t.random.IntN(12) {
 	case 0, 1:
 		t.kill(t.any())
@@ -124,8 +130,8 @@
 // loseDisk takes one disk, with all others losing power at the same time, or replaces a host. It waits until what was
 // before is over for long enough.
 func (t *trouble) loseDisk() {
-	crash := t.crash
-	t.crash = 0
+	loss, slow, crash := t.loss, t.slow, t.crash
+	t.loss, t.slow, t.crash = min(loss, 0.05), min(slow, 0.02), 0
 	t.clients(max(0, max(t.last, t.lostDisk)+recovered-t.now))
 	h := t.any()
 	back := t.between(50*time.Millisecond, 1500*time.Millisecond)
@@ -141,7 +147,7 @@
 	t.after(back, func() { t.start(h) })
 	t.lostDisk = t.now + back
 	t.clients(max(back, t.last-t.now) + recovered)
-	t.crash = crash
+	t.loss, t.slow, t.crash = loss, slow, crash
 }
 
 // replace takes a host away for good and brings another.
@@ -155,7 +161,7 @@
 }
 
 func (t *trouble) heal() {
-	t.crash, t.loss, t.repeat = 0, 0, 0
+	t.crash, t.loss, t.repeat, t.slow = 0, 0, 0, 0
 	clear(t.cut)
 	for _, h := range t.hosts {
 		if h.frozen {
--- a/coordination/chain/world_test.go
+++ b/coordination/chain/world_test.go
@@ -21,7 +21,9 @@
 	cut    map[[2]string]bool // from, to
 	loss   float64
 	repeat float64
-	crash  float64 // chance that a process ends within a step
+	slow   float64       // chance that a message takes long
+	crash  float64       // chance that a process ends within a step
+	pause  time.Duration // until it starts again, at most
 	judge  judge
 	trace  func(string, ...any)
 	order  uint64
@@ -146,7 +148,7 @@
 
 // seedsFor is the operator's list when a host first starts; three of those that are there, later on.
 func (w *world) seedsFor(h *host) []string {
-	if h.bootstrap {
+	if h.bootstrap && h.process == 0 {
 		return w.seeds
 	}
 	var seeds []string
@@ -194,7 +196,7 @@
 	if crashes {
 		w.trace("%v %s ends within a step", w.now, h.address)
 		w.stop(h)
-		w.after(w.between(50*time.Millisecond, 2*time.Second), func() { w.start(h) })
+		w.after(w.between(10*time.Millisecond, w.pause), func() { w.start(h) })
 		return
 	}
 	for _, r := range out.Replies {
@@ -218,7 +220,7 @@
 	}
 	for range copies {
 		delay := w.between(time.Millisecond, 15*time.Millisecond)
-		if w.random.IntN(50) == 0 {
+		if w.random.Float64() < w.slow {
 			delay += w.between(0, 400*time.Millisecond)
 		}
 		w.after(delay, func() { w.deliver(e) })
--- a/internal/replica/record.go
+++ b/internal/replica/record.go
@@ -7,7 +7,7 @@
 )
 
 var records = variants[chain.Record]{
-	as[chain.Record](record[chain.Identity]("Identity", "Member", member)),
+	as[chain.Record](record[chain.Identity]("Identity", "Member", member, "Known", texts)),
 	as[chain.Record](record[chain.Adoption]("Adoption", "View", aView, "State", state, "Committed", long, "Last", entries)),
 	as[chain.Record](record[chain.Addition]("Addition", "Epoch", long, "Entry", entry)),
 	as[chain.Record](record[chain.Vote]("Vote", "Epoch", long, "Acceptor", acceptor)),
--- a/internal/replica/schema.go
+++ b/internal/replica/schema.go
@@ -66,6 +66,7 @@
 	text      = `"string"`
 	data      = `"bytes"`
 	number    = `"int"`
+	texts     = `{"type":"array","items":"string"}`
 	ids       = `{"type":"array","items":"long"}`
 	entries   = `{"type":"array","items":"replica.Entry"}`
 	peer      = `"replica.Peer"`
