--- a/coordination/gossip/spreader.go
+++ b/coordination/gossip/spreader.go
@@ -47,7 +47,7 @@
 	table    *table
 	contacts contacts
 	wants    wants
-	syncing  bool // nothing that comes is pushed on
+	syncing  bool // what comparisons bring is not pushed on
 
 	hot      []hotEntry
 	hotIndex map[string]int // of a key in hot
@@ -76,8 +76,8 @@
 // SetPeers replaces the peers that take part, this node not among them. The slice must not be changed after.
 func (s *Spreader) SetPeers(now time.Time, peers []Peer) { s.contacts.set(now, peers) }
 
-// SetSyncing tells whether the node is taking over whole tables: what comes then is not pushed on, as the
-// others have it already.
+// SetSyncing tells whether the node is taking over whole tables: what comparisons bring then is not pushed on,
+// as the others have it already.
 func (s *Spreader) SetSyncing(syncing bool) { s.syncing = syncing }
 
 // Get gives the entry of a key.
@@ -146,7 +146,7 @@
 	}
 	delete(s.wants.byKey, e.Key)
 	s.effects.Changed = append(s.effects.Changed, e)
-	if s.syncing && hot.holder != "" || len(s.hot) >= maxHot {
+	if s.syncing && hot.repaired || len(s.hot) >= maxHot {
 		return true
 	}
 	if at, waits := s.hotIndex[e.Key]; waits {
--- a/coordination/gossip/wants.go
+++ b/coordination/gossip/wants.go
@@ -9,7 +9,7 @@
 
 const (
 	// farWait is how long at most an offer from another zone waits for one from the own zone.
-	farWait = 60 * time.Millisecond
+	farWait = 150 * time.Millisecond
 	// askTimeout is after what time another peer that offered the same is asked.
 	askTimeout = 400 * time.Millisecond
 	// maxWants bounds what is asked for at a time; more is left to the comparisons.
--- a/internal/cluster/core/join.go
+++ b/internal/cluster/core/join.go
@@ -29,18 +29,20 @@
 	started  time.Time
 	due      time.Time
 	compared map[membership.ID]bool // true: the other was ready itself
+	next     map[string]time.Time   // when an address may be asked again
 }
 
 func (j *join) start(now time.Time) {
 	j.started = now
 	j.due = now
 	j.compared = map[membership.ID]bool{}
+	j.next = map[string]time.Time{}
 }
 
 // compared notes a comparison.
 func (c *Core) compared(now time.Time, e Envelope) {
 	c.join.compared[e.From] = c.join.compared[e.From] || !e.Syncing
-	c.join.due = now // those that are known now are asked at once
+	c.join.due = now // those that are known now and were not asked yet are asked at once
 	c.judgeReady(now)
 }
 
@@ -53,18 +55,36 @@
 	open := c.openHubs()
 	age := now.Sub(c.join.started)
 	if len(c.join.compared) == 0 && age < firstAlone && len(open) > 1 {
-		c.greet(open[0])
+		c.askHub(now, open[0])
 		c.join.due = c.join.started.Add(firstAlone)
 		return
 	}
+	c.join.due = now.Add(c.join.interval(now))
 	for _, address := range open {
-		c.greet(address)
+		c.askHub(now, address)
+		if next := c.join.next[address]; next.Before(c.join.due) {
+			c.join.due = next
+		}
 	}
 	if len(open) == 0 || age >= readyBound {
 		c.tryLost(now)
 	}
-	interval := min(max(joinInterval, age/8), joinIntervalMost)
-	c.join.due = now.Add(interval - interval/8 + time.Duration(c.random.Int64N(int64(interval/4))))
+}
+
+// askHub opens a comparison with a control node, unless it was asked just now: each comparison that ends would
+// otherwise begin others at once.
+func (c *Core) askHub(now time.Time, address string) {
+	if now.Before(c.join.next[address]) {
+		return
+	}
+	interval := c.join.interval(now)
+	c.join.next[address] = now.Add(interval - interval/8 + time.Duration(c.random.Int64N(int64(interval/4))))
+	c.greet(address)
+}
+
+// interval is the pause between two questions to a control node.
+func (j *join) interval(now time.Time) time.Duration {
+	return min(max(joinInterval, now.Sub(j.started)/8), joinIntervalMost)
 }
 
 // openHubs are the addresses of control nodes that the table was not compared with while they were ready:
