--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -74,7 +74,7 @@
 		outbound.Field{Name: headerExpectInstance, Value: string(send.Instance)},
 	)
 	header := v.request.Header
-	if send.Priority != dispatch.DefaultPriority && header.Get(headerPriority) == "" {
+	if v.engine() != nil && send.Priority != dispatch.DefaultPriority && header.Get(headerPriority) == "" {
 		extra = append(extra, outbound.Field{Name: headerPriority, Value: strconv.Itoa(send.Priority)})
 	}
 	if v.lastText != "" {
--- /dev/null
+++ b/internal/proxy/forward_test.go
@@ -0,0 +1,281 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/admission/dispatch"
+)
+
+func echo(_ int, r received) { r.answer(200, r.body) }
+
+var _ = Describe("A request", func() {
+	It("reaches the receiver as the client sent it, without what concerns a connection", func() {
+		p, f := startService("plain", 1, echo)
+		got := p.ask("PUT /unsafe/a//b/../%7e%2F?x=%20&y=+", "body",
+			"Emberquay-Deadline-Ms: 5000", "X-Own: 1", "X-Own: 2", "Connection: X-Hop, keep-alive", "X-Hop: 1", "Keep-Alive: timeout=1",
+			"TE: trailers", "Proxy-Authorization: x", "Upgrade: h2c", "Emberquay-Expect-Instance: other")
+		Expect(got.status).To(Equal(200))
+		Expect(got.body).To(Equal("body"))
+		seen := f.seen()
+		Expect(seen).To(HaveLen(1))
+		head := seen[0].head
+		Expect(head.Method).To(Equal("PUT"))
+		Expect(head.RequestURI).To(Equal("/unsafe/a//b/../%7e%2F?x=%20&y=+"))
+		Expect(head.Host).To(Equal(host))
+		left := head.Header.Get(headerDeadline)
+		head.Header.Del(headerDeadline)
+		Expect(head.Header).To(Equal(http.Header{
+			"Emberquay-Request-Id": {"9c41"}, "X-Own": {"1", "2"}, "Emberquay-Expect-Instance": {"plain-1"}, "Content-Length": {"4"},
+		}))
+		Expect(left).To(MatchRegexp(`^(4\d\d\d|5000)$`))
+	})
+
+	It("gets the receiver's answer as it is", func() {
+		p, _ := startService("plain", 1, func(_ int, r received) {
+			r.answer(203, "what", "X-Own: 1", "Connection: X-Hop", "X-Hop: 1", "Content-Encoding: odd")
+		})
+		got := p.ask("GET /safe/x", "")
+		Expect(got).To(Equal(result{status: 203, body: "what", header: http.Header{
+			"Emberquay-Request-Id": {"9c41"}, "Emberquay-Server-Stamp": {"stamp-plain-1"}, "X-Own": {"1"},
+			"Content-Encoding": {"odd"}, "Content-Length": {"4"},
+		}}))
+	})
+
+	DescribeTable("brings its body whole",
+		func(length int, chunked bool) {
+			p, f := startService("plain", 1, func(_ int, r received) { r.answer(200, "") })
+			body := strings.Repeat("0123456789abcdef", length/16)
+			c := p.dial()
+			if chunked {
+				c.send("POST /unsafe/x", "", "Emberquay-Request-Id: 1", "Transfer-Encoding: chunked")
+				for rest := body; rest != ""; {
+					n := min(len(rest), 7777)
+					fmt.Fprintf(c, "%x\r\n%s\r\n", n, rest[:n])
+					rest = rest[n:]
+				}
+				io.WriteString(c, "0\r\n\r\n")
+			} else {
+				c.send("POST /unsafe/x", body, "Emberquay-Request-Id: 1")
+			}
+			Expect(c.result().status).To(Equal(200))
+			Expect(f.seen()[0].body == body).To(BeTrue())
+			Expect(f.seen()[0].head.ContentLength).To(Equal(int64(len(body))))
+			Expect(p.memory.used.Load()).To(BeZero())
+		},
+		Entry("small", 64, false),
+		Entry("small, in chunks", 64, true),
+		Entry("empty, in chunks", 0, true),
+		Entry("4 MiB", 4<<20, false),
+		Entry("4 MiB, in chunks", 4<<20, true),
+	)
+
+	DescribeTable("is answered by the proxy itself",
+		func(line string, fields []string, body string, status int) {
+			p, _ := startService("plain", 1, unused)
+			c := p.dial()
+			c.send(line, body, fields...)
+			got := c.result()
+			Expect(got.status).To(Equal(status))
+			Expect(got.header).NotTo(HaveKey(headerStamp))
+		},
+		Entry("without a route", "GET /nowhere/x", []string{"Emberquay-Request-Id: 1"}, "", 404),
+		Entry("on a prefix without its slash", "GET /safe", []string{"Emberquay-Request-Id: 1"}, "", 404),
+		Entry("without an id", "GET /safe/x", nil, "", 400),
+		Entry("with two ids", "GET /safe/x", []string{"Emberquay-Request-Id: 1", "Emberquay-Request-Id: 2"}, "", 400),
+		Entry("too long", "POST /unsafe/x", []string{"Emberquay-Request-Id: 1", "Content-Length: 4194305"}, "", 413),
+		Entry("with two lengths", "POST /unsafe/x", []string{"Emberquay-Request-Id: 1", "Content-Length: 3"}, "body", 400),
+		Entry("without time", "GET /safe/x", []string{"Emberquay-Request-Id: 1", "Emberquay-Deadline-Ms: 0"}, "", 503),
+	)
+
+	It("is refused while there is no configuration", func() {
+		p := startPlane(nil)
+		got := p.ask("GET /safe/x", "")
+		Expect(got.status).To(Equal(503))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("is refused while no memory is left for its body", func() {
+		p := startPlane(func(o *Options) { o.BodyMemory = 10 })
+		p.SetConfiguration(configuration(1, usualLimits))
+		Expect(p.ask("POST /unsafe/x", "more than ten").status).To(Equal(503))
+		Expect(p.memory.used.Load()).To(BeZero())
+	})
+
+	It("follows the newest configuration that was in force", func() {
+		p, _ := startService("plain", 1, echo)
+		p.SetConfiguration(configuration(5, usualLimits))
+		p.SetConfiguration(configuration(4, `{"max_body_bytes":1}`))
+		Expect(p.ask("POST /unsafe/x", "body").status).To(Equal(200))
+	})
+
+	It("asks clients of older limits to leave", func() {
+		p, _ := startService("plain", 1, echo)
+		c := p.dial()
+		c.send("GET /safe/x", "", "Emberquay-Request-Id: 1")
+		Expect(c.result().header).NotTo(HaveKey("Connection"))
+		p.SetConfiguration(configuration(2, strings.Replace(usualLimits, "15000", "14000", 1)))
+		c.send("GET /safe/x", "", "Emberquay-Request-Id: 2")
+		response := c.head()
+		Expect(response.StatusCode).To(Equal(200))
+		Expect(response.Close).To(BeTrue())
+		Expect(p.ask("GET /safe/x", "").header).NotTo(HaveKey("Connection"))
+	})
+})
+
+var _ = Describe("An attempt", func() {
+	// breakFirst has the first request come to what the script does, and the next ones answered.
+	breakFirst := func(script func(received)) func(int, received) {
+		return func(number int, r received) {
+			if number == 1 {
+				script(r)
+				return
+			}
+			r.answer(200, "good")
+		}
+	}
+	withoutStamp := func(r received) {
+		r.write("HTTP/1.1 200 OK\r\nEmberquay-Request-Id: " + r.id() + "\r\nContent-Length: 3\r\n\r\nbad")
+	}
+	cutBody := func(r received) {
+		r.write(r.headOf(200) + "Content-Length: 100\r\n\r\npart")
+		r.connection.Close()
+	}
+	closed := func(r received) { r.connection.Close() }
+	foreign := func(r received) {
+		r.write("HTTP/1.1 200 OK\r\nEmberquay-Request-Id: other\r\nEmberquay-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nbad")
+		r.connection.Close()
+	}
+	unpledged := func(r received) { r.answer(503, "bad") }
+
+	DescribeTable("that may have run is repeated for a safe request only",
+		func(script func(received)) {
+			p, f := startService("plain", 2, breakFirst(script))
+			got := p.ask("GET /safe/x", "")
+			Expect(got.status).To(Equal(200))
+			Expect(got.body).To(Equal("good"))
+			seen := f.seen()
+			Expect(seen).To(HaveLen(2))
+			Expect(seen[0].instance).NotTo(Equal(seen[1].instance))
+
+			p, f = startService("plain", 2, breakFirst(script))
+			got = p.ask("POST /unsafe/x", "body")
+			Expect(got.status).To(Equal(502))
+			Expect(got.header).NotTo(HaveKey(headerStamp))
+			Expect(f.seen()).To(HaveLen(1))
+		},
+		Entry("a success without its stamp", withoutStamp),
+		Entry("a body that breaks off", cutBody),
+		Entry("a connection that is closed", closed),
+		Entry("an answer to another request", foreign),
+		Entry("a 503 that does not say that nothing ran", unpledged),
+	)
+
+	DescribeTable("that has not run goes to another receiver",
+		func(script func(received)) {
+			p, f := startService("plain", 2, breakFirst(script))
+			got := p.ask("POST /unsafe/x", "body")
+			Expect(got.status).To(Equal(200))
+			Expect(got.body).To(Equal("good"))
+			seen := f.seen()
+			Expect(seen).To(HaveLen(2))
+			Expect(seen[1].body).To(Equal("body"))
+			Expect(seen[1].head.Header.Get(headerExpectInstance)).To(Equal(seen[1].instance))
+		},
+		Entry("it is full", func(r received) { r.refuse(503) }),
+		Entry("it is asked too often", func(r received) { r.refuse(429, "Retry-After: 30") }),
+		Entry("another instance has the address", func(r received) {
+			r.write("HTTP/1.1 421 Misdirected Request\r\nEmberquay-Instance-Id: i-other\r\nContent-Length: 0\r\n\r\n")
+		}),
+	)
+
+	It("refused with a wait beyond the deadline is refused, with the wait", func() {
+		p, f := startService("plain", 1, func(_ int, r received) { r.refuse(503, "Retry-After: 40") })
+		got := p.ask("POST /unsafe/x", "body")
+		Expect(got.status).To(Equal(503))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(got.header).NotTo(HaveKey(headerStamp))
+		Expect(f.seen()).To(HaveLen(1))
+	})
+
+	It("answered with the receiver's own failure ends the request", func() {
+		p, f := startService("plain", 2, func(_ int, r received) { r.answer(500, "own") })
+		got := p.ask("GET /safe/x", "")
+		Expect(got.status).To(Equal(500))
+		Expect(got.body).To(Equal("own"))
+		Expect(got.header.Get(headerStamp)).To(HavePrefix("stamp-"))
+		Expect(f.seen()).To(HaveLen(1))
+	})
+
+	It("without an answer ends with 504 at the route's time-out", func() {
+		release := make(chan struct{})
+		p, f := startService("plain", 1, func(int, received) { <-release })
+		got := p.ask("POST /quick/x", "body")
+		close(release)
+		Expect(got.status).To(Equal(504))
+		Expect(f.seen()).To(HaveLen(1))
+	})
+
+	It("is not made where nobody listens: the request is refused", func() {
+		p, f := startService("plain", 1, unused)
+		elsewhere := f.listed[0]
+		elsewhere.Address = strings.Replace(elsewhere.Address, "127.0.0.1", "127.0.0.77", 1)
+		p.SetReceivers([]dispatch.Receiver{elsewhere})
+		got := p.ask("POST /quick/x", "body")
+		Expect(got.status).To(Equal(503))
+	})
+
+	It("is called off when the client goes", func() {
+		asked, gone := make(chan struct{}), make(chan error, 1)
+		p, _ := startService("plain", 1, func(_ int, r received) {
+			close(asked)
+			_, err := r.connection.Read(make([]byte, 1))
+			gone <- err
+		})
+		c := p.dial()
+		c.send("GET /safe/x", "", "Emberquay-Request-Id: 1")
+		<-asked
+		c.Close()
+		Expect(<-gone).To(HaveOccurred())
+	})
+
+	It("passes a long answer on, and a cut of it as a cut", func() {
+		long := strings.Repeat("0123456789abcdef", bufferedAnswer/8)
+		p, f := startService("plain", 1, func(number int, r received) {
+			switch number {
+			case 1:
+				r.answer(200, long)
+			case 2:
+				r.write(r.headOf(200) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long)+1, long))
+				r.connection.Close()
+			default:
+				r.beginStream()
+				r.chunk(long)
+				r.connection.Close()
+			}
+		})
+		got := p.ask("GET /safe/x", "")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body == long).To(BeTrue())
+		for range 2 {
+			got = p.ask("GET /safe/x", "")
+			Expect(got.status).To(Equal(200))
+			Expect(got.err).To(HaveOccurred())
+		}
+		Expect(f.seen()).To(HaveLen(3))
+	})
+
+	It("of a HEAD request passes the length without a body", func() {
+		p, _ := startService("plain", 1, func(_ int, r received) { r.write(r.headOf(200) + "Content-Length: 77\r\n\r\n") })
+		c := p.dial()
+		c.send("HEAD /safe/x", "", "Emberquay-Request-Id: 1")
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: "HEAD"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.ContentLength).To(Equal(int64(77)))
+	})
+})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -133,7 +133,7 @@
 // spareConnections go beyond a receiver's slots where it tells no bound: for its report, and one that is being closed.
 const spareConnections = 2
 
-// SetReceivers takes the whole list of receivers, whenever it or the number of proxies changes.
+// SetReceivers takes the whole list of receivers, whenever it or the number of proxies changes. The list is kept.
 func (p *Proxy) SetReceivers(receivers []dispatch.Receiver) {
 	proxies := max(1, p.options.LiveProxies())
 	limits := make([]outbound.Limit, 0, len(receivers))
--- /dev/null
+++ b/internal/proxy/stream_test.go
@@ -0,0 +1,175 @@
+package proxy
+
+import (
+	"io"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A stream", func() {
+	It("passes each event on as it arrives", func() {
+		read := make(chan struct{})
+		p, _ := startService("plain", 1, func(_ int, r received) {
+			r.beginStream()
+			r.chunk(event(1, "a"))
+			<-read
+			r.chunk(event(2, "b"))
+			<-read
+			r.chunk("versions: 3\n" + event(3, "c") + event(4, "d"))
+			r.endStream()
+		})
+		c := p.dial()
+		c.send("POST /stream/x", "in", "Emberquay-Request-Id: 1")
+		response := c.head()
+		Expect(response.StatusCode).To(Equal(200))
+		Expect(response.Header.Get(headerStamp)).To(Equal("stamp-plain-1"))
+		Expect(response.Header.Get("Content-Type")).To(Equal("text/event-stream"))
+		for number, data := range []string{"a", "b"} {
+			wanted := event(number+1, data)
+			got := make([]byte, len(wanted))
+			_, err := io.ReadFull(response.Body, got)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(got)).To(Equal(wanted))
+			read <- struct{}{}
+		}
+		rest, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(rest)).To(Equal("versions: 3\n" + event(3, "c") + event(4, "d")))
+	})
+
+	It("ends as a cut where its receiver cuts it, with whole events only", func() {
+		p, f := startService("plain", 2, func(_ int, r received) {
+			r.beginStream()
+			r.chunk(event(1, "a") + event(2, "b") + "id: 3\nda")
+			r.connection.Close()
+		})
+		got := p.ask("POST /stream/x", "in")
+		Expect(got.status).To(Equal(200))
+		Expect(got.body).To(Equal(event(1, "a") + event(2, "b")))
+		Expect(got.err).To(HaveOccurred())
+		Expect(f.seen()).To(HaveLen(1))
+	})
+
+	It("that breaks before its first event is a failure, not a cut", func() {
+		p, f := startService("plain", 2, func(_ int, r received) {
+			r.beginStream()
+			r.chunk("id: 1\nda")
+			r.connection.Close()
+		})
+		Expect(p.ask("POST /stream/x", "in").status).To(Equal(502))
+		Expect(f.seen()).To(HaveLen(1))
+	})
+
+	It("without events ends whole", func() {
+		p, _ := startService("plain", 1, func(_ int, r received) {
+			r.beginStream()
+			r.endStream()
+		})
+		got := p.ask("POST /stream/x", "in")
+		Expect(got.status).To(Equal(200))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(BeEmpty())
+	})
+
+	It("that falls silent is cut at the route's time-out, and not before its first event", func() {
+		release := make(chan struct{})
+		p, _ := startService("plain", 1, func(number int, r received) {
+			r.beginStream()
+			if number == 1 {
+				r.chunk(event(1, "a"))
+			}
+			<-release
+		})
+		got := p.ask("POST /short/x", "in")
+		Expect(got.body).To(Equal(event(1, "a")))
+		Expect(got.err).To(HaveOccurred())
+		Expect(p.ask("POST /short/x", "in").status).To(Equal(504))
+		close(release)
+	})
+
+	It("of a receiver's failure is a plain answer", func() {
+		p, _ := startService("plain", 1, func(_ int, r received) { r.answer(500, "own") })
+		got := p.ask("POST /stream/x", "in")
+		Expect(got.status).To(Equal(500))
+		Expect(got.body).To(Equal("own"))
+	})
+})
+
+var _ = Describe("A stream that may be resumed", func() {
+	It("goes on at another receiver behind the last event, under the first one's head", func() {
+		p, f := startService("plain", 2, func(number int, r received) {
+			r.beginStream()
+			if number == 1 {
+				r.chunk(event(5, "a") + event(6, "b") + "id: 7\ndata: lo")
+				r.connection.Close()
+				return
+			}
+			// Some begin with what they were told is known.
+			r.chunk(event(6, "b") + event(7, "c"))
+			r.chunk(event(8, "d"))
+			r.endStream()
+		})
+		got := p.ask("POST /resume/x", "in", "Last-Event-Id: 4")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(event(5, "a") + event(6, "b") + event(7, "c") + event(8, "d")))
+		seen := f.seen()
+		Expect(seen).To(HaveLen(2))
+		Expect(seen[0].head.Header.Get(headerLastEvent)).To(Equal("4"))
+		Expect(seen[1].head.Header.Get(headerLastEvent)).To(Equal("6"))
+		Expect(seen[1].body).To(Equal("in"))
+		Expect(seen[0].instance).NotTo(Equal(seen[1].instance))
+		Expect(got.header.Get(headerStamp)).To(Equal("stamp-" + seen[0].instance))
+	})
+
+	It("begins anew where no event had gone out, under the new receiver's head", func() {
+		p, f := startService("plain", 2, func(number int, r received) {
+			if number == 1 {
+				r.beginStream()
+				r.chunk("id: 1\nda")
+				r.connection.Close()
+				return
+			}
+			r.beginStream()
+			r.chunk(event(1, "a"))
+			r.endStream()
+		})
+		got := p.ask("POST /resume/x", "in")
+		Expect(got.body).To(Equal(event(1, "a")))
+		seen := f.seen()
+		Expect(got.header.Get(headerStamp)).To(Equal("stamp-" + seen[1].instance))
+		Expect(seen[1].head.Header).NotTo(HaveKey(headerLastEvent))
+	})
+
+	DescribeTable("is cut where it cannot go on",
+		func(second func(received), attempts int) {
+			p, f := startService("plain", 2, func(number int, r received) {
+				if number == 1 {
+					r.beginStream()
+					r.chunk(event(1, "a"))
+					r.connection.Close()
+					return
+				}
+				second(r)
+			})
+			got := p.ask("POST /resume/x", "in")
+			Expect(got.status).To(Equal(200))
+			Expect(got.body).To(Equal(event(1, "a")))
+			Expect(got.err).To(HaveOccurred())
+			Expect(len(f.seen())).To(Equal(attempts))
+		},
+		Entry("the next receiver fails", func(r received) { r.answer(500, "own") }, 2),
+		Entry("the next receiver tells a wait beyond the deadline", func(r received) { r.refuse(503, "Retry-After: 50") }, 2),
+	)
+
+	It("is cut where events went out that have no id", func() {
+		p, f := startService("plain", 2, func(_ int, r received) {
+			r.beginStream()
+			r.chunk(event(1, "a") + "data: b\n\n")
+			r.connection.Close()
+		})
+		got := p.ask("POST /resume/x", "in")
+		Expect(got.err).To(HaveOccurred())
+		Expect(f.seen()).To(HaveLen(1))
+	})
+})
--- a/internal/proxy/visit.go
+++ b/internal/proxy/visit.go
@@ -162,7 +162,7 @@
 	cleanRequest(v.request.Header, v.id)
 	v.ticket = v.proxy.admission.arrive(v.describe())
 	for {
-		d, ok := v.proxy.admission.await(v.request.Context(), v.ticket, v.deadline)
+		d, ok := v.proxy.admission.await(v.request.Context(), v.ticket, v.waitsUntil())
 		switch {
 		case !ok && v.request.Context().Err() != nil:
 			return cut
@@ -177,6 +177,18 @@
 	}
 }
 
+// resumeWait is how long a stream that has begun waits for another receiver. Its client gives it up after two seconds of
+// silence; cut before, it comes back and may find another sender with a free receiver.
+const resumeWait = time.Second
+
+// waitsUntil is how long the dispatcher's next decision is worth waiting for.
+func (v *visit) waitsUntil() time.Time {
+	if v.begun {
+		return earlier(v.deadline, time.Now().Add(resumeWait))
+	}
+	return v.deadline
+}
+
 // prepareTurn does what a turn needs before it is sent. A status other than 0 is the answer, with its wait.
 func (v *visit) prepareTurn() (status int, wait time.Duration) {
 	if v.route.Kind != routing.Streaming {
