quaylab tier try: the tier's processes on loopback, judged by what was seen on sockets

Three control nodes, three stores and two proxies as real processes, stand-ins of receivers (engine model, plain service), agent programs and the operator; it changes the configuration, drains and crashes receivers, kills a core node, wipes a store, stops a proxy and kills everything. Three stores instead of two: with two, a quorum of budgets is both.

--- a/internal/referee/tierrules/planned.go
+++ b/internal/referee/tierrules/planned.go
@@ -39,7 +39,7 @@
 // losses judges LOST round planned stops: a request that was read whole gets a whole answer.
 func (j *judge) losses() {
 	for _, r := range j.Requests {
-		if r.Whole == 0 || r.GaveUp || r.Answer != nil && r.Answer.Complete {
+		if r.Whole == 0 || r.GaveUp {
 			continue
 		}
 		t := j.plannedStop(r)
@@ -47,7 +47,7 @@
 			continue
 		}
 		j.checked(Lost)
-		if j.excused(r, t) {
+		if r.Answer != nil && r.Answer.Complete || j.excused(r, t) {
 			continue
 		}
 		j.breach(Lost, r.Ended, r, "read whole, and its connection ends without a complete answer %.3fs after SIGTERM", (r.Ended - t.From).Seconds())
@@ -118,8 +118,8 @@
 	return 0
 }
 
-// lastSeconds is the span at the end of the traffic by which the recovery of turns is judged.
-const lastSeconds = 4 * time.Second
+// endSpan is the span at the end of the traffic by which the recovery of turns is judged.
+const endSpan = 4 * time.Second
 
 // unrecovered judges LOST after a final fault: a turn that continues one from before reaches a receiver by the bound, if
 // four fifths of other turns are served in the last seconds.
@@ -138,7 +138,7 @@
 			reached[p.ID] = true
 		case old && r.Sent > fault.To+j.Bounds.Recovery && r.Sent < p.Ended+retentionOf(p):
 			asked[p.ID] = r
-		case !old && r.Sent > j.Length-lastSeconds:
+		case !old && r.Sent > j.Length-endSpan:
 			other++
 			if r.success() {
 				served++
--- /dev/null
+++ b/internal/tierlab/client.go
@@ -0,0 +1,194 @@
+package tierlab
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"emberquay/internal/referee/tierrules"
+)
+
+const (
+	// mostTries bounds the tries of one call.
+	mostTries = 4
+	// patience is for how long a sender may leave an idempotent request unread.
+	retryPause = 60 * time.Millisecond
+)
+
+// call is what a client wants served, by some tries.
+type call struct {
+	class    string
+	route    route
+	path     string // behind the route's prefix
+	method   string
+	body     []byte
+	deadline time.Duration
+	header   http.Header // but for the id and the deadline
+
+	program  string
+	budget   int64
+	most     int64
+	previous string
+}
+
+// client is one that keeps a connection to each machine.
+type client struct {
+	lab   *lab
+	no    uint64
+	conns map[string]*connection
+}
+
+func (l *lab) newClient() *client {
+	return &client{lab: l, no: l.clients.Add(1), conns: map[string]*connection{}}
+}
+
+func (c *client) close() {
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+}
+
+// do tries a call until it is served, may not be repeated, or its time is over. It gives the last try.
+func (c *client) do(ctx context.Context, k *call) *tierrules.Request {
+	end := time.Now().Add(k.deadline)
+	var last *tierrules.Request
+	for try := range mostTries {
+		left := time.Until(end)
+		if left <= 0 || ctx.Err() != nil {
+			break
+		}
+		machine := c.choose(try)
+		if machine == nil {
+			sleep(ctx, min(retryPause, left))
+			continue
+		}
+		var unread bool
+		var wait time.Duration
+		last, wait, unread = c.try(ctx, k, machine, left)
+		if !c.repeat(last, unread) {
+			return last
+		}
+		sleep(ctx, min(max(wait, retryPause), time.Until(end)/3))
+	}
+	return last
+}
+
+// repeat says whether a client tries again.
+func (c *client) repeat(r *tierrules.Request, unread bool) bool {
+	if r == nil {
+		return true
+	}
+	status := 0
+	if r.Answer != nil {
+		status = r.Answer.Status
+	}
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusPaymentRequired, http.StatusForbidden, http.StatusNotFound,
+		http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
+		return false
+	}
+	if status/100 == 2 && r.Answer.Complete {
+		return false
+	}
+	return r.Kind == tierrules.Safe || unread
+}
+
+// choose picks a front: by a hash of the client, the next one at each try.
+func (c *client) choose(try int) *process {
+	in := c.lab.frontsIn()
+	if len(in) == 0 {
+		return nil
+	}
+	h := fnv.New64a()
+	fmt.Fprint(h, c.no)
+	return in[(h.Sum64()+uint64(try))%uint64(len(in))]
+}
+
+// try sends a call once. unread says that the connection ended with nothing read of it.
+func (c *client) try(ctx context.Context, k *call, machine *process, left time.Duration) (r *tierrules.Request, wait time.Duration, unread bool) {
+	conn, err := c.connect(ctx, machine)
+	if err != nil {
+		return nil, 0, true
+	}
+	r = k.request(machine.machine, left)
+	c.lab.record.see(func(now time.Duration, h *tierrules.History) {
+		r.Sent = now
+		h.Requests = append(h.Requests, r)
+	})
+	_ = conn.SetDeadline(time.Now().Add(left))
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	defer c.lab.record.see(func(now time.Duration, _ *tierrules.History) {
+		r.Ended = now
+		r.GaveUp = ctx.Err() != nil || r.Answer == nil && now-r.Sent >= r.Deadline
+	})
+	header := k.headers(r.ID, left)
+	if err := conn.send(r, header); err != nil {
+		c.drop(machine)
+		return r, 0, true
+	}
+	c.lab.record.see(func(now time.Duration, _ *tierrules.History) { r.Whole = now })
+	again, _ := conn.receive(c.lab.record, r)
+	if !again {
+		c.drop(machine)
+	}
+	return r, 0, false
+}
+
+// connect gives the connection that is kept, or a new one.
+func (c *client) connect(ctx context.Context, machine *process) (*connection, error) {
+	if conn := c.conns[machine.machine]; conn != nil {
+		if usable, _ := conn.usable(); usable {
+			return conn, nil
+		}
+		c.drop(machine)
+	}
+	conn, err := dial(ctx, at(machine.ip, frontPort))
+	if err == nil {
+		c.conns[machine.machine] = conn
+	}
+	return conn, err
+}
+
+func (c *client) drop(machine *process) {
+	if conn := c.conns[machine.machine]; conn != nil {
+		conn.Close()
+		delete(c.conns, machine.machine)
+	}
+}
+
+// request is a try as the referee knows it.
+func (k *call) request(machine string, left time.Duration) *tierrules.Request {
+	method := k.method
+	return &tierrules.Request{
+		ID: fmt.Sprintf("%016x", rand.Uint64()), Machine: machine, Class: k.class, Kind: k.route.kind, Resumable: k.route.resumable,
+		Retained: k.route.retained, Authority: authority, Target: k.route.prefix + k.path, Method: method, Body: k.body,
+		Deadline: left, Timeout: k.route.timeout, Retention: retention, Attempts: k.route.attempts,
+		Program: k.program, Budget: k.budget, Most: k.most, Chunk: chunkTokens, Previous: k.previous,
+	}
+}
+
+func (k *call) headers(id string, left time.Duration) http.Header {
+	header := k.header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set("Emberquay-Request-Id", id)
+	header.Set("Emberquay-Deadline-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	if k.program != "" {
+		header.Set("Program", k.program)
+	}
+	if k.budget > 0 {
+		header.Set("Budget", strconv.FormatInt(k.budget, 10))
+	}
+	if k.previous != "" {
+		header.Set("Previous", k.previous)
+	}
+	return header
+}
--- /dev/null
+++ b/internal/tierlab/configuration.go
@@ -0,0 +1,177 @@
+package tierlab
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"emberquay/internal/referee/tierrules"
+)
+
+const (
+	authority    = "lab.example"
+	modelService = "model"
+	firstService = "alfa"
+	otherService = "beta"
+	retention    = 60 * time.Second
+	idleTimeout  = 15 * time.Second
+)
+
+// route is one of the configuration, as operator and clients know it.
+type route struct {
+	name      string
+	prefix    string
+	kind      tierrules.Kind
+	service   string
+	timeout   time.Duration
+	target    time.Duration
+	attempts  int
+	retained  bool
+	resumable bool
+	priority  int
+}
+
+// The routes of the first configuration, and the one that is added later.
+var (
+	readRoute  = route{name: "r-read", prefix: "/read/", kind: tierrules.Safe, service: firstService, timeout: 2 * time.Second, target: 200 * time.Millisecond, attempts: 2}
+	orderRoute = route{name: "r-order", prefix: "/order/", kind: tierrules.Unsafe, service: firstService, timeout: 2 * time.Second, target: 200 * time.Millisecond, attempts: 2}
+	textRoute  = route{name: "r-text", prefix: "/text/", kind: tierrules.Streaming, service: modelService, timeout: 6 * time.Second, target: 400 * time.Millisecond, attempts: 2, resumable: true, priority: 1}
+	turnRoute  = route{name: "r-turn", prefix: "/turn/", kind: tierrules.Streaming, service: modelService, timeout: 6 * time.Second, target: 400 * time.Millisecond, attempts: 2, retained: true}
+	addedRoute = route{name: "r-added", prefix: "/read/added/", kind: tierrules.Safe, service: otherService, timeout: 2 * time.Second, target: 200 * time.Millisecond, attempts: 2}
+)
+
+// configuration is one whole version.
+type configuration struct {
+	version uint64
+	routes  []route
+}
+
+func firstConfiguration() configuration {
+	return configuration{version: 3, routes: []route{readRoute, orderRoute, textRoute, turnRoute}}
+}
+
+// with gives the next version with a route added or replaced.
+func (c configuration) with(version uint64, r route) configuration {
+	next := c.without(version, r.name)
+	next.routes = append(next.routes, r)
+	return next
+}
+
+// without gives the next version without a route.
+func (c configuration) without(version uint64, name string) configuration {
+	routes := slices.DeleteFunc(slices.Clone(c.routes), func(o route) bool { return o.name == name })
+	return configuration{version: version, routes: routes}
+}
+
+func (c configuration) has(name string) bool {
+	return slices.ContainsFunc(c.routes, func(o route) bool { return o.name == name })
+}
+
+// judged is what the referee compares.
+func (c configuration) judged() []tierrules.Route {
+	var list []tierrules.Route
+	for _, r := range c.routes {
+		list = append(list, tierrules.Route{Authority: authority, PathPrefix: r.prefix, Services: []string{r.service}})
+	}
+	return list
+}
+
+// The documents of the operator's API.
+type (
+	document struct {
+		Version  uint64        `json:"version"`
+		Routes   []routeItem   `json:"routes"`
+		Services []serviceItem `json:"services"`
+		Limits   limitsItem    `json:"limits"`
+	}
+	routeItem struct {
+		Name      string  `json:"name"`
+		Authority string  `json:"authority"`
+		Prefix    string  `json:"path_prefix"`
+		Type      string  `json:"route_type"`
+		Timeout   int64   `json:"timeout_ms"`
+		Target    int64   `json:"target_latency_ms"`
+		Priority  int     `json:"priority"`
+		Service   string  `json:"service"`
+		Attempts  int     `json:"max_attempts"`
+		Retained  bool    `json:"retained"`
+		Retention float64 `json:"retention_s"`
+		Affinity  bool    `json:"session_affinity"`
+		Resumable bool    `json:"resumable"`
+		GapAim    int64   `json:"gap_aim_ms,omitempty"`
+	}
+	serviceItem struct {
+		Name           string      `json:"name"`
+		HealthPath     string      `json:"health_path"`
+		MaxConnections int         `json:"max_connections"`
+		Protocol       string      `json:"protocol"`
+		TLS            bool        `json:"tls"`
+		Engine         *engineItem `json:"engine,omitempty"`
+	}
+	engineItem struct {
+		Slots      int         `json:"slots"`
+		Capacity   int         `json:"kv_capacity_tokens"`
+		TokenBytes int         `json:"kv_token_bytes"`
+		LinkMbps   float64     `json:"link_mbps"`
+		Chunk      int         `json:"chunk_tokens"`
+		Models     []modelItem `json:"models"`
+	}
+	modelItem struct {
+		Name string `json:"name"`
+	}
+	limitsItem struct {
+		HeaderBytes   int   `json:"max_header_bytes"`
+		BodyBytes     int   `json:"max_body_bytes"`
+		HeaderTimeout int64 `json:"header_timeout_ms"`
+		IdleTimeout   int64 `json:"idle_timeout_ms"`
+	}
+	modification struct {
+		Version uint64              `json:"version"`
+		Upsert  map[string][]any    `json:"upsert,omitempty"`
+		Remove  map[string][]string `json:"remove,omitempty"`
+	}
+)
+
+func (r route) item() routeItem {
+	item := routeItem{Name: r.name, Authority: authority, Prefix: r.prefix, Type: string(r.kind), Timeout: r.timeout.Milliseconds(),
+		Target: r.target.Milliseconds(), Priority: r.priority, Service: r.service, Attempts: r.attempts, Retained: r.retained,
+		Resumable: r.resumable}
+	if r.retained {
+		item.Retention = retention.Seconds()
+	}
+	if r.kind == tierrules.Streaming {
+		item.Affinity, item.GapAim = true, 300
+	}
+	return item
+}
+
+// body is the whole configuration as it is sent.
+func (c configuration) body() []byte {
+	d := document{Version: c.version, Limits: limitsItem{HeaderBytes: 16384, BodyBytes: 4 << 20, HeaderTimeout: 3000, IdleTimeout: idleTimeout.Milliseconds()}}
+	for _, r := range c.routes {
+		d.Routes = append(d.Routes, r.item())
+	}
+	for _, name := range []string{firstService, otherService} {
+		d.Services = append(d.Services, serviceItem{Name: name, HealthPath: "/health", MaxConnections: 64, Protocol: "h1"})
+	}
+	d.Services = append(d.Services, serviceItem{Name: modelService, HealthPath: "/health", MaxConnections: 64, Protocol: "h1",
+		Engine: &engineItem{Slots: modelSlots, Capacity: modelCapacity, TokenBytes: 1024, LinkMbps: 1000, Chunk: chunkTokens, Models: []modelItem{{modelName}}}})
+	return encoded(d)
+}
+
+// upsertBody and removeBody are single changes as they are sent.
+func upsertBody(version uint64, r route) []byte {
+	return encoded(modification{Version: version, Upsert: map[string][]any{"routes": {r.item()}}})
+}
+
+func removeBody(version uint64, name string) []byte {
+	return encoded(modification{Version: version, Remove: map[string][]string{"routes": {name}}})
+}
+
+func encoded(value any) []byte {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // these types can always be written
+	}
+	return raw
+}
--- /dev/null
+++ b/internal/tierlab/tierlab_test.go
@@ -0,0 +1,52 @@
+package tierlab_test
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/internal/referee/tierrules"
+	"emberquay/internal/tierlab"
+)
+
+func TestTierLab(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "The tier on loopback")
+}
+
+// program builds emberquay in a folder of the test.
+func program() string {
+	GinkgoHelper()
+	path := filepath.Join(GinkgoT().TempDir(), "emberquay")
+	out, err := exec.Command("go", "build", "-o", path, "emberquay/cmd/emberquay").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+	return path
+}
+
+var _ = Describe("A short day round the real processes", func() {
+	It("is served and keeps every rule", func(ctx SpecContext) {
+		result, err := tierlab.Play(ctx, tierlab.Options{Program: program(), Day: tierlab.Short()})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Crashes).To(BeEmpty())
+		Expect(result.Verdict.Breaches).To(BeEmpty())
+		for _, rule := range []tierrules.Rule{tierrules.Mixed, tierrules.Unasked, tierrules.Twice, tierrules.Budget, tierrules.Drain, tierrules.Config, tierrules.Order} {
+			Expect(result.Verdict.Checked[rule]).To(BeNumerically(">", 0), "%s", rule)
+		}
+		classes := map[string]int{}
+		for _, s := range result.Served {
+			classes[s.Class] = s.Whole
+		}
+		for _, class := range []string{"read", "order", "added", "text", "turn", "tool"} {
+			Expect(classes[class]).To(BeNumerically(">", 0), class)
+		}
+	}, SpecTimeout(2*time.Minute))
+
+	It("says what a program that ends at once had to say", func(ctx SpecContext) {
+		_, err := tierlab.Play(ctx, tierlab.Options{Program: "/bin/false", Day: tierlab.Short()})
+		Expect(err).To(MatchError(ContainSubstring("ended by itself")))
+	}, SpecTimeout(time.Minute))
+})
