Proxy: receivers with most slots free are asked for reports half as often

Ruled out: longer pauses for all (at a full receiver the allowance is all that holds). Change: roundsToSkip; reports stay younger than the dispatcher's bound.

--- a/internal/proxy/reports.go
+++ b/internal/proxy/reports.go
@@ -22,6 +22,9 @@
 	reportPatience = 500 * time.Millisecond
 	// trafficFor is how long a service counts as used after a request: reports are priced like probes.
 	trafficFor = 2 * time.Second
+	// calmIntervals is how many intervals lie between two reports of a receiver that has most of its slots free: its
+	// allowance decides nothing then. Even so a report is renewed before the dispatcher drops it.
+	calmIntervals = 2
 	// maxReport bounds a report's body.
 	maxReport = 64 << 10
 	// reportsAtOnce bounds the questions that are out.
@@ -37,6 +40,7 @@
 	used      map[string]time.Time // by service: its last request
 	silent    map[dispatch.InstanceID]bool
 	asking    map[dispatch.InstanceID]bool
+	skip      map[dispatch.InstanceID]int // rounds that pass before the next question
 	timer     *time.Timer
 	running   bool
 	stopped   atomic.Bool
@@ -48,6 +52,7 @@
 		used:   make(map[string]time.Time),
 		silent: make(map[dispatch.InstanceID]bool),
 		asking: make(map[dispatch.InstanceID]bool),
+		skip:   make(map[dispatch.InstanceID]int),
 	}
 }
 
@@ -65,6 +70,11 @@
 			delete(r.silent, id)
 		}
 	}
+	for id := range r.skip {
+		if !listed[id] {
+			delete(r.skip, id)
+		}
+	}
 }
 
 // touch notes a request for a model service and starts the round if none is due.
@@ -116,6 +126,10 @@
 		if len(r.asking) >= reportsAtOnce || !r.proxy.options.Assigned(receiver.ID) {
 			continue
 		}
+		if r.skip[receiver.ID] > 0 {
+			r.skip[receiver.ID]--
+			continue
+		}
 		r.asking[receiver.ID] = true
 		due = append(due, receiver)
 	}
@@ -131,6 +145,9 @@
 	if status == http.StatusNotFound {
 		r.silent[receiver.ID] = true // it has none, and will have none
 	}
+	if status == http.StatusOK {
+		r.skip[receiver.ID] = roundsToSkip(report, receiver.Slots)
+	}
 	r.mu.Unlock()
 	if status != http.StatusOK {
 		return
@@ -140,6 +157,14 @@
 	r.proxy.options.PublishReport(receiver.ID, report)
 }
 
+// roundsToSkip is how many rounds a receiver that reported this is left alone.
+func roundsToSkip(report dispatch.Report, slots int) int {
+	if 2*(report.Running+report.Queued) < slots {
+		return calmIntervals - 1
+	}
+	return 0
+}
+
 // take gives a report, or a status other than 200; 0: no answer.
 func (r *reporter) take(receiver dispatch.Receiver, began time.Time) (dispatch.Report, int) {
 	request := &outbound.Request{
