--- /dev/null
+++ b/internal/store/turns_test.go
@@ -0,0 +1,373 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/internal/controlstate"
+	"emberquay/internal/store"
+	"emberquay/internal/storeclient"
+	"emberquay/internal/storewire"
+	"emberquay/internal/transport"
+	"emberquay/internal/vfs/memfs"
+)
+
+var ctx = context.Background()
+
+var _ = Describe("turns", func() {
+	var c *cluster
+	BeforeEach(func() { c = newCluster(1, "a", "b", "c") })
+
+	It("are found whole by any client", func() {
+		ids := chain(c.client("a"), "talk", 5)
+		c.expectFound(ids)
+		c.expectFound(ids[:3])
+	})
+
+	It("are at as many stores as may be lost and one more, one of them in the client's zone", func() {
+		chain(c.client("b"), "talk", 4)
+		Expect(c.nodes[1].store.Turns()).To(Equal(4))
+		Expect(c.nodes[0].store.Turns() + c.nodes[2].store.Turns()).To(Equal(4))
+	})
+
+	It("may be continued by several", func() {
+		client := c.client("a")
+		ids := chain(client, "talk", 3)
+		for _, fork := range []string{"x", "y"} {
+			Expect(client.Commit(ctx, turnOf(fork, ids[0], ids[2]))).To(Succeed())
+		}
+		c.expectFound(append(append([]string(nil), ids...), "x"))
+		c.expectFound(append(append([]string(nil), ids...), "y"))
+	})
+
+	It("are read from the cache by the client that carried them", func() {
+		client := c.client("a")
+		ids := chain(client, "talk", 3)
+		before := c.counted("history")
+		history, verdict := client.History(ctx, ids[2])
+		Expect(verdict).To(Equal(storeclient.Found))
+		Expect(string(history.Body)).To(Equal(textOf(ids)))
+		Expect(c.counted("history")).To(Equal(before))
+	})
+
+	It("are read from the client's zone where they are there", func() {
+		ids := chain(c.client("a"), "talk", 3)
+		before := c.counted("history")
+		c.expectFound(ids)
+		Expect(c.counted("history") - before).To(Equal(1))
+	})
+
+	It("may be committed again", func() {
+		client := c.client("a")
+		ids := chain(client, "talk", 1)
+		Expect(client.Commit(ctx, turnOf(ids[0], "", ""))).To(Succeed())
+		Expect(c.nodes[0].store.Turns()).To(Equal(1))
+	})
+
+	It("are merged from stores that hold parts of the conversation", func() {
+		client := c.client("a")
+		var ids []string
+		previous := ""
+		for at := range 9 {
+			down := c.nodes[at%3]
+			down.down.Store(true)
+			id := fmt.Sprint("spread-", at)
+			Expect(client.Commit(ctx, turnOf(id, "spread-0", previous))).To(Succeed())
+			down.down.Store(false)
+			ids = append(ids, id)
+			previous = id
+		}
+		for _, n := range c.nodes {
+			Expect(n.store.Turns()).To(BeNumerically("<", 9))
+		}
+		c.expectFound(ids)
+	})
+
+	It("are not durable while too few stores answer", func() {
+		c.nodes[1].down.Store(true)
+		c.nodes[2].down.Store(true)
+		short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		Expect(c.client("a").Commit(short, turnOf("x", "", ""))).NotTo(Succeed())
+	})
+
+	It("go to the next store in order where one fails", func() {
+		client := c.client("a")
+		c.failing(func(method, address string) error {
+			if method == "commit" && address == c.nodes[0].address {
+				return context.DeadlineExceeded
+			}
+			return nil
+		})
+		ids := chain(client, "talk", 1)
+		Expect(c.nodes[1].store.Turns() + c.nodes[2].store.Turns()).To(Equal(2))
+		c.failing(nil)
+		c.expectFound(ids)
+	})
+
+	It("need a root that is known", func() {
+		Expect(c.client("a").Commit(ctx, turnOf("x", "", "unheard"))).To(MatchError(storeclient.ErrUnknownRoot))
+	})
+})
+
+var _ = DescribeTable("a turn that is looked up",
+	func(prepare func(*cluster), known bool, want storeclient.Verdict) {
+		c := newCluster(1, "a", "b", "c")
+		id := "unheard"
+		if known {
+			id = chain(c.client("a"), "talk", 2)[1]
+		}
+		prepare(c)
+		Expect(c.lookUp(id)).To(Equal(want))
+	},
+	Entry("unknown to all", func(*cluster) {}, false, storeclient.Missing),
+	Entry("unknown to all that are up, one is down", down(1), false, storeclient.Missing),
+	Entry("unknown to the only one that is up", down(1, 2), false, storeclient.Unsure),
+	Entry("unknown, one is incomplete", wiped(1), false, storeclient.Missing),
+	Entry("unknown, one is incomplete and one down", func(c *cluster) { wiped(1)(c); down(2)(c) }, false, storeclient.Unsure),
+	Entry("unknown, none is up", down(0, 1, 2), false, storeclient.Unsure),
+	Entry("known", func(*cluster) {}, true, storeclient.Found),
+	Entry("known, the client's own store is down", down(0), true, storeclient.Found),
+	Entry("known, the client's own store lost its disk", wiped(0), true, storeclient.Found),
+	Entry("known, only one that may not hold it is up", func(c *cluster) {
+		for at, n := range c.nodes {
+			if n.store.Turns() > 0 {
+				down(at)(c)
+			}
+		}
+	}, true, storeclient.Unsure),
+)
+
+// down takes stores down.
+func down(nodes ...int) func(*cluster) {
+	return func(c *cluster) {
+		for _, at := range nodes {
+			c.nodes[at].down.Store(true)
+		}
+	}
+}
+
+// wiped has a store lose its disk and does not let it catch up.
+func wiped(at int) func(*cluster) {
+	return func(c *cluster) {
+		c.nodes[at].wipe()
+		c.spread()
+	}
+}
+
+var _ = Describe("a turn whose predecessor is missing", func() {
+	It("is unsure, never missing", func() {
+		c := newCluster(1, "a", "b", "c")
+		Expect(c.client("a").Commit(ctx, turnOf("late", "talk-0", "gone"))).To(Succeed())
+		Expect(c.lookUp("late")).To(Equal(storeclient.Unsure))
+		Expect(c.lookUp("gone")).To(Equal(storeclient.Missing))
+	})
+})
+
+var _ = Describe("what was acknowledged", func() {
+	It("is there after a restart of all", func() {
+		c := newCluster(1, "a", "b", "c")
+		ids := chain(c.client("a"), "talk", 5)
+		for _, n := range c.nodes {
+			id := n.store.ID()
+			n.restart(memfs.Process, nil)
+			Expect(n.store.ID()).To(Equal(id))
+			Expect(n.store.Complete()).To(BeTrue())
+		}
+		c.expectFound(ids)
+	})
+
+	It("is there after a loss of power, whatever else that loses", func() {
+		for seed := range uint64(12) {
+			chance := rand.New(rand.NewPCG(seed, 1))
+			c := newCluster(1, "a", "b", "c")
+			client := c.client("a")
+			var all [][]string
+			for round := range 4 {
+				all = append(all, chain(client, fmt.Sprint("talk", round), 3))
+				Expect(client.Reserve(ctx, storeclient.Reservation{Program: "p", Turn: fmt.Sprint("t", round), Budget: 100, Most: 30})).
+					To(Equal(storeclient.Granted))
+				for _, n := range c.nodes {
+					n.restart(memfs.Power, chance)
+				}
+			}
+			for _, ids := range all {
+				c.expectFound(ids)
+			}
+			verdict := client.Reserve(ctx, storeclient.Reservation{Program: "p", Turn: "last", Budget: 100, Most: 30})
+			Expect(verdict).To(Equal(storeclient.Undecided), "four of 30 are open")
+		}
+	})
+
+	It("is read again when a record has been moved to a newer segment", func() {
+		c := newCluster(0, "a")
+		client := c.client("a")
+		keep := turnOf("keep", "", "")
+		keep.Retention = time.Hour
+		Expect(client.Commit(ctx, keep)).To(Succeed())
+		big := strings.Repeat("x", 100<<10)
+		for at := range 400 {
+			t := turnOf(fmt.Sprint("big", at), "", "")
+			t.Input = []byte(big)
+			Expect(client.Commit(ctx, t)).To(Succeed())
+			c.pass(time.Second)
+			c.nodes[0].store.Round(0)
+		}
+		Expect(c.nodes[0].disk.Used()).To(BeNumerically("<=", 16<<20))
+		c.expectFound([]string{"keep"})
+		c.nodes[0].restart(memfs.Power, rand.New(rand.NewPCG(1, 1)))
+		c.expectFound([]string{"keep"})
+		Expect(c.lookUp("big399")).To(Equal(storeclient.Found))
+	})
+})
+
+var _ = Describe("a full disk", func() {
+	It("refuses turns at once, keeps reservations, and the turns go elsewhere", func() {
+		c := newCluster(1, "a", "b", "c")
+		small := c.nodes[0]
+		for _, n := range c.nodes[1:] {
+			n.bytes = 64 << 20
+			n.wipe()
+		}
+		c.spread()
+		c.rounds(2)
+		client := c.client("a")
+		var ids []string
+		for at := range 300 {
+			t := turnOf(fmt.Sprint("big", at), "", "")
+			t.Input = []byte(strings.Repeat("x", 100<<10))
+			Expect(client.Commit(ctx, t)).To(Succeed())
+			ids = append(ids, t.ID)
+		}
+		Expect(small.store.Turns()).To(BeNumerically("<", 150))
+		Expect(c.nodes[1].store.Turns() + c.nodes[2].store.Turns()).To(BeNumerically(">", 450))
+		answer, err := small.store.Reserve(ctx, storewire.ReserveRequest{
+			Header: storewire.Header{Epoch: int64(c.view.Epoch), Store: small.store.ID()}, Program: "q", Turn: "t", Budget: 5, Most: 5})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Kept).To(BeTrue())
+		Expect(c.lookUp(ids[299])).To(Equal(storeclient.Found))
+	})
+})
+
+var _ = Describe("a disk that stalls", func() {
+	It("blocks no reads, and has writes refused", func() {
+		c := newCluster(1, "a", "b", "c")
+		client := c.client("a")
+		ids := chain(client, "talk", 2)
+		n := c.nodes[0]
+		entered := make(chan struct{}, 1)
+		release := make(chan struct{})
+		n.disk.Hook = func(call memfs.Call) memfs.Verdict {
+			if call.Op == "sync" {
+				select {
+				case entered <- struct{}{}:
+				default:
+				}
+				<-release
+			}
+			return memfs.Verdict{}
+		}
+		header := storewire.Header{Epoch: int64(c.view.Epoch), Store: n.store.ID()}
+		stuck := make(chan storewire.Acknowledgement, 1)
+		go func() {
+			answer, _ := n.store.Commit(ctx, storewire.CommitRequest{Header: header, Turn: storewire.Turn{ID: "x", Root: "x"}})
+			stuck <- answer
+		}()
+		<-entered
+		answer, err := n.store.History(ctx, storewire.HistoryRequest{Header: header, Turn: ids[1]})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Known).To(BeTrue())
+		c.pass(time.Second)
+		refused, err := n.store.Commit(ctx, storewire.CommitRequest{Header: header, Turn: storewire.Turn{ID: "y", Root: "y"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(refused.Reply.Standing).To(Equal(storewire.Busy))
+		Expect(client.Commit(ctx, turnOf("next", ids[0], ids[1]))).To(Succeed())
+		close(release)
+		Expect((<-stuck).Reply.Standing).To(Equal(storewire.Served))
+	})
+})
+
+var _ = Describe("retention", func() {
+	It("keeps a turn for its time and a little longer, and its chain as long as any of it", func() {
+		c := newCluster(1, "a", "b", "c")
+		client := c.client("a")
+		ids := chain(client, "talk", 2)
+		other := chain(client, "other", 1)
+		c.pass(65 * time.Second)
+		c.rounds(2)
+		c.expectFound(other)
+		Expect(client.Commit(ctx, turnOf("talk-2", ids[0], ids[1]))).To(Succeed())
+		c.pass(64 * time.Second)
+		c.rounds(2)
+		c.expectFound([]string{"talk-0", "talk-1", "talk-2"})
+		Expect(c.lookUp(other[0])).To(Equal(storeclient.Missing))
+		c.pass(64 * time.Second)
+		c.rounds(2)
+		Expect(c.lookUp("talk-2")).To(Equal(storeclient.Missing))
+		for _, n := range c.nodes {
+			Expect(n.store.Turns()).To(BeZero())
+		}
+	})
+
+	It("counts anew after a restart, and does not bring back what expired elsewhere", func() {
+		c := newCluster(1, "a", "b", "c")
+		chain(c.client("a"), "talk", 2)
+		c.pass(60 * time.Second)
+		c.nodes[0].restart(memfs.Process, nil)
+		c.pass(60 * time.Second)
+		c.rounds(4)
+		Expect(c.nodes[0].store.Turns()).To(Equal(2))
+		Expect(c.nodes[1].store.Turns() + c.nodes[2].store.Turns()).To(BeZero())
+	})
+})
+
+var _ = Describe("stores over the network", func() {
+	It("keep turns and budgets", func() {
+		calls := transport.NewClient()
+		defer calls.Close()
+		view := controlstate.StoreView{Epoch: 1, Tolerance: 1}
+		var stores []*store.Store
+		for at := range 3 {
+			s, err := store.Start(store.Options{Files: memfs.New(), Dir: "data", Bootstrap: true, Caller: storewire.NewCaller(calls)})
+			Expect(err).NotTo(HaveOccurred())
+			defer s.Close()
+			mux := transport.NewMux()
+			storewire.Register(mux, s)
+			server, err := transport.Listen("127.0.0.1:0", mux)
+			Expect(err).NotTo(HaveOccurred())
+			defer server.Close()
+			name := fmt.Sprint("store-", at)
+			view.Members = append(view.Members, controlstate.StoreMember{ID: s.ID(), Node: name, Zone: name, Address: server.Address()})
+			stores = append(stores, s)
+		}
+		for _, s := range stores {
+			s.SetView(view)
+		}
+		client := storeclient.New(storeclient.Options{Caller: storewire.NewCaller(calls), Zone: "store-0"})
+		defer client.Close()
+		client.SetView(view)
+		ids := chain(client, "talk", 3)
+		Expect(client.Reserve(ctx, storeclient.Reservation{Program: "p", Turn: "t", Budget: 5, Most: 5})).To(Equal(storeclient.Granted))
+		other := storeclient.New(storeclient.Options{Caller: storewire.NewCaller(calls), Zone: "store-1"})
+		defer other.Close()
+		other.SetView(view)
+		history, verdict := other.History(ctx, ids[2])
+		Expect(verdict).To(Equal(storeclient.Found))
+		Expect(string(history.Body)).To(Equal(textOf(ids)))
+		_, verdict = other.History(ctx, "unheard")
+		Expect(verdict).To(Equal(storeclient.Missing))
+		Expect(other.Reserve(ctx, storeclient.Reservation{Program: "p", Turn: "u", Budget: 5, Most: 5})).To(Equal(storeclient.Undecided))
+		client.Settle("p", "t", 5)
+		tries := 0
+		Eventually(func() storeclient.Verdict {
+			tries++
+			return other.Reserve(ctx, storeclient.Reservation{Program: "p", Turn: fmt.Sprint("v", tries), Budget: 5, Most: 5})
+		}, patience).Should(Equal(storeclient.Spent))
+	})
+})
