dataplane: receivers that change together are handed to the proxy together

Each change of one of R receivers had the proxy take the whole list: R*R steps at each proxy when a fleet starts, a zone comes back or a control plane falls behind. A configuration still comes before the receivers; readiness waits for a hand-over.

--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -45,7 +46,8 @@
 
 	receivers  *receiverList
 	assignment *assignment
-	snapshot   *routing.Snapshot
+	snapshot   atomic.Pointer[routing.Snapshot] // written by the watchers' goroutine; nil until one is known
+	feed       *feed                            // of receivers to the proxy
 }
 
 // Start joins the others and serves; the plane is ready once it knows the configuration and the receivers.
@@ -53,10 +55,12 @@
 	stopped, stop := context.WithCancel(context.Background())
 	p := &Plane{settings: node, log: logger, client: transport.NewClient(), stop: stop, stopped: stopped,
 		receivers: newReceiverList(), assignment: newAssignment(node.Name)}
+	p.feed = newFeed(p.feedReceivers)
 	if err := p.open(); err != nil {
 		p.close()
 		return nil, err
 	}
+	go p.feed.run()
 	p.watch()
 	go func() {
 		if err := p.proxy.Run(); err != nil {
@@ -114,12 +118,12 @@
 		p.log.WithError(err).WithField("version", record.Version).Error("configuration is not valid")
 		return
 	}
-	if p.snapshot != nil && p.snapshot.Version >= snapshot.Version {
+	if present := p.snapshot.Load(); present != nil && present.Version >= snapshot.Version {
 		return
 	}
-	p.snapshot = snapshot
+	p.snapshot.Store(snapshot)
 	p.proxy.SetConfiguration(snapshot)
-	p.proxy.SetReceivers(p.receivers.dispatchable(snapshot))
+	p.feed.changed()
 	p.log.WithField("version", snapshot.Version).Info("configuration in force")
 }
 
@@ -140,9 +144,12 @@
 	}
 	p.receivers.take(record)
 	p.assignment.setReceiver(record.ID, record.Zone, record.State == records.ReceiverGone)
-	p.proxy.SetReceivers(p.receivers.dispatchable(p.snapshot))
+	p.feed.changed()
 }
 
+// feedReceivers hands the proxy what is known of the receivers.
+func (p *Plane) feedReceivers() { p.proxy.SetReceivers(p.receivers.dispatchable(p.snapshot.Load())) }
+
 // takeNode counts the live proxies and shares the receivers' reports out among them.
 func (p *Plane) takeNode(n cluster.Node) {
 	if n.Role == cluster.Proxy {
@@ -189,6 +196,7 @@
 			return
 		}
 	}
+	p.feed.now()
 	p.proxy.SetReady(true)
 	p.log.Info("ready")
 }
@@ -220,6 +228,7 @@
 
 func (p *Plane) close() {
 	p.stop()
+	p.feed.close()
 	if p.stores != nil {
 		p.stores.Close()
 	}
