Ledger: what cannot be read of a file of the old form is said, kept, and told by the exit status

Cause: reading stopped at the first record that was not whole and took all behind it for a write cut short; verify called 4 KiB of noise sound, and a sender carried over nothing and removed the file. Seen failing first: verify exited 0 with 'sound segments=0 records=0', serve exited 0 and no copy was left. Ruled out: every rest counts as damage (a process killed while writing leaves the begin of a record, which was promised to no one: each such cut is still sound); refusing to serve (of damaged segments too what is left is served). Change: verify and inspect name file and bytes; a sender logs event=damaged, counts what it holds as perhaps run since, sets the file aside as bad-ledger and ends with status 1. Power lost at each call of the carrying over is tested.

--- a/cmd/emberquay/ledger.go
+++ b/cmd/emberquay/ledger.go
@@ -26,7 +26,7 @@
 	Dir string `arg:"" help:"The folder that lasts (GW_STATE)." type:"existingdir"`
 }
 
-// errUnsound ends verify with a status of its own.
+// errUnsound ends verify with a status that says so, and a sender that found a file of the old form in that state.
 var errUnsound = errors.New("something that was kept is missing")
 
 // inspect reads the folder, and says plainly if there is no ledger in it.
@@ -58,6 +58,7 @@
 	for _, s := range found.Segments {
 		fmt.Printf("segment=%d bytes=%d records=%d torn=%d bad=%q\n", s.Number, s.Bytes, s.Records, s.Torn, s.Bad)
 	}
+	printOldBad(found)
 	fmt.Printf("segments=%d records=%d texts=%d notices=%d torn=%d lost=%d old_form=%v sound=%v\n", len(found.Segments), found.Records,
 		found.Texts, found.Notices, found.Torn, found.Lost, found.Old, found.Sound())
 	now := protocol.At(time.Now())
@@ -87,13 +88,28 @@
 			fmt.Printf("segment=%d bad=%q\n", s.Number, s.Bad)
 		}
 	}
+	printOldBad(found)
 	if !found.Sound() {
-		return fmt.Errorf("%s: %w: %d records; texts that are named and not there: %v", c.Dir, errUnsound, found.Lost, found.Unknown)
+		return unsound(c.Dir, found)
 	}
 	fmt.Printf("sound segments=%d records=%d texts=%d notices=%d\n", len(found.Segments), found.Records, found.Texts, found.Notices)
 	return nil
 }
 
+func printOldBad(found *ledger.Found) {
+	if found.OldBad != "" {
+		fmt.Printf("file=ledger bad=%q\n", found.OldBad)
+	}
+}
+
+// unsound says what is missing. How many records a file of the old form lacks cannot be known.
+func unsound(dir string, found *ledger.Found) error {
+	if found.OldBad != "" {
+		return fmt.Errorf("%s: %w: file ledger: %s; texts that are named and not there: %v", dir, errUnsound, found.OldBad, found.Unknown)
+	}
+	return fmt.Errorf("%s: %w: %d records; texts that are named and not there: %v", dir, errUnsound, found.Lost, found.Unknown)
+}
+
 type compactCmd struct {
 	folder
 	DiskMB float64 `help:"The folder's room, as in the configuration." default:"3"`
--- a/cmd/emberquay/ledger_test.go
+++ b/cmd/emberquay/ledger_test.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"bytes"
+	"errors"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"emberquay/internal/ledger"
@@ -60,6 +64,60 @@
 	says(0, "sound=false", "inspect", dir)
 }
 
+// noise is 4 KiB that are the same on every run.
+func noise() []byte {
+	random := rand.New(rand.NewPCG(4096, 7))
+	b := make([]byte, 4096)
+	for i := range b {
+		b[i] = byte(random.Uint32())
+	}
+	return b
+}
+
+// A file of the old form that cannot be read: the commands say so, and their status.
+func TestOldFormThatCannotBeRead(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "ledger"), noise(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, code := asProgram("ledger", "verify", dir)
+	if code != 1 || !strings.Contains(out, `file=ledger bad="4096 bytes from byte 0 on are no records"`) ||
+		!strings.Contains(out, "something that was kept is missing") {
+		t.Errorf("verify: status %d, %s", code, out)
+	}
+	if out, _ := asProgram("ledger", "inspect", dir); !strings.Contains(out, "old_form=true sound=false") || !strings.Contains(out, "file=ledger bad=") {
+		t.Errorf("inspect: %s", out)
+	}
+}
+
+// A sender serves all the same, says what it could not read, keeps it aside, and its end tells it again; the next start
+// has nothing to tell.
+func TestServeOnOldFormThatCannotBeRead(t *testing.T) {
+	p := newProgram(t)
+	dir := filepath.Dir(p.config)
+	if err := os.WriteFile(filepath.Join(dir, "ledger"), noise(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.start()
+	err := p.end(syscall.SIGTERM)
+	var status *exec.ExitError
+	if !errors.As(err, &status) || status.ExitCode() != 1 {
+		t.Errorf("it ended with %v", err)
+	}
+	said := p.log.String()
+	if !strings.Contains(said, "event=damaged") || !strings.Contains(said, "4096 bytes from byte 0 on are no records") ||
+		!strings.Contains(said, "something that was kept is missing") {
+		t.Errorf("it said %s", said)
+	}
+	if kept, err := os.ReadFile(filepath.Join(dir, "bad-ledger")); err != nil || !bytes.Equal(kept, noise()) {
+		t.Errorf("%d bytes set aside, %v", len(kept), err)
+	}
+	p.start()
+	if err := p.end(syscall.SIGTERM); err != nil {
+		t.Errorf("the next one ended with %v", err)
+	}
+}
+
 // Two senders on one folder: the second one ends with a message that says who has it.
 func TestSecondSenderOnTheFolder(t *testing.T) {
 	p := newProgram(t)
--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -109,7 +109,13 @@
 		err := learnt.Write(own.Move.Learnt, at, all)
 		slog.Info("learnt_kept", "part", "serve", "file", own.Move.Learnt, "receivers", len(all), "err", err)
 	}
-	return s.CloseLedger()
+	if err := s.CloseLedger(); err != nil {
+		return err
+	}
+	if bad := kept.OldBad(); bad != "" { // said at the start, where nobody may have looked
+		return fmt.Errorf("%s: %w: file ledger: %s", conf.State, errUnsound, bad)
+	}
+	return nil
 }
 
 // recall hands on what the process before has learnt. What cannot be read holds no start up.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -66,6 +66,7 @@
 	pending  []record // that could not be written yet: ends, and what a sync that failed may have lost
 	unsynced []record // written since the last sync
 	unread   bool
+	oldBad   string // what could not be read of the old form
 	buffer   []byte
 }
 
@@ -144,7 +145,7 @@
 		}
 	}
 	if found.Old {
-		if err := l.carryOver(); err != nil {
+		if err := l.carryOver(found); err != nil {
 			return err
 		}
 	}
@@ -198,8 +199,12 @@
 	return sum, nil
 }
 
-// carryOver writes what the old form holds into segments. Until the old file is removed nothing of them counts.
-func (l *Ledger) carryOver() error {
+// carryOver writes what the old form holds into segments. Until the old file is removed, or set aside where not all of
+// it can be read, nothing of them counts.
+func (l *Ledger) carryOver(found *Found) error {
+	if l.oldBad = found.OldBad; l.oldBad != "" {
+		slog.Error("damaged", "part", "ledger", "file", oldName, "err", l.oldBad, "unknown_texts", strings.Join(found.Unknown, ","))
+	}
 	names, err := l.files.List(l.dir)
 	if err != nil {
 		return err
@@ -225,7 +230,7 @@
 	if err := l.settled(); err != nil { // in either mode: it happens once
 		return err
 	}
-	if err := l.files.Remove(l.path(oldName)); err != nil {
+	if err := l.giveUp(oldName, l.oldBad != ""); err != nil {
 		return err
 	}
 	slog.Info("carried_over", "part", "ledger", "texts", len(texts), "notices", len(notices))
@@ -284,28 +289,42 @@
 	}
 }
 
-// setAside takes the oldest segment out: a damaged one is kept under another name for whoever looks into it, unless
-// such files would take an eighth of the room.
+// setAside takes the oldest segment out.
 func (l *Ledger) setAside(no uint64, damaged bool) error {
 	if !damaged {
 		return l.remove(no)
 	}
+	if err := l.giveUp(segName(no), true); err != nil {
+		return err
+	}
+	l.lay.Gone()
+	return l.files.SyncDir(l.dir)
+}
+
+// giveUp takes a file out: a damaged one is kept under another name for whoever looks into it, unless such files would
+// take an eighth of the room.
+func (l *Ledger) giveUp(name string, damaged bool) error {
+	if !damaged {
+		return l.files.Remove(l.path(name))
+	}
 	others, err := l.others()
 	if err != nil {
 		return err
 	}
 	if others > l.opt.Room/8 {
-		slog.Warn("not_kept_aside", "part", "ledger", "file", segName(no), "err", "other damaged files take an eighth of the room")
-		return l.remove(no)
+		slog.Warn("not_kept_aside", "part", "ledger", "file", name, "err", "other damaged files take an eighth of the room")
+		return l.files.Remove(l.path(name))
 	}
-	if err := l.files.Rename(l.path(segName(no)), l.path(badPrefix+segName(no))); err != nil {
+	if err := l.files.Rename(l.path(name), l.path(badPrefix+name)); err != nil {
 		return err
 	}
-	slog.Warn("set_aside", "part", "ledger", "file", badPrefix+segName(no))
-	l.lay.Gone()
-	return l.files.SyncDir(l.dir)
+	slog.Warn("set_aside", "part", "ledger", "file", badPrefix+name)
+	return nil
 }
 
+// OldBad says what Open found wrong with a file of the form of before; empty if nothing was. The file is set aside.
+func (l *Ledger) OldBad() string { return l.oldBad }
+
 // Owed gives the texts that have no end yet, in the order they were taken, and the notices that are due.
 func (l *Ledger) Owed() ([]*Text, []*Notice) { return l.state.owed() }
 
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -21,6 +21,7 @@
 	Notices  int
 	Records  int
 	Old      bool     // it is in the form of before
+	OldBad   string   // what is wrong with its file then
 	Torn     int64    // bytes at the ends of segments that are no record: writes that were cut short
 	Lost     uint64   // records that had been kept and are not there
 	Void     int      // records behind a write that was never synced and did not survive: promised to no one
@@ -47,7 +48,7 @@
 
 // Sound says whether nothing that had been kept is missing.
 func (f *Found) Sound() bool {
-	return f.Lost == 0 && !slices.ContainsFunc(f.Segments, func(s FoundSegment) bool { return s.Bad != "" })
+	return f.Lost == 0 && f.OldBad == "" && !slices.ContainsFunc(f.Segments, func(s FoundSegment) bool { return s.Bad != "" })
 }
 
 // read reads a whole file, of a bounded size.
@@ -86,7 +87,7 @@
 			return nil, err
 		}
 		f.Old = true
-		f.state.replayOld(raw)
+		f.Torn, f.OldBad = f.state.replayOld(raw)
 		f.settle()
 		return f, nil
 	}
@@ -213,7 +214,7 @@
 		t.Tentative = false
 	}
 	f.Texts, f.Notices = len(f.state.texts), len(f.state.notices)
-	if f.Lost > 0 {
+	if f.Lost > 0 || f.OldBad != "" {
 		for id := range f.state.unknown {
 			f.Unknown = append(f.Unknown, id)
 		}
--- /dev/null
+++ b/internal/ledger/old_test.go
@@ -0,0 +1,121 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"emberquay/internal/vfs/memfs"
+)
+
+// oldRecord is a record as the form of before has it.
+func oldRecord(kind byte, payload []byte) []byte {
+	p := append([]byte{kind}, payload...)
+	b := binary.LittleEndian.AppendUint32(nil, uint32(len(p)))
+	return append(binary.LittleEndian.AppendUint32(b, crc32.ChecksumIEEE(p)), p...)
+}
+
+func oldText(id string) []byte {
+	return oldRecord(taken, (&Text{ID: id, Body: []byte("body of " + id), TakenAt: 40}).record().payload)
+}
+
+// noise is the same on every run.
+func noise(bytes int) []byte {
+	random := rand.New(rand.NewPCG(4096, 7))
+	b := make([]byte, bytes)
+	for i := range b {
+		b[i] = byte(random.Uint32())
+	}
+	return b
+}
+
+// What cannot be read of a file of the old form is told, and what stands before it is served as if it may have run since.
+func TestOldFormThatCannotBeRead(t *testing.T) {
+	a, b, c := oldText("a"), oldText("b"), oldText("c")
+	flipped := slices.Concat(a, b, c)
+	flipped[len(a)+20] ^= 1
+	longer := slices.Concat(a, b, c)
+	longer[len(a)+1] ^= 0x40 // the length of b, which now ends behind the file
+	cases := []struct {
+		name string
+		raw  []byte
+		want string // ids that are served
+		bad  string
+	}{
+		{"noise", noise(4096), "[]", "4096 bytes from byte 0 on are no records"},
+		{"noise behind records", slices.Concat(a, b, noise(4096)), "[a b]", fmt.Sprintf("4096 bytes from byte %d on are no records", len(a)+len(b))},
+		{"a bit in the middle", flipped, "[a]", fmt.Sprintf("%d bytes from byte %d on are no records", len(b)+len(c), len(a))},
+		{"a length in the middle", longer, "[a]", fmt.Sprintf("%d bytes from byte %d on are no records", len(b)+len(c), len(a))},
+		{"a record that makes no sense", slices.Concat(a, oldRecord('?', []byte("{}")), c), "[a]", fmt.Sprintf("%d bytes from byte %d on are no records", 11+len(c), len(a))},
+		{"zeros and a record", slices.Concat(a, make([]byte, 600), c), "[a]", fmt.Sprintf("%d bytes from byte %d on are no records", 600+len(c), len(a))},
+	}
+	for _, x := range cases {
+		m := memfs.New()
+		m.Put("state/ledger", x.raw)
+		found, texts, _, err := Inspect(m, dir)
+		if err != nil || found.Sound() || found.OldBad != x.bad || fmt.Sprint(ids(texts)) != x.want {
+			t.Errorf("%s: %v %+v %v", x.name, err, found, ids(texts))
+		}
+		l, err := Open(m, dir, Options{Room: room})
+		if err != nil {
+			t.Fatal(err)
+		}
+		served, _ := l.Owed()
+		if l.OldBad() != x.bad || fmt.Sprint(ids(served)) != x.want {
+			t.Errorf("%s: %q %v", x.name, l.OldBad(), ids(served))
+		}
+		for _, one := range served {
+			if one.RanSince == 0 {
+				t.Errorf("%s: %s counts as never run", x.name, one.ID)
+			}
+		}
+		l.Close()
+		if kept := m.Data("state/bad-ledger"); !bytes.Equal(kept, x.raw) || slices.Contains(m.Names(), "state/ledger") {
+			t.Errorf("%s: %d bytes set aside of %d, %v", x.name, len(kept), len(x.raw), m.Names())
+		}
+		if l, err = Open(m, dir, Options{Room: room}); err != nil || l.OldBad() != "" {
+			t.Errorf("%s: the next start %v %q", x.name, err, l.OldBad())
+		}
+	}
+}
+
+// A last record that the process's death cut short anywhere was promised to no one.
+func TestOldFormCutShort(t *testing.T) {
+	a, b := oldText("a"), oldText("b")
+	for end := range len(b) {
+		m := memfs.New()
+		m.Put("state/ledger", slices.Concat(a, b[:end]))
+		found, texts, _, err := Inspect(m, dir)
+		if err != nil || !found.Sound() || found.Torn != int64(end) || fmt.Sprint(ids(texts)) != "[a]" || texts[0].RanSince != 0 {
+			t.Fatalf("%d of %d bytes: %v %+v %v", end, len(b), err, found, ids(texts))
+		}
+	}
+	m := memfs.New()
+	m.Put("state/ledger", slices.Concat(a, make([]byte, 3000)))
+	if found, _, _, err := Inspect(m, dir); err != nil || !found.Sound() || found.Torn != 3000 {
+		t.Errorf("zeros at the end: %v %+v", err, found)
+	}
+}
+
+// Wherever the power goes while a damaged file is carried over: what could be read is served, and no byte of it is gone.
+func TestOldFormThatCannotBeReadAtACrash(t *testing.T) {
+	raw := slices.Concat(oldText("a"), noise(4096))
+	for crash := range 60 {
+		m := memfs.New()
+		m.Put("state/ledger", raw)
+		m.Hook = func(c memfs.Call) memfs.Verdict { return memfs.Verdict{Crash: c.No == crash, Partly: c.Bytes / 2} }
+		Open(m, dir, Options{Room: room})
+		m = m.After(memfs.Power, rand.New(rand.NewPCG(uint64(crash), 2)))
+		l := open(t, m, false)
+		if texts, _ := l.Owed(); fmt.Sprint(ids(texts)) != "[a]" || texts[0].RanSince == 0 {
+			t.Fatalf("crash at call %d: %+v", crash, texts)
+		}
+		if kept := m.Data("state/bad-ledger"); !bytes.Equal(kept, raw) || slices.Contains(m.Names(), "state/ledger") {
+			t.Fatalf("crash at call %d: %d bytes set aside, %v", crash, len(kept), m.Names())
+		}
+	}
+}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -51,6 +51,15 @@
 	synced    = 'M' // all up to a number is on the disk
 )
 
+// knownKind says whether records of a kind are ever written.
+func knownKind(kind byte) bool {
+	switch kind {
+	case taken, submitted, neverRan, ended, untold, synced:
+		return true
+	}
+	return false
+}
+
 type sent struct {
 	ID   string       `json:"id"`
 	No   int          `json:"n,omitempty"` // how many there are with it: it may be written twice
