--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -25,11 +25,13 @@
 	// PublishReport spreads a report that this proxy took; nil: nobody else wants it. It must not block.
 	PublishReport func(dispatch.InstanceID, dispatch.Report)
 
-	ReportInterval time.Duration // between two reports of a receiver; default 250 ms
-	Notice         time.Duration // how long a stopping process goes on accepting; default 2.3 s
-	BodyMemory     int64         // bytes of bodies in hand; default 32 MiB
-	MaxClients     int           // connections of clients; default 2048
-	MaxReceivers   int           // connections to all receivers; default 1024
+	ReportInterval time.Duration   // between two reports of a receiver; default 250 ms
+	Notice         time.Duration   // how long a stopping process goes on accepting; default 2.3 s
+	notice         <-chan struct{} // ends the notice early; for tests
+
+	BodyMemory   int64 // bytes of bodies in hand; default 32 MiB
+	MaxClients   int   // connections of clients; default 2048
+	MaxReceivers int   // connections to all receivers; default 1024
 }
 
 const (
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -94,6 +94,7 @@
 	defer notice.Stop()
 	select {
 	case <-notice.C:
+	case <-p.options.notice:
 	case <-ctx.Done():
 	}
 	p.front.stopAccepting()
