sim: whole clusters of the tier under one seeded scheduler; quaylab tier sim

The real state machines of chain, view, control state, gossip, membership, registration, budgets and placement; what joins them in the service (a store's table and disk, the proxies' calls, confirmed deliveries) is modelled.

--- a/cmd/quaylab/tier.go
+++ b/cmd/quaylab/tier.go
@@ -13,6 +13,7 @@
 
 type tierCmd struct {
 	Try tierTryCmd `cmd:"" help:"Play a day of half a minute round the tier's processes on loopback and say whether each rule was kept."`
+	Sim tierSimCmd `cmd:"" help:"Run seeded clusters in virtual time under faults and say which seeds broke a rule."`
 }
 
 type tierTryCmd struct {
--- /dev/null
+++ b/internal/sim/fault.go
@@ -0,0 +1,213 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+
+	"emberquay/coordination/chain"
+	"emberquay/coordination/gossip"
+	"emberquay/internal/cluster/core"
+	"emberquay/internal/controlstate"
+)
+
+// Fault is a deliberate one: each breaks a promise of the tier in the joints of the simulation, never in the service. The
+// invariants have to find it.
+type Fault string
+
+// The faults.
+const (
+	none              Fault = ""
+	answerBeforeSync  Fault = "a control node acknowledges before its disk has synced"
+	voteAfterWipe     Fault = "a control node votes in its old name after its disk was lost"
+	forgetsVotes      Fault = "a control node does not write its votes"
+	headAcknowledges  Fault = "the head acknowledges before the chain has the change"
+	sealIgnored       Fault = "a member confirms an epoch that it has sealed"
+	staleRead         Fault = "a member reads without asking the others"
+	repeatByVersion   Fault = "a repeat is known by its version alone"
+	repeatForgotten   Fault = "accepted changes are not remembered"
+	baseIgnored       Fault = "a change is taken on any base"
+	invalidTaken      Fault = "a configuration is not checked"
+	versionMayFall    Fault = "a proxy takes any configuration that comes"
+	digestMissesEntry Fault = "the comparison of tables misses the configuration"
+	sameIncarnation   Fault = "a process that starts again has its old incarnation"
+	drainUnconfirmed  Fault = "draining is acknowledged by one node alone, and not spread"
+	lateBeatCounts    Fault = "a late heartbeat counts as new"
+	reserveUnsynced   Fault = "a store answers for a reservation before its disk has synced"
+	reserveForgotten  Fault = "a store that starts again drops open reservations"
+	oneRound          Fault = "a quorum's first answers grant a reservation"
+	smallQuorum       Fault = "half of the stores are a quorum"
+	incompleteCounts  Fault = "a store with a fresh disk counts as complete"
+	tooFewCopies      Fault = "a turn is on one store too few"
+	missingTooSoon    Fault = "one store that lacks a turn makes it missing"
+	retireForgets     Fault = "a store that is emptied forgets a turn"
+	brokenNotCounted  Fault = "a turn that broke off is settled with nothing"
+)
+
+// Faults are all of them.
+var Faults = []Fault{
+	answerBeforeSync, voteAfterWipe, forgetsVotes, headAcknowledges, sealIgnored, staleRead, repeatByVersion, repeatForgotten,
+	baseIgnored, invalidTaken, versionMayFall, digestMissesEntry, sameIncarnation, drainUnconfirmed, lateBeatCounts, reserveUnsynced,
+	reserveForgotten, oneRound, smallQuorum, incompleteCounts, tooFewCopies, missingTooSoon, retireForgets, brokenNotCounted,
+}
+
+// voteless is what is left where a wiped disk keeps its name: the view, without votes and entries.
+func voteless(records []chain.Record) []chain.Record {
+	var d chain.Durable
+	for _, r := range records {
+		if err := d.Apply(r); err != nil {
+			return nil
+		}
+	}
+	if d.View.Epoch == 0 {
+		return nil
+	}
+	state := chain.State{Epoch: d.View.Epoch, Full: true, Snapshot: controlstate.New().Snapshot()}
+	return []chain.Record{chain.Identity{Member: d.Member}, chain.Adoption{View: d.View, State: state}}
+}
+
+// spoilRecords is where forgetsVotes bites.
+func (w *world) spoilRecords(records []chain.Record) []chain.Record {
+	if !w.has(forgetsVotes) {
+		return records
+	}
+	var kept []chain.Record
+	for _, r := range records {
+		if _, vote := r.(chain.Vote); !vote {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
+// spoilMessages is where headAcknowledges bites: whoever proposed hears that it is done once the entry is under way.
+func (w *world) spoilMessages(r *replica, send []chain.Envelope) []chain.Envelope {
+	if !w.has(headAcknowledges) {
+		return send
+	}
+	for _, e := range send {
+		a, ok := e.Body.(chain.Append)
+		if !ok || r.proposers[a.Entry.ID].Address == "" {
+			continue
+		}
+		copied := w.machine()
+		if copied.Restore(r.machine.Snapshot()) != nil {
+			continue
+		}
+		result, _ := copied.Apply(a.Entry.Command) // a repeat is acknowledged as the first was
+		to := r.proposers[a.Entry.ID]
+		delete(r.proposers, a.Entry.ID)
+		send = append(send, chain.Envelope{From: e.From, To: to, Body: chain.Result{ID: a.Entry.ID, Verdict: chain.Done, Epoch: a.Epoch, Sequence: a.Entry.Sequence, Result: result}})
+	}
+	return send
+}
+
+// forge answers some messages in the node's place; true: the node does not see it.
+func (w *world) forge(r *replica, e chain.Envelope) bool {
+	self := chain.Peer{ID: r.node.Self().ID, Address: r.node.Self().Address}
+	switch m := e.Body.(type) {
+	case chain.Propose:
+		if w.has(headAcknowledges) {
+			if r.proposers == nil {
+				r.proposers = map[chain.CommandID]chain.Peer{}
+			}
+			r.proposers[m.ID] = e.From
+		}
+	case chain.Confirm:
+		if w.has(sealIgnored) && r.node.Member() {
+			r.post(chain.Envelope{From: self, To: e.From, Body: chain.Confirmed{Epoch: m.Epoch, Nonce: m.Nonce}})
+			return true
+		}
+	}
+	return false
+}
+
+// readsAlone is where staleRead bites.
+func (w *world) readsAlone(r *replica) (*controlstate.State, bool) {
+	if !w.has(staleRead) || r.last == nil {
+		return nil, false
+	}
+	state := controlstate.New()
+	return state, state.Restore(r.last) == nil
+}
+
+// machine is the state machine on the chain.
+func (w *world) machine() chain.StateMachine {
+	state := controlstate.New()
+	switch w.options.fault {
+	case repeatByVersion, repeatForgotten, baseIgnored, invalidTaken:
+		return &spoiltMachine{State: state, fault: w.options.fault}
+	}
+	return state
+}
+
+// spoiltMachine is the control state with one of its promises broken.
+type spoiltMachine struct {
+	*controlstate.State
+	fault Fault
+}
+
+func (m *spoiltMachine) Apply(command []byte) ([]byte, bool) {
+	c, err := controlstate.DecodeCommand(command)
+	if err != nil || c.Kind != controlstate.ReplaceConfiguration {
+		return m.State.Apply(command)
+	}
+	version, _ := m.State.Configuration()
+	switch m.fault {
+	case repeatByVersion:
+		if strings.Contains(string(c.Body), versionText(version)) && version > 0 {
+			return takenResult(version), false
+		}
+	case repeatForgotten:
+		if c.Base != version {
+			return refusedResult(), false
+		}
+	case baseIgnored:
+		c.Base = version
+	case invalidTaken:
+		if c.Base == version && (c.Body[len(c.Body)-1] != '}' || !strings.Contains(string(c.Body), "limits")) {
+			return takenResult(version + 1), false
+		}
+	}
+	return m.State.Apply(controlstate.EncodeCommand(c))
+}
+
+// takenResult and refusedResult are what a state answers that takes or refuses a change.
+func takenResult(version uint64) []byte {
+	result, _ := controlstate.New().Apply(controlstate.EncodeCommand(controlstate.Command{
+		Kind: controlstate.ReplaceConfiguration, HasBase: true, Body: bodyOf(version, 0)}))
+	return result
+}
+
+func refusedResult() []byte {
+	result, _ := controlstate.New().Apply(controlstate.EncodeCommand(controlstate.Command{
+		Kind: controlstate.ReplaceConfiguration, HasBase: true, Base: 1, Body: bodyOf(2, 0)}))
+	return result
+}
+
+func versionText(version uint64) string { return fmt.Sprintf(`{"version":%d,`, version) }
+
+// withoutEntry drops the configuration from what is sent in answer to a comparison.
+func withoutEntry(e core.Envelope) core.Envelope {
+	messages := make([]gossip.Message, 0, len(e.Gossip))
+	for _, m := range e.Gossip {
+		m.Push = withoutKey(m.Push)
+		if m.Delta != nil {
+			delta := *m.Delta
+			delta.Entries = withoutKey(delta.Entries)
+			m.Delta = &delta
+		}
+		messages = append(messages, m)
+	}
+	e.Gossip = messages
+	return e
+}
+
+func withoutKey(entries []gossip.Entry) []gossip.Entry {
+	var kept []gossip.Entry
+	for _, e := range entries {
+		if e.Key != core.ConfigurationKey {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/sim/network.go
@@ -0,0 +1,82 @@
+package sim
+
+import "time"
+
+// link is one direction between two addresses.
+type link struct{ from, to string }
+
+// outside is the address of clients, receivers and operators.
+const outside = "outside"
+
+// network carries messages.
+type network struct {
+	world  *world
+	cuts   map[link]int // how many troubles cut it
+	loss   float64
+	repeat float64
+	slow   float64 // chance that a message takes long
+}
+
+// Delays of messages.
+const (
+	leastDelay = 500 * time.Microsecond
+	mostDelay  = 8 * time.Millisecond
+	slowDelay  = 700 * time.Millisecond
+)
+
+// carry brings something from one address to another: not at all, once or twice, in any order.
+func (n *network) carry(from, to string, deliver func()) {
+	w := n.world
+	copies := 1
+	if w.random.Float64() < n.loss {
+		copies = 0
+	}
+	if w.random.Float64() < n.repeat {
+		copies++
+	}
+	for range copies {
+		delay := w.between(leastDelay, mostDelay)
+		if w.random.Float64() < n.slow {
+			delay += w.between(0, slowDelay)
+		}
+		w.after(delay, func() {
+			if n.cuts[link{from, to}] == 0 {
+				deliver()
+			}
+		})
+	}
+}
+
+// cut cuts or joins one direction.
+func (n *network) cut(from, to string, by int) { n.cuts[link{from, to}] += by }
+
+// exchange carries a call to the process at an address and its answer back. serve runs at the called process as it is then,
+// and may answer later or never; answered runs at the caller if it still lives.
+func exchange[A any](w *world, from *life, to string, serve func(h *life, reply func(A)), answered func(A)) {
+	w.network.carry(from.host.address, to, func() {
+		h := w.at(to)
+		if h == nil {
+			return
+		}
+		h.step(func(l *life) {
+			serve(l, func(a A) {
+				w.network.carry(to, from.host.address, func() { from.step(func() { answered(a) }) })
+			})
+		})
+	})
+}
+
+// callFromOutside does the same for a caller outside of the cluster.
+func callFromOutside[A any](w *world, to string, serve func(h *life, reply func(A)), answered func(A)) {
+	w.network.carry(outside, to, func() {
+		h := w.at(to)
+		if h == nil {
+			return
+		}
+		h.step(func(l *life) {
+			serve(l, func(a A) {
+				w.network.carry(to, outside, func() { answered(a) })
+			})
+		})
+	})
+}
--- /dev/null
+++ b/internal/sim/store.go
@@ -0,0 +1,291 @@
+package sim
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"emberquay/coordination/budget"
+	"emberquay/coordination/placement"
+	"emberquay/internal/cluster/core"
+	"emberquay/internal/controlstate"
+	"emberquay/internal/storeview"
+	"emberquay/internal/storewire"
+)
+
+// storeRecord is one of a store's disk: one field is set.
+type storeRecord struct {
+	id       string
+	complete bool
+	program  string
+	entry    budget.Entry
+	turn     *storewire.Turn
+	view     *storewire.View
+}
+
+// storeDisk holds records in order.
+type storeDisk struct {
+	synced  []storeRecord
+	pending []storeRecord
+}
+
+func (d *storeDisk) crash(w *world) {
+	if len(d.pending) > 0 {
+		d.synced = append(d.synced, d.pending[:w.random.IntN(len(d.pending)+1)]...)
+	}
+	d.pending = nil
+}
+
+// storeTable is a model of a store: what internal/store does with its table, journal, repair and catch-up.
+type storeTable struct {
+	life     *life
+	id       string
+	complete bool
+	view     storewire.View
+	programs map[string]*budget.Ledger
+	turns    map[string]storewire.Turn
+	pushed   map[string]map[string]bool // while retiring: by what, where it is
+	told     map[string]bool            // while retiring: ids of stores that know all programs
+	syncing  bool
+	waiting  []func()
+	register bool // registered
+}
+
+const (
+	repairInterval   = 500 * time.Millisecond
+	registerInterval = 400 * time.Millisecond
+	peerLimit        = 800 * time.Millisecond
+)
+
+func (l *life) startStore() {
+	w, h := l.host.world, l.host
+	t := &storeTable{life: l, programs: map[string]*budget.Ledger{}, turns: map[string]storewire.Turn{}}
+	l.table = t
+	for _, r := range h.store.synced {
+		t.take(r, true)
+	}
+	if t.id == "" {
+		t.write(storeRecord{id: fmt.Sprintf("%s#%d", h.name, h.wipes)})
+		if h.bootstrap && h.starts == 1 {
+			t.write(storeRecord{complete: true})
+		}
+	}
+	t.sync(func() {})
+	l.later(w.between(0, registerInterval), t.registers)
+	l.later(w.between(0, repairInterval), t.repair)
+}
+
+// take applies a record; again says that it is read from the disk.
+func (t *storeTable) take(r storeRecord, again bool) {
+	switch {
+	case r.id != "":
+		t.id = r.id
+	case r.complete:
+		t.complete = true
+	case r.turn != nil:
+		t.turns[r.turn.ID] = *r.turn
+	case r.view != nil:
+		t.view = *r.view
+	case r.program != "":
+		if again && r.entry.Open && t.life.host.world.has(reserveForgotten) {
+			return
+		}
+		t.ledger(r.program).Merge(r.entry)
+	}
+}
+
+func (t *storeTable) ledger(name string) *budget.Ledger {
+	if t.programs[name] == nil {
+		t.programs[name] = &budget.Ledger{}
+	}
+	return t.programs[name]
+}
+
+// write applies a record and hands it to the disk.
+func (t *storeTable) write(r storeRecord) {
+	t.take(r, false)
+	h := t.life.host
+	h.store.pending = append(h.store.pending, r)
+}
+
+// sync runs something once all that was written is on the disk.
+func (t *storeTable) sync(then func()) {
+	h := t.life.host
+	if len(h.store.pending) == 0 && !t.syncing {
+		then()
+		return
+	}
+	t.waiting = append(t.waiting, then)
+	t.flush()
+}
+
+// flush runs one sync at a time; what comes meanwhile waits for the next.
+func (t *storeTable) flush() {
+	if t.syncing || len(t.waiting) == 0 {
+		return
+	}
+	h := t.life.host
+	t.syncing = true
+	group, count := t.waiting, len(h.store.pending)
+	t.waiting = nil
+	t.life.later(h.world.syncTime(), func() {
+		h.store.synced = append(h.store.synced, h.store.pending[:count]...)
+		h.store.pending = slices.Clone(h.store.pending[count:])
+		t.syncing = false
+		for _, then := range group {
+			then()
+		}
+		t.flush()
+	})
+}
+
+// learn takes a view of the stores.
+func (t *storeTable) learn(e gossipEntry) {
+	if e.Key != core.StoresKey {
+		return
+	}
+	if stores, err := storeview.Read(e); err == nil {
+		t.adopt(storewire.ViewOf(stores))
+	}
+}
+
+func (t *storeTable) adopt(v storewire.View) {
+	if v.Epoch <= t.view.Epoch {
+		return
+	}
+	t.write(storeRecord{view: &v})
+	t.pushed, t.told = map[string]map[string]bool{}, map[string]bool{}
+	if v.Find(t.id) < 0 {
+		t.register = false
+	}
+	t.sync(func() {})
+}
+
+func (t *storeTable) self() (storewire.Member, bool) {
+	at := t.view.Find(t.id)
+	if at < 0 {
+		return storewire.Member{}, false
+	}
+	return t.view.Members[at], true
+}
+
+// registers tells a control node of the store until the view has it.
+func (t *storeTable) registers() {
+	w, h := t.life.host.world, t.life.host
+	if _, in := t.self(); !in && !t.register {
+		store := controlstate.StoreMember{ID: t.id, Node: h.name, Zone: h.zone, Address: h.address}
+		command := controlstate.Command{Kind: controlstate.RegisterStore, Store: store, Bootstrap: h.bootstrap && h.wipes == 0, Tolerance: 1}
+		t.order(command, func(int) {})
+	}
+	t.life.later(w.between(registerInterval, 2*registerInterval), t.registers)
+}
+
+// order proposes a command at some control node.
+func (t *storeTable) order(command controlstate.Command, done func(status int)) {
+	w := t.life.host.world
+	exchange(w, t.life, pick(w, w.of(controlRole)).address, func(l *life, reply func(int)) {
+		if l.replica == nil {
+			return
+		}
+		l.replica.propose(command, func(result controlstate.Result, open bool) {
+			if !open {
+				reply(result.Status)
+			}
+		})
+	}, done)
+}
+
+// admit checks the header of a request. Where it gives false the reply says all there is to say.
+func (t *storeTable) admit(h storewire.Header) (storewire.Reply, bool) {
+	r := storewire.Reply{Complete: t.complete || t.life.host.world.has(incompleteCounts)}
+	switch {
+	case h.Store != t.id:
+		r.Standing = storewire.Foreign
+	case h.Epoch < t.view.Epoch:
+		r.Standing, r.View = storewire.Stale, t.view
+	case h.Epoch > t.view.Epoch:
+		r.Standing = storewire.Busy // until the view has come here
+	default:
+		return r, true
+	}
+	if t.view.Epoch > h.Epoch {
+		r.View = t.view
+	}
+	return r, false
+}
+
+// reserve keeps a reservation and tells what is known.
+func (t *storeTable) reserve(q storewire.ReserveRequest, reply func(storewire.ReserveAnswer)) {
+	r, ok := t.admit(q.Header)
+	if !ok {
+		reply(storewire.ReserveAnswer{Reply: r})
+		return
+	}
+	key := budget.KeyOf(q.Turn)
+	kept := q.Recheck
+	if !q.Recheck {
+		switch t.ledger(q.Program).Find(key) {
+		case budget.Opened:
+			t.write(storeRecord{program: q.Program, entry: budget.Entry{Turn: key, Tokens: q.Most, Open: true}})
+			kept = true
+		case budget.Known:
+			kept = true
+		}
+	}
+	answer := func() {
+		report := t.ledger(q.Program).Report(key, q.Whole)
+		slices.SortFunc(report.Entries, func(a, b budget.Entry) int { return cmp.Compare(a.Turn, b.Turn) })
+		reply(storewire.ReserveAnswer{Reply: r, Kept: kept, Closed: report.Closed, Settled: report.Settled, Digest: int64(report.Digest),
+			Whole: report.Whole, Entries: budget.Pack(nil, report.Entries)})
+	}
+	if t.life.host.world.has(reserveUnsynced) {
+		answer()
+		t.sync(func() {})
+		return
+	}
+	t.sync(answer)
+}
+
+func (t *storeTable) settle(q storewire.SettleRequest, reply func(storewire.Reply)) {
+	r, ok := t.admit(q.Header)
+	if !ok {
+		reply(r)
+		return
+	}
+	for _, s := range q.Settlements {
+		t.write(storeRecord{program: s.Program, entry: budget.Entry{Turn: budget.Key(s.Turn), Tokens: s.Used}})
+	}
+	t.sync(func() { reply(r) })
+}
+
+func (t *storeTable) commit(q storewire.CommitRequest, reply func(storewire.Reply)) {
+	r, ok := t.admit(q.Header)
+	if !ok {
+		reply(r)
+		return
+	}
+	t.write(storeRecord{turn: &q.Turn})
+	t.sync(func() { reply(r) })
+}
+
+func (t *storeTable) history(q storewire.HistoryRequest, reply func(storewire.HistoryAnswer)) {
+	r, ok := t.admit(q.Header)
+	if !ok {
+		reply(storewire.HistoryAnswer{Reply: r})
+		return
+	}
+	_, known := t.turns[q.Turn]
+	t.sync(func() { reply(storewire.HistoryAnswer{Reply: r, Known: known}) })
+}
+
+// sortedTurns and sortedPrograms give names in order, so that no map's order decides.
+func (t *storeTable) sortedTurns() []string    { return slices.Sorted(maps.Keys(t.turns)) }
+func (t *storeTable) sortedPrograms() []string { return slices.Sorted(maps.Keys(t.programs)) }
+
+// belongs says whether a turn is placed at a member, by its place in the view.
+func (t *storeTable) places(x storewire.Turn) []int {
+	order := placesOf(t.view).Order(placement.Key(x.Root), x.Home, nil)
+	return order[:min(len(order), t.view.Copies())]
+}
