--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,288 @@
+package journal_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+
+	"emberquay/internal/journal"
+	"emberquay/internal/vfs"
+	"emberquay/internal/vfs/memfs"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestJournal(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "journal")
+}
+
+const (
+	dir          = "data"
+	segmentBytes = 1024
+	segments     = 4
+)
+
+func options(files vfs.FS) journal.Options {
+	return journal.Options{Files: files, Dir: dir, SegmentBytes: segmentBytes, Segments: segments}
+}
+
+// record is the n-th, of some length.
+func record(n uint64, length int) []byte {
+	b := binary.BigEndian.AppendUint64(nil, n)
+	return append(b, bytes.Repeat([]byte{byte(n)}, length)...)
+}
+
+// numbers opens a journal and gives the numbers of the records found, each checked to be whole.
+func numbers(files vfs.FS) (*journal.Journal, []uint64, error) {
+	var found []uint64
+	j, err := journal.Open(options(files), func(_ journal.Position, b []byte) error {
+		n := binary.BigEndian.Uint64(b)
+		Expect(b).To(Equal(record(n, len(b)-8)))
+		found = append(found, n)
+		return nil
+	})
+	return j, found, err
+}
+
+func mustOpen(files vfs.FS) (*journal.Journal, []uint64) {
+	j, found, err := numbers(files)
+	Expect(err).NotTo(HaveOccurred())
+	return j, found
+}
+
+func mustAppend(j *journal.Journal, n uint64, length int) journal.Position {
+	p, err := j.Append(record(n, length))
+	Expect(err).NotTo(HaveOccurred())
+	return p
+}
+
+func upTo(first, last uint64) []uint64 {
+	var all []uint64
+	for n := first; n <= last; n++ {
+		all = append(all, n)
+	}
+	return all
+}
+
+var _ = Describe("a journal", func() {
+	It("gives records back by position, before and after their sync, and at the next open", func() {
+		files := memfs.New()
+		j, found := mustOpen(files)
+		Expect(found).To(BeEmpty())
+		var positions []journal.Position
+		for n := range uint64(30) {
+			positions = append(positions, mustAppend(j, n, 50))
+			if n == 20 {
+				Expect(j.Sync()).To(Succeed())
+			}
+		}
+		read := func() {
+			for n, p := range positions {
+				Expect(j.Read(p, make([]byte, 10))).To(Equal(record(uint64(n), 50)))
+			}
+		}
+		read()
+		Expect(j.Pending()).To(BeNumerically(">", 0))
+		Expect(j.Sync()).To(Succeed())
+		Expect(j.Pending()).To(BeZero())
+		read()
+		Expect(j.Close()).To(Succeed())
+		j, found = mustOpen(files)
+		Expect(found).To(Equal(upTo(0, 29)))
+		read()
+	})
+
+	It("knows what is at no position", func() {
+		j, _ := mustOpen(memfs.New())
+		p := mustAppend(j, 1, 20)
+		for _, wrong := range []journal.Position{
+			{}, {Segment: 9, Offset: p.Offset, Length: p.Length}, {Segment: p.Segment, Offset: p.Offset + 1, Length: p.Length},
+			{Segment: p.Segment, Offset: p.Offset, Length: p.Length - 1}, {Segment: p.Segment, Offset: p.Offset, Length: 1 << 31},
+		} {
+			_, err := j.Read(wrong, nil)
+			Expect(err).To(MatchError(journal.ErrNotFound))
+		}
+	})
+
+	DescribeTable("refuses records", func(length func(*journal.Journal) int) {
+		j, _ := mustOpen(memfs.New())
+		_, err := j.Append(make([]byte, length(j)))
+		Expect(err).To(MatchError(journal.ErrRecordSize))
+	},
+		Entry("that are empty", func(*journal.Journal) int { return 0 }),
+		Entry("that are too long", func(j *journal.Journal) int { return j.MaxRecord() + 1 }),
+	)
+
+	It("takes the longest record in any segment", func() {
+		files := memfs.New()
+		j, _ := mustOpen(files)
+		for n := range uint64(3) {
+			mustAppend(j, n, j.MaxRecord()-8)
+		}
+		Expect(j.Sync()).To(Succeed())
+		_, found := mustOpen(files)
+		Expect(found).To(Equal(upTo(0, 2)))
+	})
+
+	It("is full until the oldest segment is reclaimed, and stays within its bytes", func() {
+		files := memfs.New()
+		j, _ := mustOpen(files)
+		next, live := uint64(0), uint64(0)
+		for range 20 {
+			for {
+				_, err := j.Append(record(next, 90))
+				if err != nil {
+					Expect(err).To(MatchError(journal.ErrFull))
+					break
+				}
+				next++
+			}
+			Expect(j.Free()).To(BeZero())
+			oldest := j.Oldest()
+			Expect(j.Reclaim(oldest + 1)).To(MatchError(journal.ErrNotOldest))
+			Expect(j.Scan(oldest, func(p journal.Position, b []byte) error {
+				Expect(binary.BigEndian.Uint64(b)).To(Equal(live))
+				Expect(p.Segment).To(Equal(oldest))
+				live++
+				return nil
+			})).To(Succeed())
+			Expect(j.Reclaim(oldest)).To(Succeed())
+			Expect(j.Free()).To(Equal(1))
+			Expect(j.Scan(oldest, nil)).To(MatchError(journal.ErrNotFound))
+		}
+		Expect(j.Sync()).To(Succeed())
+		Expect(files.Used()).To(BeNumerically("<=", segments*segmentBytes))
+		j.Close()
+		_, found := mustOpen(files)
+		// What was reclaimed last and not yet written over may be found once more, before the rest.
+		Expect(found).To(Equal(upTo(found[0], next-1)))
+		Expect(found[0]).To(BeNumerically("<=", live))
+	})
+
+	It("does not reclaim the segment that is written", func() {
+		j, _ := mustOpen(memfs.New())
+		mustAppend(j, 1, 1)
+		Expect(j.Reclaim(j.Oldest())).To(MatchError(journal.ErrNotOldest))
+	})
+
+	It("keeps what a sync did not take for the next one", func() {
+		files := memfs.New()
+		j, _ := mustOpen(files)
+		mustAppend(j, 0, 10)
+		Expect(j.Sync()).To(Succeed())
+		for n, op := range []string{"write", "sync"} {
+			mustAppend(j, uint64(n+1), 10)
+			files.Hook = func(c memfs.Call) memfs.Verdict {
+				if c.Op == op {
+					return memfs.Verdict{Err: syscall.EIO, Partly: 5}
+				}
+				return memfs.Verdict{}
+			}
+			Expect(j.Sync()).To(MatchError(syscall.EIO))
+			files.Hook = nil
+			Expect(j.Sync()).To(Succeed())
+		}
+		_, found := mustOpen(files.After(memfs.Power, rand.New(rand.NewPCG(1, 1))))
+		Expect(found).To(Equal(upTo(0, 2)))
+	})
+
+	It("says that the disk is full, and goes on once it is not", func() {
+		files := memfs.New()
+		j, _ := mustOpen(files)
+		files.Room = segmentBytes
+		for n := range uint64(20) {
+			mustAppend(j, n, 90)
+		}
+		Expect(vfs.IsFull(j.Sync())).To(BeTrue())
+		files.Room = 0
+		Expect(j.Sync()).To(Succeed())
+		_, found := mustOpen(files.After(memfs.Power, rand.New(rand.NewPCG(1, 1))))
+		Expect(found).To(Equal(upTo(0, 19)))
+	})
+
+	It("tells lost bytes of a closed segment, gives what is left, and is whole again after a restart", func() {
+		files := memfs.New()
+		j, _ := mustOpen(files)
+		for n := range uint64(25) {
+			mustAppend(j, n, 90)
+		}
+		Expect(j.Sync()).To(Succeed())
+		j.Close()
+		files.Data("data/ring-0001")[500] ^= 1
+		j, found := mustOpen(files)
+		Expect(j.Damaged()).To(BeTrue())
+		Expect(len(found)).To(BeNumerically("<", 25))
+		Expect(found).To(ContainElement(uint64(24)))
+		Expect(j.Reclaim(j.Oldest())).To(Succeed())
+		Expect(j.Scan(j.Oldest(), func(journal.Position, []byte) error { return nil })).To(Succeed())
+		Expect(j.Restart()).To(Succeed())
+		Expect(j.Damaged()).To(BeFalse())
+		mustAppend(j, 100, 5)
+		Expect(j.Sync()).To(Succeed())
+		j, found = mustOpen(files.After(memfs.Power, rand.New(rand.NewPCG(1, 1))))
+		Expect(j.Damaged()).To(BeFalse())
+		Expect(found).To(Equal([]uint64{100}))
+	})
+
+	It("does not take a record behind a torn one for one of the next process", func() {
+		files := memfs.New()
+		j, _ := mustOpen(files)
+		mustAppend(j, 0, 20)
+		Expect(j.Sync()).To(Succeed())
+		mustAppend(j, 1, 20)
+		behind := mustAppend(j, 2, 20)
+		Expect(j.Sync()).To(Succeed())
+		j.Close()
+		bytesOf := files.Data("data/ring-0000")
+		clear(bytesOf[behind.Offset-32 : behind.Offset-12]) // record 1 never came, 2 did
+		j, found := mustOpen(files)
+		Expect(found).To(Equal([]uint64{0}))
+		for n := uint64(3); n < 6; n++ {
+			mustAppend(j, n, 20)
+			Expect(j.Sync()).To(Succeed())
+			_, found = mustOpen(files)
+			Expect(found).To(Equal(append([]uint64{0}, upTo(3, n)...)))
+		}
+	})
+
+	It("leaves other files of its folder alone", func() {
+		files := memfs.New()
+		files.Put("data/other", []byte("text"))
+		j, _ := mustOpen(files)
+		mustAppend(j, 1, 1)
+		Expect(j.Sync()).To(Succeed())
+		Expect(files.Data("data/other")).To(Equal([]byte("text")))
+	})
+
+	It("may be read and synced by others while it is written", func() {
+		j, _ := mustOpen(memfs.New())
+		positions := make(chan journal.Position, 100)
+		var others sync.WaitGroup
+		others.Go(func() {
+			defer GinkgoRecover()
+			for p := range positions {
+				_, err := j.Read(p, nil)
+				Expect(err).To(Or(BeNil(), MatchError(journal.ErrNotFound)))
+			}
+		})
+		others.Go(func() {
+			defer GinkgoRecover()
+			for range 200 {
+				Expect(j.Sync()).To(Succeed())
+			}
+		})
+		for n := range uint64(500) {
+			for j.Free() < 2 {
+				Expect(j.Reclaim(j.Oldest())).To(Succeed())
+			}
+			positions <- mustAppend(j, n, 40)
+		}
+		close(positions)
+		others.Wait()
+	})
+})
