--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -119,6 +119,8 @@
 		outcome.Kind = dispatch.NotConnected
 	case isTimeout(err):
 		outcome.Kind = dispatch.TimedOut
+	default:
+		v.proxy.attempts.broke(string(send.Instance), v.id, err)
 	}
 	if v.begun && v.unnamed {
 		v.proxy.admission.finished(send, outcome)
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
@@ -93,6 +94,47 @@
 		Entry("without time", "GET /safe/x", []string{"Emberquay-Request-Id: 1", "Emberquay-Deadline-Ms: 0"}, "", 503),
 	)
 
+	It("that waits to send its body is told to go on, and the receiver does not hear of it", func() {
+		p, f := startService("plain", 1, echo)
+		c := p.dial()
+		c.send("POST /unsafe/x", "", "Emberquay-Request-Id: 1", "Expect: 100-continue", "Content-Length: 4")
+		line, err := c.reader.ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line).To(Equal("HTTP/1.1 100 Continue\r\n"))
+		_, err = c.reader.ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		io.WriteString(c, "body")
+		Expect(c.result().body).To(Equal("body"))
+		Expect(f.seen()[0].head.Header).NotTo(HaveKey("Expect"))
+	})
+
+	It("may name its route in the absolute form", func() {
+		p, _ := startService("plain", 1, echo)
+		Expect(p.ask("GET http://"+host+"/safe/x?y", "").status).To(Equal(200))
+	})
+
+	DescribeTable("whose body breaks reaches no receiver",
+		func(body string, answered bool) {
+			p, f := startService("plain", 1, unused)
+			c := p.dial()
+			c.send("POST /unsafe/x", "", "Emberquay-Request-Id: 1", "Transfer-Encoding: chunked")
+			io.WriteString(c, body)
+			c.Conn.(*net.TCPConn).CloseWrite()
+			response, err := http.ReadResponse(c.reader, nil)
+			if answered {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(response.StatusCode).To(Equal(400))
+				Expect(response.Close).To(BeTrue())
+			} else {
+				Expect(err).To(HaveOccurred())
+			}
+			Expect(f.seen()).To(BeEmpty())
+			Expect(p.memory.used.Load()).To(BeZero())
+		},
+		Entry("the client goes", "4\r\nbo", false),
+		Entry("the chunks make no sense", "zz\r\n", true),
+	)
+
 	It("is refused while there is no configuration", func() {
 		p := startPlane(nil)
 		got := p.ask("GET /safe/x", "")
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,6 +23,7 @@
 	pool      *outbound.Pool
 	admission *admission
 	reporter  *reporter
+	attempts  attemptLog
 	front     *front
 	readiness net.Listener
 
@@ -53,6 +54,7 @@
 		memory:   memory{limit: options.BodyMemory},
 		pool:     outbound.NewPool(outbound.Options{MaxOpen: options.MaxReceivers}),
 		random:   rand.New(rand.NewPCG(options.Seed, 0)),
+		attempts: attemptLog{logger: options.Logger},
 		finished: make(chan struct{}),
 	}
 	p.admission = newAdmission(dispatch.New(options.Seed, options.Zone))
