--- /dev/null
+++ b/internal/store/budgets_test.go
@@ -0,0 +1,264 @@
+package store_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/coordination/budget"
+	"emberquay/internal/controlstate"
+	"emberquay/internal/store"
+	"emberquay/internal/storeclient"
+	"emberquay/internal/storewire"
+	"emberquay/internal/vfs/memfs"
+)
+
+// reservation of a budget of 10 that may take 6.
+func reservation(turn string) storeclient.Reservation {
+	return storeclient.Reservation{Program: "p", Turn: turn, Budget: 10, Most: 6}
+}
+
+// attempts reserves under ever new ids.
+type attempts struct {
+	client *storeclient.Client
+	count  int
+}
+
+func (a *attempts) next() storeclient.Verdict {
+	a.count++
+	return a.client.Reserve(ctx, reservation(fmt.Sprint("attempt-", a.count)))
+}
+
+// reserveAt asks one store.
+func reserveAt(c *cluster, n *node, turn string, recheck bool) storewire.ReserveAnswer {
+	GinkgoHelper()
+	answer, err := n.store.Reserve(ctx, storewire.ReserveRequest{
+		Header:  storewire.Header{Epoch: int64(c.view.Epoch), Store: n.store.ID()},
+		Program: "p", Turn: turn, Budget: 10, Most: 6, Recheck: recheck,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return answer
+}
+
+// settleAt tells one store.
+func settleAt(c *cluster, n *node, turn string, used int64) {
+	GinkgoHelper()
+	answer, err := n.store.Settle(ctx, storewire.SettleRequest{
+		Header:      storewire.Header{Epoch: int64(c.view.Epoch), Store: n.store.ID()},
+		Settlements: []storewire.Settlement{{Program: "p", Turn: int64(budget.KeyOf(turn)), Used: used}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(answer.Reply.Standing).To(Equal(storewire.Served))
+}
+
+var _ = Describe("budgets", func() {
+	var c *cluster
+	BeforeEach(func() { c = newCluster(1, "a", "b", "c") })
+
+	It("are granted until what is open or used reaches them", func() {
+		client := c.client("a")
+		Expect(client.Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		Expect(client.Reserve(ctx, reservation("2"))).To(Equal(storeclient.Granted), "6 of 10 are open")
+		Expect(client.Reserve(ctx, reservation("3"))).To(Equal(storeclient.Undecided), "12 of 10 are open")
+		client.Settle("p", "1", 2)
+		client.Settle("p", "2", 3)
+		a := attempts{client: client}
+		Eventually(a.next, patience).Should(Equal(storeclient.Granted), "5 of 10 are used")
+		client.Settle("p", fmt.Sprint("attempt-", a.count), 5)
+		Eventually(a.next, patience).Should(Equal(storeclient.Spent))
+	})
+
+	It("count what a proxy that died had reserved", func() {
+		Expect(c.client("a").Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		Expect(c.client("a").Reserve(ctx, reservation("2"))).To(Equal(storeclient.Granted))
+		Expect(c.client("b").Reserve(ctx, reservation("3"))).To(Equal(storeclient.Undecided))
+	})
+
+	It("are decided by two of three stores, by none alone", func() {
+		c.nodes[1].down.Store(true)
+		Expect(c.client("a").Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		c.nodes[2].down.Store(true)
+		Expect(c.client("a").Reserve(ctx, reservation("2"))).To(Equal(storeclient.Undecided))
+	})
+
+	It("never grant a turn that was settled or withdrawn before", func() {
+		client := c.client("a")
+		for _, n := range c.nodes {
+			settleAt(c, n, "1", 0)
+		}
+		Expect(client.Reserve(ctx, reservation("1"))).To(Equal(storeclient.Undecided))
+		answer := reserveAt(c, c.nodes[0], "1", false)
+		Expect(answer.Kept).To(BeFalse())
+		Expect(answer.Closed).To(BeTrue())
+	})
+
+	It("keep nothing of a turn that is refused", func() {
+		client := c.client("a")
+		Expect(client.Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		Expect(client.Reserve(ctx, reservation("2"))).To(Equal(storeclient.Granted))
+		Expect(client.Reserve(ctx, reservation("3"))).To(Equal(storeclient.Undecided))
+		for _, n := range c.nodes {
+			Eventually(func() bool { return reserveAt(c, n, "3", true).Closed }, patience).Should(BeTrue())
+		}
+	})
+
+	It("are told of settlements once a store can be reached again", func() {
+		client := c.client("a")
+		Expect(client.Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		c.nodes[2].down.Store(true)
+		client.Settle("p", "1", 4)
+		Eventually(func() bool { return reserveAt(c, c.nodes[0], "1", true).Closed }, patience).Should(BeTrue())
+		c.nodes[2].down.Store(false)
+		Eventually(func() bool { return reserveAt(c, c.nodes[2], "1", true).Closed }, patience).Should(BeTrue())
+	})
+
+	It("are known after restarts of all", func() {
+		client := c.client("a")
+		Expect(client.Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		Expect(client.Reserve(ctx, reservation("2"))).To(Equal(storeclient.Granted))
+		for _, n := range c.nodes {
+			n.restart(memfs.Process, nil)
+		}
+		Expect(client.Reserve(ctx, reservation("3"))).To(Equal(storeclient.Undecided))
+	})
+
+	It("are exact where lists are long and differ", func() {
+		const many = 100
+		for at := range many {
+			for _, n := range c.nodes {
+				settleAt(c, n, fmt.Sprint("old", at), 1)
+			}
+		}
+		for at := range 2 {
+			settleAt(c, c.nodes[at], "x", 1)
+			settleAt(c, c.nodes[at+1], "y", 1)
+		}
+		client := c.client("a")
+		wide := func(turn string, tokens int64) storeclient.Verdict {
+			return client.Reserve(ctx, storeclient.Reservation{Program: "p", Turn: turn, Budget: tokens, Most: 1})
+		}
+		Expect(wide("spent", many+2)).To(Equal(storeclient.Spent))
+		tries := 0
+		Eventually(func() storeclient.Verdict {
+			tries++
+			return wide(fmt.Sprint("one left", tries), many+3)
+		}, patience).Should(Equal(storeclient.Granted), "once those refused before are withdrawn")
+	})
+
+	It("are forgotten long after a program was last heard of", func() {
+		client := c.client("a")
+		Expect(client.Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		c.pass(100 * time.Second)
+		c.rounds(2)
+		Expect(c.nodes[0].store.ProgramsKnown()).To(Equal(1))
+		c.pass(21 * time.Second)
+		c.rounds(2)
+		for _, n := range c.nodes {
+			Expect(n.store.ProgramsKnown()).To(BeZero())
+		}
+	})
+
+	It("hold when many turns race through several proxies", func() {
+		const budgetTokens, most, racers = 40, 7, 12
+		granted := make(chan string, racers)
+		var racing sync.WaitGroup
+		for at := range racers {
+			client := c.client(c.nodes[at%3].zone)
+			racing.Add(1)
+			go func() {
+				defer racing.Done()
+				turn := fmt.Sprint("racer-", at)
+				r := storeclient.Reservation{Program: "race", Turn: turn, Budget: budgetTokens, Most: most}
+				if client.Reserve(ctx, r) == storeclient.Granted {
+					granted <- turn
+				}
+			}()
+		}
+		racing.Wait()
+		Expect(len(granted) * most).To(BeNumerically("<", budgetTokens+most))
+	})
+})
+
+var _ = Describe("a fence", func() {
+	It("refuses an older view, and gives the newer one", func() {
+		c := newCluster(1, "a", "b", "c")
+		client := c.client("a")
+		old := storewire.Header{Epoch: int64(c.view.Epoch), Store: c.nodes[0].store.ID()}
+		c.nodes[2].wipe()
+		c.spread()
+		answer, err := c.nodes[0].store.Reserve(ctx, storewire.ReserveRequest{Header: old, Program: "p", Turn: "1", Budget: 10, Most: 6})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Reply.Standing).To(Equal(storewire.Stale))
+		Expect(answer.Reply.View.Epoch).To(Equal(int64(c.view.Epoch)))
+		Expect(answer.Kept).To(BeFalse())
+		Expect(client.Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted), "the client takes the view over")
+	})
+
+	It("is kept over a loss of power", func() {
+		c := newCluster(1, "a", "b", "c")
+		n := c.nodes[0]
+		newer := storewire.Header{Epoch: int64(c.view.Epoch) + 5, Store: n.store.ID()}
+		_, err := n.store.History(ctx, storewire.HistoryRequest{Header: newer, Turn: "x"})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(n.newer.Load, patience).Should(Equal(uint64(newer.Epoch)), "the owner is asked for the view")
+		n.restart(memfs.Power, rand.New(rand.NewPCG(3, 1)))
+		older := storewire.Header{Epoch: newer.Epoch - 1, Store: n.store.ID()}
+		answer, err := n.store.Commit(ctx, storewire.CommitRequest{Header: older, Turn: storewire.Turn{ID: "x", Root: "x"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Reply.Standing).To(Equal(storewire.Stale))
+		same, err := n.store.Commit(ctx, storewire.CommitRequest{Header: newer, Turn: storewire.Turn{ID: "x", Root: "x"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(same.Reply.Standing).To(Equal(storewire.Served))
+	})
+
+	It("serves nothing that was meant for another disk", func() {
+		c := newCluster(1, "a", "b", "c")
+		old := storewire.Header{Epoch: int64(c.view.Epoch), Store: c.nodes[0].store.ID()}
+		c.nodes[0].wipe()
+		answer, err := c.nodes[0].store.History(ctx, storewire.HistoryRequest{Header: old, Turn: "x"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Reply.Standing).To(Equal(storewire.Foreign))
+	})
+})
+
+var _ = Describe("a disk that was used before", func() {
+	It("keeps its id; an empty one draws another", func() {
+		disk := memfs.New()
+		options := store.Options{Files: disk, Dir: "data", DiskBytes: 1, Bootstrap: true, RepairInterval: -1}
+		first, err := store.Start(options)
+		Expect(err).NotTo(HaveOccurred())
+		id := first.ID()
+		Expect(first.Complete()).To(BeTrue())
+		Expect(first.Close()).To(Succeed())
+		options.Files = disk.After(memfs.Power, rand.New(rand.NewPCG(3, 1)))
+		options.Bootstrap = false
+		again, err := store.Start(options)
+		Expect(err).NotTo(HaveOccurred())
+		defer again.Close()
+		Expect(again.ID()).To(Equal(id))
+		Expect(again.Complete()).To(BeTrue())
+		options.Files = memfs.New()
+		other, err := store.Start(options)
+		Expect(err).NotTo(HaveOccurred())
+		defer other.Close()
+		Expect(other.ID()).NotTo(Equal(id))
+		Expect(other.Complete()).To(BeFalse())
+	})
+
+	It("ignores an older view", func() {
+		c := newCluster(1, "a", "b", "c")
+		old := c.view
+		c.retire("store-2")
+		c.spread()
+		c.nodes[0].store.SetView(old)
+		c.nodes[0].store.SetView(controlstate.StoreView{})
+		answer, err := c.nodes[0].store.History(ctx, storewire.HistoryRequest{
+			Header: storewire.Header{Epoch: 1, Store: c.nodes[0].store.ID()}, Turn: "x"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Reply.View.Epoch).To(Equal(int64(c.view.Epoch)))
+	})
+})
--- a/internal/store/cluster_test.go
+++ b/internal/store/cluster_test.go
@@ -115,6 +115,8 @@
 	for _, m := range c.view.Members {
 		if m.Node != n.name {
 			members = append(members, m)
+		} else {
+			member.Replaced = true
 		}
 	}
 	c.view.Members = append(members, member)
--- /dev/null
+++ b/internal/store/repair_test.go
@@ -0,0 +1,336 @@
+package store_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/internal/controlstate"
+	"emberquay/internal/storeclient"
+	"emberquay/internal/vfs/memfs"
+)
+
+var _ = Describe("a store that lost its disk", func() {
+	var c *cluster
+	BeforeEach(func() { c = newCluster(1, "a", "b", "c") })
+
+	It("is incomplete until it has compared with all others", func() {
+		client := c.client("a")
+		ids := chain(client, "talk", 20)
+		Expect(client.Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		held := c.nodes[0].store.Turns()
+		c.nodes[0].wipe()
+		c.spread()
+		Expect(reserveAt(c, c.nodes[0], "x", true).Reply.Complete).To(BeFalse())
+		c.nodes[1].down.Store(true)
+		Expect(c.nodes[0].store.Round(0)).To(BeTrue(), "it goes on at once")
+		Expect(c.nodes[0].store.Complete()).To(BeFalse())
+		c.nodes[1].down.Store(false)
+		Expect(c.nodes[0].store.Round(1)).To(BeFalse())
+		Expect(c.nodes[0].store.Complete()).To(BeTrue())
+		Expect(c.nodes[0].store.Turns()).To(Equal(held))
+		Expect(reserveAt(c, c.nodes[0], "x", true).Entries).NotTo(BeEmpty())
+		c.expectFound(ids)
+	})
+
+	It("begins anew after a restart in the middle, and stays complete after one at the end", func() {
+		chain(c.client("a"), "talk", 5)
+		c.nodes[0].wipe()
+		c.spread()
+		c.nodes[0].restart(memfs.Power, rand.New(rand.NewPCG(3, 1)))
+		Expect(c.nodes[0].store.Complete()).To(BeFalse())
+		c.nodes[0].store.Round(0)
+		Expect(c.nodes[0].store.Complete()).To(BeTrue())
+		c.nodes[0].restart(memfs.Power, rand.New(rand.NewPCG(3, 1)))
+		Expect(c.nodes[0].store.Complete()).To(BeTrue())
+		Expect(c.nodes[0].store.Turns()).To(Equal(5))
+	})
+
+	It("takes writes meanwhile", func() {
+		c.nodes[0].wipe()
+		c.spread()
+		ids := chain(c.client("a"), "talk", 3)
+		Expect(c.nodes[0].store.Turns()).To(Equal(3))
+		c.expectFound(ids)
+	})
+
+	It("brings many turns back", func() {
+		client := c.client("a")
+		for at := range 60 {
+			t := turnOf(fmt.Sprint("big", at), "", "")
+			t.Input = []byte(strings.Repeat("x", 50<<10))
+			Expect(client.Commit(ctx, t)).To(Succeed())
+		}
+		c.nodes[0].wipe()
+		c.spread()
+		Expect(c.nodes[0].store.Round(0)).To(BeFalse())
+		Expect(c.nodes[0].store.Turns()).To(Equal(60))
+	})
+
+	It("does not come back knowing less than another one after it needs", func() {
+		// A turn is at two stores; the disks of both are lost, one after the other.
+		for at := range 3 {
+			ids := chain(c.client("a"), fmt.Sprint("talk", at), 3)
+			for _, n := range c.nodes {
+				n.wipe()
+				c.spread()
+				Expect(n.store.Round(0)).To(BeFalse())
+				Expect(n.store.Complete()).To(BeTrue())
+				c.expectFound(ids)
+			}
+		}
+	})
+
+	It("takes over a turn that was written past its places", func() {
+		// Written while the first store was down, the turn is at the other two; one of them loses its disk before the
+		// first has got the turn.
+		c.nodes[0].down.Store(true)
+		ids := chain(c.client("a"), "talk", 1)
+		c.nodes[0].down.Store(false)
+		for _, at := range []int{1, 2} {
+			c.nodes[at].wipe()
+			c.spread()
+			Expect(c.nodes[at].store.Round(0)).To(BeFalse())
+			Expect(c.lookUp(ids[0])).To(Equal(storeclient.Found))
+		}
+	})
+})
+
+var _ = Describe("repair", func() {
+	var c *cluster
+	BeforeEach(func() { c = newCluster(1, "a", "b", "c") })
+
+	It("is one message where nothing differs", func() {
+		chain(c.client("a"), "talk", 10)
+		c.pass(5 * time.Second)
+		c.rounds(4)
+		Expect(c.counted("compare")).To(Equal(12))
+		Expect(c.counted("offer")).To(BeZero())
+		Expect(c.counted("push")).To(BeZero())
+	})
+
+	It("brings a turn to its places", func() {
+		c.nodes[0].down.Store(true)
+		chain(c.client("a"), "talk", 10)
+		c.nodes[0].down.Store(false)
+		Expect(c.nodes[0].store.Turns()).To(BeZero())
+		c.pass(5 * time.Second)
+		c.rounds(3)
+		Expect(c.nodes[0].store.Turns()).To(Equal(10))
+		c.rounds(3)
+		before := c.counted("offer")
+		c.rounds(3)
+		Expect(c.counted("offer")).To(Equal(before), "what is at its places is not offered again")
+	})
+
+	It("tells of reservations and settlements that a store has missed", func() {
+		c.nodes[0].down.Store(true)
+		Expect(c.client("a").Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		c.nodes[0].down.Store(false)
+		settleAt(c, c.nodes[1], "1", 4)
+		c.pass(5 * time.Second)
+		c.rounds(4)
+		for _, n := range c.nodes {
+			answer := reserveAt(c, n, "other", true)
+			Expect(answer.Settled).To(Equal(int64(4)))
+		}
+	})
+
+	It("moves turns when a store joins", func() {
+		chains := map[string][]string{}
+		for at := range 20 {
+			name := fmt.Sprint("talk", at)
+			chains[name] = chain(c.client("a"), name, 2)
+		}
+		n := c.add("store-3", "d")
+		n.start(false)
+		c.join(n)
+		c.spread()
+		Expect(n.store.Complete()).To(BeFalse())
+		n.store.Round(0)
+		Expect(n.store.Complete()).To(BeTrue())
+		c.pass(5 * time.Second)
+		c.rounds(4)
+		Expect(n.store.Turns()).To(BeNumerically(">", 0))
+		for _, ids := range chains {
+			c.expectFound(ids)
+		}
+	})
+})
+
+var _ = Describe("a store that retires", func() {
+	var c *cluster
+	BeforeEach(func() { c = newCluster(1, "a", "b", "c", "d") })
+
+	// emptied retires the first store.
+	emptied := func() *node {
+		n := c.nodes[0]
+		c.retire(n.name)
+		c.spread()
+		return n
+	}
+
+	It("is emptied before it says so", func() {
+		client := c.client("a")
+		ids := chain(client, "talk", 10)
+		Expect(client.Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		n := emptied()
+		Expect(n.store.Round(0)).To(BeFalse())
+		Expect(n.retired.Load()).To(Equal(int32(1)))
+		c.remove(n.name)
+		n.down.Store(true)
+		c.spread()
+		for _, other := range c.nodes[1:] {
+			other.wipe()
+			c.spread()
+			Expect(other.store.Round(0)).To(BeFalse())
+			history, verdict := c.client("b").History(ctx, ids[9])
+			Expect(verdict).To(Equal(storeclient.Found))
+			Expect(string(history.Body)).To(Equal(textOf(ids)))
+			Expect(reserveAt(c, other, "other", true).Entries).NotTo(BeEmpty())
+		}
+	})
+
+	DescribeTable("is not emptied while what it holds is not safe elsewhere",
+		func(prepare func(method, address string) error) {
+			client := c.client("a")
+			chain(client, "talk", 10)
+			Expect(client.Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+			n := emptied()
+			c.failing(prepare)
+			Expect(n.store.Round(0)).To(BeTrue())
+			Expect(n.retired.Load()).To(BeZero())
+			c.failing(nil)
+			Expect(n.store.Round(1)).To(BeFalse())
+			Expect(n.retired.Load()).To(Equal(int32(1)))
+		},
+		Entry("a store is cut off", func(method, address string) error {
+			if address == "store-2:1" {
+				return errCut
+			}
+			return nil
+		}),
+		Entry("turns can't be pushed", func(method, _ string) error {
+			if method == "push" {
+				return errCut
+			}
+			return nil
+		}),
+		Entry("nothing can be offered", func(method, _ string) error {
+			if method == "offer" {
+				return errCut
+			}
+			return nil
+		}),
+	)
+
+	It("takes nothing new, and still serves reads", func() {
+		ids := chain(c.client("a"), "talk", 3)
+		n := emptied()
+		for _, other := range c.nodes[1:] {
+			if other.store.Turns() > 0 {
+				other.down.Store(true)
+			}
+		}
+		c.expectFound(ids)
+		before := n.store.Turns()
+		chain(c.client("a"), "later", 3)
+		Expect(n.store.Turns()).To(Equal(before))
+	})
+
+	It("is not emptied while its own disk lacks what it should hold", func() {
+		chain(c.client("a"), "talk", 3)
+		n := emptied()
+		n.wipe()
+		c.retire(n.name)
+		c.spread()
+		c.nodes[1].down.Store(true)
+		n.store.Round(0)
+		Expect(n.retired.Load()).To(BeZero())
+		c.nodes[1].down.Store(false)
+		n.store.Round(1)
+		n.store.Round(2)
+		Expect(n.retired.Load()).To(Equal(int32(1)))
+	})
+})
+
+var _ = Describe("a machine that is removed with what it held", func() {
+	It("makes its turns unsure, not missing, until the others have compared", func() {
+		c := newCluster(1, "a", "b", "c", "d")
+		var ids []string
+		for at := range 20 {
+			ids = append(ids, chain(c.client("a"), fmt.Sprint("talk", at), 1)[0])
+		}
+		// The clients' own store has one copy of each turn; it goes for good.
+		gone := c.nodes[0]
+		gone.down.Store(true)
+		c.remove(gone.name)
+		c.nodes = c.nodes[1:]
+		c.spread()
+		for _, id := range ids {
+			Expect(c.lookUp(id)).To(Equal(storeclient.Found))
+		}
+		Expect(c.lookUp("unheard")).To(Equal(storeclient.Unsure))
+		for _, n := range c.nodes {
+			Expect(n.store.Round(0)).To(BeFalse())
+		}
+		Expect(c.lookUp("unheard")).To(Equal(storeclient.Missing))
+		for _, n := range c.nodes {
+			n.down.Store(true)
+			for _, id := range ids {
+				Expect(c.lookUp(id)).To(Equal(storeclient.Found), "each is at two stores again")
+			}
+			n.down.Store(false)
+		}
+	})
+
+	It("is not one whose successor took its place", func() {
+		c := newCluster(1, "a", "b", "c")
+		c.nodes[2].wipe()
+		c.spread()
+		Expect(c.lookUp("unheard")).To(Equal(storeclient.Missing))
+	})
+})
+
+var _ = Describe("views that follow each other", func() {
+	It("lose nothing while machines are replaced one by one", func() {
+		c := newCluster(1, "a", "b", "c")
+		ids := chain(c.client("a"), "talk", 5)
+		Expect(c.client("a").Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		for at := range 3 {
+			c.retire(c.nodes[0].name)
+			n := c.add(fmt.Sprint("next-", at), c.nodes[0].zone)
+			n.start(false)
+			c.join(n)
+			c.spread()
+			n.store.Round(0)
+			Expect(n.store.Complete()).To(BeTrue())
+			old := c.nodes[0]
+			Expect(old.store.Round(0)).To(BeFalse())
+			Expect(old.retired.Load()).To(BeNumerically(">", 0))
+			old.down.Store(true)
+			c.remove(old.name)
+			c.nodes = c.nodes[1:]
+			c.spread()
+			c.rounds(2)
+			c.expectFound(ids)
+			Expect(reserveAt(c, n, "other", true).Entries).NotTo(BeEmpty())
+		}
+		Expect(c.view.Members).To(HaveLen(3))
+	})
+
+	It("don't let a client work by a view that is over", func() {
+		c := newCluster(1, "a", "b", "c")
+		client := c.client("a")
+		old := c.view
+		c.change(func(m []controlstate.StoreMember) []controlstate.StoreMember { return m })
+		c.spread()
+		client.SetView(old)
+		Expect(client.Commit(ctx, turnOf("x", "", ""))).To(Succeed())
+		Expect(c.lookUp("x")).To(Equal(storeclient.Found))
+	})
+})
