--- a/internal/journal/crash_test.go
+++ b/internal/journal/crash_test.go
@@ -25,6 +25,51 @@
 	})
 })
 
+// losses is how many losses of power are drawn for the shortest story that could bring a lost record back.
+const losses = 4000
+
+var _ = Describe("a record that was lost", func() {
+	It("does not come back behind one of a later process", func() {
+		for seed := range uint64(losses) {
+			random := rand.New(rand.NewPCG(seed, 6))
+			files := memfs.New()
+			j, _ := mustOpen(files)
+			mustAppend(j, 0, 4)
+			Expect(j.Sync()).To(Succeed())
+			for n := uint64(1); n < 7; n += 3 {
+				files = loseBehind(files, random, n)
+			}
+			_, found := mustOpen(files)
+			for at := 1; at < len(found); at++ {
+				if found[at]%3 == 2 { // it was appended right behind the one before
+					Expect(found[at-1]).To(Equal(found[at]-1), fmt.Sprintf("seed %d: %v", seed, found))
+				}
+			}
+		}
+	})
+})
+
+// loseBehind appends two records, loses power, and appends one of any length.
+func loseBehind(files *memfs.Mem, random *rand.Rand, n uint64) *memfs.Mem {
+	j, _ := mustOpen(chopping{files, random})
+	mustAppend(j, n, 16)
+	mustAppend(j, n+1, 16)
+	calls := random.IntN(16)
+	files.Hook = func(memfs.Call) memfs.Verdict {
+		calls--
+		return memfs.Verdict{Crash: calls < 0}
+	}
+	if j.Sync() == nil {
+		files.Hook = nil
+	}
+	files = files.After(memfs.Power, random)
+	j, _ = mustOpen(files)
+	mustAppend(j, n+2, 4+pieceBytes*random.IntN(4))
+	Expect(j.Sync()).To(Succeed())
+	Expect(j.Close()).To(Succeed())
+	return files
+}
+
 // model is what must be found: records from kept on, up to synced at least and appended at most, each as it was appended
 // last. A record that was lost has its number given again, to one of other bytes.
 type model struct {
