--- /dev/null
+++ b/coordination/view/paxos_test.go
@@ -0,0 +1,119 @@
+package view_test
+
+import (
+	"math/rand/v2"
+
+	"emberquay/coordination/view"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func ballot(round int64, proposer view.MemberID) view.Ballot {
+	return view.Ballot{Round: round, Proposer: proposer}
+}
+
+var _ = Describe("an acceptor", func() {
+	DescribeTable("promises", func(promised, asked view.Ballot, expected bool) {
+		a := view.Acceptor[string]{Promised: promised}
+		Expect(a.Prepare(asked)).To(Equal(expected))
+		Expect(a.Sealed()).To(BeTrue())
+		if expected {
+			Expect(a.Promised).To(Equal(asked))
+		} else {
+			Expect(a.Promised).To(Equal(promised))
+		}
+	},
+		Entry("at first", view.Ballot{}, ballot(1, 1), true),
+		Entry("the same again", ballot(1, 1), ballot(1, 1), true),
+		Entry("a later round", ballot(1, 2), ballot(2, 1), true),
+		Entry("a later proposer of the round", ballot(1, 1), ballot(1, 2), true),
+		Entry("no earlier round", ballot(2, 1), ballot(1, 2), false),
+		Entry("no earlier proposer of the round", ballot(1, 2), ballot(1, 1), false),
+	)
+
+	DescribeTable("accepts", func(promised, asked view.Ballot, expected bool) {
+		a := view.Acceptor[string]{Promised: promised, Accepted: ballot(1, 1), Value: "old"}
+		Expect(a.Accept(asked, "new")).To(Equal(expected))
+		if expected {
+			Expect(a).To(Equal(view.Acceptor[string]{Promised: asked, Accepted: asked, Value: "new"}))
+		} else {
+			Expect(a).To(Equal(view.Acceptor[string]{Promised: promised, Accepted: ballot(1, 1), Value: "old"}))
+		}
+	},
+		Entry("what it promised", ballot(2, 1), ballot(2, 1), true),
+		Entry("a later ballot", ballot(2, 1), ballot(3, 1), true),
+		Entry("no earlier one", ballot(3, 1), ballot(2, 2), false),
+	)
+
+	It("is open before it has promised anything", func() {
+		Expect((&view.Acceptor[string]{}).Sealed()).To(BeFalse())
+	})
+})
+
+var _ = Describe("a proposer", func() {
+	It("has a majority once, and counts nobody twice", func() {
+		p := view.NewProposer[string](ballot(1, 1), 2)
+		Expect(p.Promise(1, view.Ballot{}, "")).To(BeFalse())
+		Expect(p.Promise(1, view.Ballot{}, "")).To(BeFalse())
+		Expect(p.Accepted(1)).To(BeFalse(), "nothing is proposed yet")
+		Expect(p.Promise(2, view.Ballot{}, "")).To(BeTrue())
+		Expect(p.Promise(3, view.Ballot{}, "")).To(BeFalse())
+		_, found := p.Found()
+		Expect(found).To(BeFalse())
+		p.Begin("value")
+		Expect(p.Accepted(3)).To(BeFalse())
+		Expect(p.Accepted(3)).To(BeFalse())
+		Expect(p.Accepted(1)).To(BeTrue())
+		Expect(p.Accepted(2)).To(BeFalse())
+	})
+
+	It("finds the value of the latest ballot that anyone accepted", func() {
+		p := view.NewProposer[string](ballot(9, 1), 3)
+		p.Promise(1, ballot(2, 5), "second")
+		p.Promise(2, ballot(3, 1), "third")
+		p.Promise(3, ballot(1, 9), "first")
+		value, found := p.Found()
+		Expect(found).To(BeTrue())
+		Expect(value).To(Equal("third"))
+	})
+
+	It("never decides two values, whatever is lost and however ballots cross", func() {
+		for seed := range uint64(3000) {
+			Expect(len(decisions(rand.New(rand.NewPCG(seed, 3))))).To(BeNumerically("<=", 1), "seed %d", seed)
+		}
+	})
+})
+
+// decisions runs proposers against five acceptors, a step of any of them at a time, and gives the values decided.
+func decisions(random *rand.Rand) map[int64]bool {
+	acceptors := make([]view.Acceptor[int64], 5)
+	proposers := make([]*view.Proposer[int64], 3)
+	decided := map[int64]bool{}
+	round := int64(0)
+	for range 200 {
+		at := random.IntN(len(proposers))
+		p := proposers[at]
+		if p == nil || random.IntN(25) == 0 {
+			round++
+			proposers[at] = view.NewProposer[int64](ballot(round, view.MemberID(at+1)), 3)
+			continue
+		}
+		id := random.IntN(len(acceptors))
+		a := &acceptors[id]
+		if p.Begun() {
+			if a.Accept(p.Ballot, p.Value()) && p.Accepted(view.MemberID(id+1)) {
+				decided[p.Value()] = true
+			}
+			continue
+		}
+		if a.Prepare(p.Ballot) && p.Promise(view.MemberID(id+1), a.Accepted, a.Value) {
+			value, found := p.Found()
+			if !found {
+				value = p.Ballot.Round
+			}
+			p.Begin(value)
+		}
+	}
+	return decided
+}
