Data plane: the own zone is preferred, bounds follow the machine's limits

Cause: the proxy was never told its zone, so no receiver was near; its bounds on clients, receivers and bodies were defaults, above what a machine with few descriptors has. Change: Zone and the shares of max_fds and memory_mb; the receivers are handed over anew when the number of proxies changes.

--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -32,6 +32,14 @@
 // readyPollInterval is the time between two looks whether a starting plane knows enough to serve.
 const readyPollInterval = 50 * time.Millisecond
 
+// The shares of the machine's limits that the proxy may take. What is left is for the other process of the machine,
+// internal connections, files and the heap.
+const (
+	bodyShare     = 0.15 // of the memory, for bodies in hand
+	clientShare   = 0.4  // of the descriptors, for connections of clients
+	receiverShare = 0.25 // of the descriptors, for connections to receivers
+)
+
 // Plane is a running data plane.
 type Plane struct {
 	settings *settings.Node
@@ -86,10 +94,14 @@
 	p.stores = storeclient.New(storeclient.Options{Caller: storewire.NewCaller(p.client), Zone: p.settings.Zone})
 	p.proxy, err = proxy.New(proxy.Options{
 		Front: p.settings.Listen.Front, Readiness: p.settings.Listen.Readiness,
-		Stores: p.stores, Logger: p.log, Seed: maphash.Comparable(maphash.MakeSeed(), p.settings.Name),
+		Stores: p.stores, Logger: p.log, Zone: p.settings.Zone,
+		Seed:          maphash.Comparable(maphash.MakeSeed(), p.settings.Name),
 		LiveProxies:   func() int { return max(1, p.assignment.live()) },
 		Assigned:      p.assignment.assigned,
 		PublishReport: p.publishReport,
+		BodyMemory:    int64(bodyShare * float64(p.settings.Limits.MemoryMB<<20)),
+		MaxClients:    int(clientShare * float64(p.settings.Limits.MaxFDs)),
+		MaxReceivers:  int(receiverShare * float64(p.settings.Limits.MaxFDs)),
 	})
 	if err != nil {
 		return err
@@ -154,6 +166,7 @@
 func (p *Plane) takeNode(n cluster.Node) {
 	if n.Role == cluster.Proxy {
 		p.assignment.setProxy(n.Name, n.Zone, n.Live())
+		p.feed.changed() // each proxy's part of the receivers' connections is another one now
 	}
 }
 
