Chain: conformance tables; who joins is in the chain at once; replica: seeds may change

A joining node was added outside the chain first, since heartbeats didn't name it among those heard; it came into the chain by a second view. Replica tests: a disk that takes nothing, all killed at once, calls that end.

--- /dev/null
+++ b/coordination/chain/conformance_test.go
@@ -0,0 +1,432 @@
+package chain_test
+
+import (
+	"time"
+
+	"emberquay/coordination/chain"
+	"emberquay/coordination/view"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func is[M chain.Message](e chain.Envelope) bool {
+	_, ok := e.Body.(M)
+	return ok
+}
+
+var _ = Describe("the first start", func() {
+	It("is epoch 1 with the seeds, on each disk before anything is sent", func() {
+		t := newTrio("a", "b", "c")
+		for _, name := range t.seeds {
+			Expect(t.nodes[name].View().Epoch).To(Equal(int64(1)))
+			Expect(t.nodes[name].View()).To(Equal(t.nodes["a"].View()))
+			Expect(addresses(t.nodes[name].View())).To(Equal([]string{"a", "b", "c"}))
+			Expect(t.nodes[name].Self().ID).To(Equal(chain.FirstID(name)))
+			Expect(t.disks[name][0]).To(BeAssignableToTypeOf(chain.Identity{}))
+			Expect(t.disks[name][1]).To(BeAssignableToTypeOf(chain.Adoption{}))
+		}
+		Expect(t.commits["b"]).To(HaveLen(1))
+	})
+
+	It("takes in who is no seed", func() {
+		t := newTrio("a", "b", "c")
+		t.start("d", true)
+		t.pass(time.Second)
+		Expect(addresses(t.view())).To(Equal([]string{"a", "b", "c", "d"}))
+		Expect(t.view().Initial).To(Equal(3))
+		t.propose("d", 0, 5)
+		Expect(t.answers("d")).To(Equal([]int{1}))
+	})
+
+	It("works for one node alone", func() {
+		t := newTrio("a")
+		t.propose("a", 0, 5)
+		t.propose("a", 0, 6)
+		t.read("a")
+		Expect(t.answers("a")).To(Equal([]int{1, -1, 101}))
+	})
+})
+
+var _ = Describe("a write", func() {
+	It("goes down the chain and its commit back up, each entry on the disk before it is passed on", func() {
+		t := newTrio("a", "b", "c")
+		since := len(t.sent)
+		t.propose("c", 0, 5)
+		Expect(t.kinds(since)).To(Equal([]string{
+			"c->a chain.Propose", "a->b chain.Append", "b->c chain.Append",
+			"c->b chain.Ack", "b->a chain.Ack", "a->c chain.Result",
+		}))
+		Expect(t.answers("c")).To(Equal([]int{1}))
+		for _, name := range t.seeds {
+			last := t.disks[name][len(t.disks[name])-1]
+			Expect(last).To(BeAssignableToTypeOf(chain.Addition{}))
+			Expect(t.commits[name][len(t.commits[name])-1].Sequence).To(Equal(int64(1)))
+		}
+	})
+
+	It("comes alone: the next one waits for its commit", func() {
+		t := newTrio("a", "b", "c")
+		t.lost = is[chain.Append]
+		t.propose("a", 0, 5)
+		t.propose("b", 1, 6)
+		sequence, committed := t.nodes["a"].Position()
+		Expect([]int64{sequence, committed}).To(Equal([]int64{1, 0}))
+		t.heal()
+		t.pass(300 * time.Millisecond)
+		Expect(t.answers("a")).To(Equal([]int{1}))
+		Expect(t.answers("b")).To(Equal([]int{2}))
+	})
+
+	DescribeTable("is answered once though messages are lost", func(lose func(chain.Envelope) bool) {
+		t := newTrio("a", "b", "c")
+		t.lost = lose
+		t.propose("b", 0, 5)
+		Expect(t.answers("b")).To(BeEmpty())
+		t.heal()
+		t.pass(time.Second)
+		Expect(t.answers("b")).To(Equal([]int{1}))
+		Expect(t.view().Epoch).To(Equal(int64(1)))
+	},
+		Entry("to the head", is[chain.Propose]),
+		Entry("down the chain", is[chain.Append]),
+		Entry("up the chain", is[chain.Ack]),
+		Entry("to who asked", is[chain.Result]),
+	)
+
+	It("that was carried out is not carried out again when it comes again", func() {
+		t := newTrio("a", "b", "c")
+		since := len(t.sent)
+		t.propose("b", 0, 5)
+		again := t.sent[since]
+		Expect(is[chain.Propose](again)).To(BeTrue())
+		out := t.nodes["a"].Step(t.now, again)
+		Expect(out.Persist).To(BeEmpty())
+		Expect(out.Send[0].Body.(chain.Result).Verdict).To(Equal(chain.Done))
+	})
+
+	It("whose head dies is brought to the next one", func() {
+		t := newTrio("a", "b", "c")
+		t.lost = func(e chain.Envelope) bool { return is[chain.Result](e) }
+		t.propose("b", 0, 5)
+		t.stop("a")
+		t.heal()
+		t.pass(2 * time.Second)
+		Expect(t.answers("b")).To(Equal([]int{1}))
+		Expect(t.head()).To(Equal("b"))
+		_, values := t.nodes["b"].Position()
+		Expect(values).To(Equal(int64(1)), "it was carried out once")
+	})
+})
+
+var _ = Describe("what a head took alone", func() {
+	var t *trio
+	BeforeEach(func() {
+		t = newTrio("a", "b", "c")
+		t.cutOff("a")
+		t.propose("a", 0, 5)
+		t.pass(2 * time.Second)
+		Expect(t.answers("a")).To(BeEmpty())
+		Expect(addresses(t.nodes["b"].View())).To(Equal([]string{"b", "c"}))
+	})
+
+	It("is dropped for what the others took, and brought to their head", func() {
+		t.propose("c", 0, 6)
+		Expect(t.answers("c")).To(Equal([]int{1}))
+		t.heal()
+		t.pass(2 * time.Second)
+		Expect(t.answers("a")).To(Equal([]int{-1}), "refused by the new head")
+		Expect(addresses(t.view())).To(Equal([]string{"b", "c", "a"}))
+	})
+
+	It("is told to nobody as committed, also after a restart", func() {
+		t.stop("a")
+		commits := len(t.commits["a"])
+		t.start("a", false)
+		Expect(t.commits["a"]).To(HaveLen(commits))
+		sequence, committed := t.nodes["a"].Position()
+		Expect([]int64{sequence, committed}).To(Equal([]int64{1, 0}))
+		t.heal()
+		t.pass(2 * time.Second)
+		sequence, committed = t.nodes["a"].Position()
+		Expect([]int64{sequence, committed}).To(Equal([]int64{0, 0}))
+	})
+})
+
+var _ = Describe("an entry on some disks when all lose power", func() {
+	It("is committed once the chain is back", func() {
+		t := newTrio("a", "b", "c")
+		t.lost = func(e chain.Envelope) bool { return is[chain.Append](e) && e.To.Address == "c" }
+		t.propose("b", 0, 5)
+		for _, name := range t.seeds {
+			t.stop(name)
+		}
+		t.heal()
+		for _, name := range t.seeds {
+			t.start(name, false)
+		}
+		t.pass(time.Second)
+		for _, name := range t.seeds {
+			sequence, committed := t.nodes[name].Position()
+			Expect([]int64{sequence, committed}).To(Equal([]int64{1, 1}))
+		}
+		Expect(t.view().Epoch).To(Equal(int64(1)))
+	})
+
+	It("begins the next view if the rest of the chain is gone", func() {
+		t := newTrio("a", "b", "c")
+		t.lost = func(e chain.Envelope) bool { return is[chain.Append](e) && e.To.Address == "c" }
+		t.propose("c", 0, 5)
+		t.stop("a")
+		t.heal()
+		t.pass(2 * time.Second)
+		_, committed := t.nodes["c"].Position()
+		Expect(committed).To(Equal(int64(1)))
+		Expect(t.answers("c")).To(Equal([]int{1}))
+	})
+})
+
+var _ = Describe("refusals and reads", func() {
+	DescribeTable("wait for a majority to say that the epoch is open", func(call func(*trio)) {
+		t := newTrio("a", "b", "c")
+		t.propose("a", 0, 5)
+		t.lost = is[chain.Confirmed]
+		call(t)
+		Expect(t.answers("a")).To(HaveLen(1))
+		t.heal()
+		t.pass(300 * time.Millisecond)
+		Expect(t.answers("a")).To(HaveLen(2))
+		Expect(t.answers("a")[1]).To(BeElementOf(-1, 101))
+	},
+		Entry("a refusal", func(t *trio) { t.propose("a", 0, 6) }),
+		Entry("a read", func(t *trio) { t.read("a") }),
+	)
+
+	It("take an answer to their own question only", func() {
+		t := newTrio("a", "b", "c")
+		t.lost = is[chain.Confirmed]
+		t.read("a") // its questions are answered, the answers on their way
+		since := len(t.sent)
+		t.read("a")
+		Expect(t.kinds(since)).To(BeEmpty(), "the second waits for a round of its own")
+		t.heal()
+		t.pass(300 * time.Millisecond)
+		Expect(t.answers("a")).To(Equal([]int{100, 100}))
+	})
+
+	It("are not given by a head that was left out", func() {
+		t := newTrio("a", "b", "c")
+		t.propose("a", 0, 5)
+		t.cutOff("a")
+		t.pass(2 * time.Second)
+		t.propose("b", 1, 6)
+		t.propose("a", 0, 7)
+		t.read("a")
+		t.pass(2 * time.Second)
+		Expect(t.answers("a")).To(Equal([]int{1}))
+		t.heal()
+		t.pass(2 * time.Second)
+		Expect(t.answers("a")).To(ConsistOf(1, -2, 102))
+	})
+
+	It("come to a node that is no member", func() {
+		t := newTrio("a", "b", "c")
+		t.propose("a", 0, 5)
+		t.start("visitor", false)
+		Expect(t.disks["visitor"]).To(BeEmpty())
+		t.propose("visitor", 0, 6)
+		t.read("visitor")
+		t.pass(time.Second)
+		Expect(t.answers("visitor")).To(ConsistOf(-1, 101))
+		Expect(t.nodes["visitor"].Member()).To(BeFalse())
+		Expect(t.view().Has(t.nodes["visitor"].Self().ID)).To(BeFalse())
+	})
+
+	It("find a command of open fate too old", func() {
+		t := newTrio("a", "b", "c")
+		t.lost = is[chain.Result]
+		t.propose("b", 0, 5)
+		t.lost = func(e chain.Envelope) bool {
+			return is[chain.Result](e) && e.To.Address == "b" || is[chain.Propose](e) && e.From.Address == "b"
+		}
+		for n := uint64(1); n < 90; n++ {
+			t.propose("a", n, n)
+		}
+		t.heal()
+		t.pass(time.Second)
+		Expect(t.answers("b")).To(Equal([]int{0}))
+	})
+})
+
+var _ = Describe("a member that has promised", func() {
+	var t *trio
+	var b *chain.Node
+	var from, to chain.Peer
+	send := func(body chain.Message) chain.Output {
+		return b.Step(t.now, chain.Envelope{From: from, To: to, Body: body})
+	}
+	BeforeEach(func() {
+		t = newTrio("a", "b", "c")
+		t.propose("a", 0, 5)
+		b = t.nodes["b"]
+		from = chain.Peer{ID: chain.FirstID("a"), Address: "a"}
+		to = chain.Peer{ID: chain.FirstID("b"), Address: "b"}
+	})
+	prepare := func(round, sequence int64) chain.Output {
+		return send(chain.Prepare{Epoch: 1, Ballot: view.Ballot{Round: round, Proposer: from.ID}, Sequence: sequence})
+	}
+
+	It("has it on its disk, and gives its state to who has less", func() {
+		out := prepare(1, 0)
+		Expect(out.Persist).To(HaveLen(1))
+		promise := out.Send[0].Body.(chain.Promise)
+		Expect(promise.State.Full).To(BeTrue())
+		Expect(promise.Sequence).To(Equal(int64(1)))
+		again := prepare(1, 1)
+		Expect(again.Persist).To(BeEmpty())
+		Expect(again.Send[0].Body.(chain.Promise).State.Full).To(BeFalse())
+	})
+
+	It("takes no entry and confirms nothing", func() {
+		prepare(1, 1)
+		entry := chain.Entry{Sequence: 2, Command: command(1, 6)}
+		Expect(send(chain.Append{Epoch: 1, Entry: entry, Committed: 1})).To(Equal(chain.Output{}))
+		Expect(send(chain.Confirm{Epoch: 1, Nonce: 7})).To(Equal(chain.Output{}))
+	})
+
+	It("turns earlier ballots away", func() {
+		prepare(3, 1)
+		out := prepare(2, 1)
+		Expect(out.Persist).To(BeEmpty())
+		Expect(out.Send[0].Body.(chain.Outbid).Promised.Round).To(Equal(int64(3)))
+		out = send(chain.Accept{Epoch: 1, Ballot: view.Ballot{Round: 2, Proposer: from.ID}, Value: chain.Proposal{
+			View: view.View{Epoch: 2, Members: b.View().Members, Chain: b.View().Chain}, State: chain.State{Epoch: 1, Sequence: 1}}})
+		Expect(out.Send[0].Body).To(BeAssignableToTypeOf(chain.Outbid{}))
+	})
+
+	It("tells what it accepted, also after a restart", func() {
+		prepare(1, 1)
+		next := view.View{Epoch: 2, Initial: 3, Members: b.View().Members, Chain: b.View().Chain[:2]}
+		t.take("b", send(chain.Accept{Epoch: 1, Ballot: view.Ballot{Round: 1, Proposer: from.ID},
+			Value: chain.Proposal{View: next, State: chain.State{Epoch: 1, Sequence: 1}}}))
+		t.start("b", false)
+		b = t.nodes["b"]
+		promise := prepare(2, 0).Send[0].Body.(chain.Promise)
+		Expect(promise.Accepted.Round).To(Equal(int64(1)))
+		Expect(promise.Value.View).To(Equal(next))
+		Expect(promise.Value.State.Full).To(BeTrue())
+	})
+
+	It("sees to it that a view follows, if who asked is gone", func() {
+		t.take("b", prepare(1, 1))
+		t.waiting = nil
+		t.pass(3 * time.Second)
+		Expect(t.view().Epoch).To(BeNumerically(">", 1))
+		t.propose("b", 1, 6)
+		Expect(t.answers("b")).To(Equal([]int{2}))
+	})
+
+	It("heeds nobody who is no member, nor messages to the member it was before", func() {
+		from = chain.Peer{ID: 99, Address: "x"}
+		Expect(prepare(5, 1).Persist).To(BeEmpty())
+		from = chain.Peer{ID: chain.FirstID("a"), Address: "a"}
+		to.ID = 98
+		Expect(prepare(5, 1)).To(Equal(chain.Output{}))
+	})
+})
+
+var _ = Describe("members", func() {
+	It("leave out who is silent, and take it back", func() {
+		t := newTrio("a", "b", "c")
+		t.cutOff("b")
+		t.pass(1500 * time.Millisecond)
+		Expect(addresses(t.view())).To(Equal([]string{"a", "c"}))
+		t.propose("c", 0, 5)
+		Expect(t.answers("c")).To(Equal([]int{1}))
+		t.heal()
+		t.pass(time.Second)
+		Expect(addresses(t.view())).To(Equal([]string{"a", "c", "b"}))
+		_, committed := t.nodes["b"].Position()
+		Expect(committed).To(Equal(int64(1)))
+	})
+
+	It("never go on with less than a majority", func() {
+		t := newTrio("a", "b", "c")
+		t.stop("b")
+		t.stop("c")
+		t.pass(3 * time.Second)
+		Expect(t.view().Epoch).To(Equal(int64(1)))
+		t.propose("a", 0, 5)
+		t.read("a")
+		t.pass(3 * time.Second)
+		Expect(t.answers("a")).To(BeEmpty())
+	})
+
+	It("swap in the empty disk of a node", func() {
+		t := newTrio("a", "b", "c")
+		t.propose("a", 0, 5)
+		t.stop("b")
+		t.disks["b"] = nil
+		t.start("b", false)
+		Expect(t.nodes["b"].Self().ID).NotTo(Equal(chain.FirstID("b")))
+		t.pass(1500 * time.Millisecond)
+		Expect(addresses(t.view())).To(ConsistOf("a", "b", "c"))
+		Expect(t.view().Members).To(HaveLen(3))
+		Expect(t.view().Has(chain.FirstID("b"))).To(BeFalse())
+		_, committed := t.nodes["b"].Position()
+		Expect(committed).To(Equal(int64(1)))
+	})
+
+	It("swap another node for a dead one", func() {
+		t := newTrio("a", "b", "c")
+		t.stop("a")
+		t.pass(2 * time.Second)
+		t.start("d", false)
+		t.pass(time.Second)
+		Expect(addresses(t.view())).To(Equal([]string{"b", "c", "d"}))
+		Expect(t.view().Members).To(HaveLen(3))
+	})
+
+	It("remove a dead one of four, which comes back as another", func() {
+		t := newTrio("a", "b", "c")
+		t.start("d", true)
+		t.pass(time.Second)
+		old := t.nodes["b"].Self().ID
+		t.cutOff("b")
+		t.pass(3 * time.Second)
+		Expect(t.view().Members).To(HaveLen(3))
+		t.propose("d", 0, 5)
+		t.heal()
+		t.pass(2 * time.Second)
+		Expect(t.view().Members).To(HaveLen(4))
+		Expect(addresses(t.view())).To(HaveLen(4))
+		Expect(t.nodes["b"].Self().ID).NotTo(Equal(old))
+		var durable chain.Durable
+		for _, r := range t.disks["b"] {
+			Expect(durable.Apply(r)).To(Succeed())
+		}
+		Expect(durable.Member.ID).To(Equal(t.nodes["b"].Self().ID))
+		Expect(durable.Acceptor.Sealed()).To(BeFalse())
+	})
+
+	It("that did not run for a time do not take the others for silent", func() {
+		t := newTrio("a", "b", "c")
+		t.now += 10 * time.Second
+		since := len(t.sent)
+		for _, name := range t.seeds {
+			t.take(name, t.nodes[name].Tick(t.now))
+		}
+		t.deliver()
+		t.pass(time.Second)
+		Expect(t.kinds(since)).To(BeEmpty())
+		Expect(t.view().Epoch).To(Equal(int64(1)))
+	})
+
+	It("send nothing but heartbeats while nothing happens", func() {
+		t := newTrio("a", "b", "c")
+		since := len(t.sent)
+		t.pass(10 * time.Second)
+		Expect(t.kinds(since)).To(BeEmpty())
+		Expect(len(t.sent) - since).To(BeNumerically("~", 3*2*50, 12))
+	})
+})
--- a/coordination/chain/members.go
+++ b/coordination/chain/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -28,10 +29,16 @@
 		}
 		delete(n.joining, m.ID)
 	}
-	for id := range n.contacts {
-		if _, joins := n.joining[id]; !joins && !n.view.Has(id) {
+	gone := func(id view.MemberID) bool {
+		_, joins := n.joining[id]
+		return !joins && !n.view.Has(id)
+	}
+	for id, c := range n.contacts {
+		if gone(id) {
 			delete(n.contacts, id)
+			continue
 		}
+		maps.DeleteFunc(c.reported, func(id view.MemberID, _ time.Duration) bool { return gone(id) })
 	}
 }
 
@@ -83,7 +90,7 @@
 	if c := n.contacts[from.ID]; c != nil {
 		c.epoch = m.Epoch
 		for _, id := range m.Heard {
-			if n.view.Has(id) {
+			if _, joins := n.joining[id]; joins || n.view.Has(id) {
 				c.reported[id] = n.now
 			}
 		}
@@ -155,16 +162,17 @@
 	n.callAgain()
 }
 
-// meet notes that a member answers, for a node that wants to join.
+// meet notes that a member answers, for a node that wants to join. The members are told soon whom it hears.
 func (n *Node) meet(id view.MemberID) {
-	c := n.contacts[id]
-	if c == nil && len(n.contacts) < 2*view.MaxMembers {
-		c = &contact{reported: map[view.MemberID]time.Duration{}, assumed: n.now}
-		n.contacts[id] = c
-	}
-	if c != nil {
+	if c := n.contacts[id]; c != nil {
 		c.heard = n.now
+		return
+	}
+	if len(n.contacts) >= 2*view.MaxMembers {
+		return
 	}
+	n.contacts[id] = &contact{heard: n.now, reported: map[view.MemberID]time.Duration{}, assumed: n.now}
+	n.lastBeat = min(n.lastBeat, n.now-heartbeatEvery+busyEvery)
 }
 
 // forget makes this node a new one, with nothing of the state and the votes of the member that it was.
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -306,6 +307,9 @@
 // Self is this node as a member; its id is another after it was removed.
 func (n *Node) Self() view.Member { return n.self }
 
+// SetSeeds replaces the addresses of the seeds.
+func (n *Node) SetSeeds(seeds []string) { n.settings.Seeds = slices.Clone(seeds) }
+
 // View is the view that this node is a member of, or the newest it heard of.
 func (n *Node) View() view.View {
 	if n.member() {
--- a/coordination/chain/reconfigure.go
+++ b/coordination/chain/reconfigure.go
@@ -11,7 +11,8 @@
 const (
 	// shrinkStep is by how much the next of the chain waits longer to leave a silent member out.
 	shrinkStep = 150 * time.Millisecond
-	// changeAfter and changeStep are the same for changes that are not urgent: what comes back has to stay.
+	// changeStep is the same for other changes; before one takes a member back into the chain, it has to stay for
+	// changeAfter.
 	changeAfter = 200 * time.Millisecond
 	changeStep  = 250 * time.Millisecond
 	// sealedAfter and sealedStep are the same for an epoch that is sealed and whose successor does not come.
@@ -79,10 +80,13 @@
 
 func (n *Node) delay(c view.Change) time.Duration {
 	rank := time.Duration(n.rank())
-	if c == view.Shrink {
+	switch c {
+	case view.Shrink:
 		return rank*shrinkStep + n.jitter(someJitter)
+	case view.Extend:
+		return changeAfter + rank*changeStep + n.jitter(someJitter)
 	}
-	return changeAfter + rank*changeStep + n.jitter(someJitter)
+	return rank*changeStep + n.jitter(someJitter)
 }
 
 // rank is the place in the chain, or behind it.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -71,7 +71,7 @@
 
 	Client *transport.Client
 	Mux    *transport.Mux // gets the replica's methods; to be served after Open
-	Log    log.Interface
+	Log    log.Interface  // nil: the usual one
 }
 
 // Status is what a replica is.
@@ -100,6 +100,9 @@
 
 // Open takes up what the disk holds and starts the replica. Errors: the disk's, or settings that make no sense.
 func Open(o Options) (*Replica, error) {
+	if o.Log == nil {
+		o.Log = log.Log
+	}
 	r := &Replica{
 		options:  o,
 		log:      o.Log,
@@ -159,6 +162,14 @@
 // Members are the voting members of View.
 func (r *Replica) Members() []view.Member { return r.View().Members }
 
+// SetSeeds replaces the addresses to ask for the others.
+func (r *Replica) SetSeeds(seeds []string) {
+	select {
+	case r.commands <- func() { r.node.SetSeeds(seeds) }:
+	case <-r.ended:
+	}
+}
+
 // Ended is closed once the replica has ended: by Close, or because the disk can't hold its state.
 func (r *Replica) Ended() <-chan struct{} { return r.ended }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -56,11 +58,21 @@
 	server  *transport.Server
 	client  *transport.Client
 
+	broken    atomic.Bool // the disk takes nothing
 	mutex     sync.Mutex
 	committed []uint64 // versions told; guarded by mutex
 }
 
 func (m *machine) start(bootstrap bool) {
+	if m.disk == nil {
+		m.disk = memfs.New()
+	}
+	m.disk.Hook = func(c memfs.Call) memfs.Verdict {
+		if c.Op == "sync" && m.broken.Load() {
+			return memfs.Verdict{Err: syscall.EIO}
+		}
+		return memfs.Verdict{}
+	}
 	mux := transport.NewMux()
 	m.client = transport.NewClient()
 	var err error
@@ -205,6 +217,77 @@
 		advance(ctx, machines[1], 400)
 	}, NodeTimeout(time.Minute))
 
+	It("go on without one whose disk takes nothing, and take it back once it does", func(ctx SpecContext) {
+		machines := cluster(3)
+		advance(ctx, machines[0], 0)
+		tail, _ := machines[0].replica.View().Tail()
+		var sick *machine
+		for _, m := range machines {
+			if m.address == tail.Address {
+				sick = m
+			}
+		}
+		sick.broken.Store(true)
+		var well []*machine
+		for _, m := range machines {
+			if m != sick {
+				well = append(well, m)
+			}
+		}
+		advance(ctx, well[0], 1)
+		advance(ctx, well[1], 2)
+		Expect(len(well[0].replica.View().Chain)).To(Equal(2))
+		sick.broken.Store(false)
+		Eventually(ctx, func() int { return len(sick.replica.View().Chain) }).Should(Equal(3))
+		Eventually(ctx, func() int { return len(well[0].replica.View().Chain) }).Should(Equal(3))
+		advance(ctx, sick, 3)
+	}, NodeTimeout(time.Minute))
+
+	It("come back when all are killed at once", func(ctx SpecContext) {
+		machines := cluster(3)
+		for i := range uint64(20) {
+			advance(ctx, machines[i%3], i)
+		}
+		for _, m := range machines {
+			m.kill()
+			m.disk = m.disk.After(memfs.Process, nil)
+		}
+		for _, m := range machines {
+			m.start(false)
+			m.replica.SetSeeds(m.seeds)
+		}
+		Expect(version(ctx, machines[2])).To(Equal(uint64(20)))
+		advance(ctx, machines[1], 20)
+		for _, m := range machines {
+			Expect(m.replica.Members()).To(HaveLen(3))
+			Expect(m.replica.Status().Member).To(BeTrue())
+		}
+	}, NodeTimeout(time.Minute))
+
+	It("end calls with their context, and with the replica", func(ctx SpecContext) {
+		machines := cluster(3)
+		advance(ctx, machines[0], 0)
+		machines[1].kill()
+		machines[2].kill()
+		short, cancel := context.WithCancel(ctx)
+		failed := make(chan error, 2)
+		go func() {
+			_, err := machines[0].replica.Propose(short, on(1))
+			failed <- err
+		}()
+		cancel()
+		Expect(<-failed).To(MatchError(context.Canceled))
+		go func() {
+			_, err := machines[0].replica.Read(ctx)
+			failed <- err
+		}()
+		Expect(machines[0].replica.Close()).To(Succeed())
+		Expect(<-failed).To(MatchError(replica.ErrClosed))
+		Eventually(machines[0].replica.Ended()).Should(BeClosed())
+		_, err := machines[0].replica.Propose(ctx, on(1))
+		Expect(err).To(MatchError(replica.ErrClosed))
+	}, NodeTimeout(time.Minute))
+
 	It("serve one that only forwards, and take in a fourth", func(ctx SpecContext) {
 		machines := cluster(3)
 		forwards := &machine{address: freeAddress(), seeds: machines[0].seeds}
