--- a/coordination/chain/trio_test.go
+++ b/coordination/chain/trio_test.go
@@ -115,7 +115,6 @@
 func (t *trio) heal() { t.lost = func(chain.Envelope) bool { return false } }
 
 func (t *trio) head() string { m, _ := t.view().Head(); return m.Address }
-func (t *trio) tail() string { m, _ := t.view().Tail(); return m.Address }
 
 // view is the newest that any node is in.
 func (t *trio) view() view.View {
@@ -128,7 +127,7 @@
 	return newest
 }
 
-// chain gives the addresses of a view's chain.
+// addresses are those of a view's chain.
 func addresses(v view.View) []string {
 	var all []string
 	for _, id := range v.Chain {
@@ -142,7 +141,7 @@
 	var kinds []string
 	for _, e := range t.sent[since:] {
 		if _, beat := e.Body.(chain.Heartbeat); !beat {
-			kinds = append(kinds, fmt.Sprintf("%s->%s %T", e.From.Address, e.To.Address, e.Body)[0:])
+			kinds = append(kinds, fmt.Sprintf("%s->%s %T", e.From.Address, e.To.Address, e.Body))
 		}
 	}
 	return kinds
