--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -188,13 +188,19 @@
 	return nil
 }
 
-// Restart drops all records, in one step once it is synced. Error: ErrFull, or the disk's.
+// Restart drops all records, in one step once it is synced. Errors: the disk's.
 func (j *Journal) Restart() error {
 	if err := j.Sync(); err != nil {
 		return err
 	}
 	j.mu.Lock()
-	if err := j.roll(); err != nil {
+	err := j.roll()
+	if err == ErrFull { // the oldest may go first: whatever is found without it is dropped by the next Restart
+		j.live[0].slot.taken = false
+		j.live = j.live[1:]
+		err = j.roll()
+	}
+	if err != nil {
 		j.mu.Unlock()
 		return err
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"math/rand/v2"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
@@ -229,6 +230,44 @@
 		Expect(found).To(Equal([]uint64{100}))
 	})
 
+	It("restarts though no segment is free", func() {
+		files := memfs.New()
+		j, _ := mustOpen(files)
+		for n := uint64(0); j.Free() > 0; n++ {
+			mustAppend(j, n, 90)
+		}
+		Expect(j.Sync()).To(Succeed())
+		Expect(j.Restart()).To(Succeed())
+		mustAppend(j, 100, 5)
+		Expect(j.Sync()).To(Succeed())
+		Expect(j.Free()).To(Equal(segments - 1))
+		_, found := mustOpen(files)
+		Expect(found).To(Equal([]uint64{100}))
+	})
+
+	It("works on a real disk", func() {
+		o := journal.Options{Files: vfs.OS{}, Dir: filepath.Join(GinkgoT().TempDir(), "made", dir), SegmentBytes: segmentBytes, Segments: segments}
+		j, err := journal.Open(o, nil)
+		Expect(err).NotTo(HaveOccurred())
+		for n := range uint64(100) {
+			for j.Free() < 2 {
+				Expect(j.Reclaim(j.Oldest())).To(Succeed())
+			}
+			p := mustAppend(j, n, 90)
+			Expect(j.Sync()).To(Succeed())
+			Expect(j.Read(p, nil)).To(Equal(record(n, 90)))
+		}
+		Expect(j.Close()).To(Succeed())
+		last := uint64(0)
+		j, err = journal.Open(o, func(_ journal.Position, b []byte) error {
+			last = binary.BigEndian.Uint64(b)
+			return nil
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(last).To(Equal(uint64(99)))
+		Expect(j.Close()).To(Succeed())
+	})
+
 	It("does not take a record behind a torn one for one of the next process", func() {
 		files := memfs.New()
 		j, _ := mustOpen(files)
