--- /dev/null
+++ b/internal/replica/wire_test.go
@@ -0,0 +1,107 @@
+package replica
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/coordination/chain"
+	"emberquay/coordination/view"
+)
+
+func ballot1() view.Ballot { return view.Ballot{Round: 3, Proposer: 1 << 62} }
+
+func aView1() view.View {
+	return view.View{Epoch: 4, Initial: 3, Members: []view.Member{{ID: 1, Name: "n", Address: "a", Zone: "z"}}, Chain: []view.MemberID{1}}
+}
+
+func aState1() chain.State {
+	return chain.State{Epoch: 3, Sequence: 9, Full: true, Snapshot: []byte("state"),
+		Recent: []chain.Outcome{{ID: chain.CommandID{Process: -5, Number: 2}, Sequence: 9, Result: []byte("r")}}}
+}
+
+var _ = Describe("what goes over the wire and to the disk", func() {
+	proposal := chain.Proposal{View: aView1(), State: aState1()}
+	entry := chain.Entry{Sequence: 2, ID: chain.CommandID{Process: 7, Number: 8}, Command: []byte("c")}
+
+	DescribeTable("comes back as it was: a message", func(m chain.Message) {
+		e := chain.Envelope{From: chain.Peer{ID: 1, Address: "a"}, To: chain.Peer{ID: 2, Address: "b"}, Body: m}
+		w, err := seal(e)
+		Expect(err).NotTo(HaveOccurred())
+		b, err := envelopes.Encode(w)
+		Expect(err).NotTo(HaveOccurred())
+		w, err = envelopes.Decode(b)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.open()).To(Equal(e))
+	},
+		Entry("Heartbeat", chain.Heartbeat{Epoch: 1, Committed: 2, Heard: []view.MemberID{3, 1 << 62}}),
+		Entry("Hint", chain.Hint{View: aView1(), Committed: 4}),
+		Entry("Ask", chain.Ask{Epoch: 3}),
+		Entry("Adopt", chain.Adopt{View: aView1(), State: aState1(), Committed: 9}),
+		Entry("Join", chain.Join{Member: view.Member{ID: 9, Address: "x"}, Heard: []view.MemberID{1}}),
+		Entry("Prepare", chain.Prepare{Epoch: 1, Ballot: ballot1(), Sequence: 8}),
+		Entry("Promise", chain.Promise{Epoch: 1, Ballot: ballot1(), Accepted: ballot1(), Value: proposal, Sequence: 9, State: aState1()}),
+		Entry("Outbid", chain.Outbid{Epoch: 1, Ballot: ballot1(), Promised: ballot1()}),
+		Entry("Accept", chain.Accept{Epoch: 1, Ballot: ballot1(), Value: proposal}),
+		Entry("Accepted", chain.Accepted{Epoch: 1, Ballot: ballot1()}),
+		Entry("Append", chain.Append{Epoch: 1, Entry: entry, Committed: 1}),
+		Entry("Ack", chain.Ack{Epoch: 1, Sequence: 2}),
+		Entry("Confirm", chain.Confirm{Epoch: 1, Nonce: 1 << 61}),
+		Entry("Confirmed", chain.Confirmed{Epoch: 1, Nonce: 1 << 61}),
+		Entry("Propose", chain.Propose{ID: entry.ID, After: 3, Command: []byte("c")}),
+		Entry("Result", chain.Result{ID: entry.ID, Verdict: chain.TooOld, Epoch: 1, Sequence: 2, Result: []byte("r")}),
+		Entry("Read", chain.Read{ID: entry.ID, Have: -1}),
+		Entry("ReadResult", chain.ReadResult{ID: entry.ID, Verdict: chain.Moved, Epoch: 1, Sequence: 2, Full: true, Snapshot: []byte("s")}),
+	)
+
+	DescribeTable("comes back as it was: a record", func(r chain.Record) {
+		b, err := encodeRecord(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decodeRecord(b)).To(Equal(r))
+	},
+		Entry("Identity", chain.Identity{Member: view.Member{ID: 3, Name: "n", Address: "a", Zone: "z"}, Known: []string{"b", "c"}}),
+		Entry("Adoption", chain.Adoption{View: aView1(), State: aState1(), Committed: 9, Last: []chain.Entry{entry}}),
+		Entry("Addition", chain.Addition{Epoch: 1, Entry: entry}),
+		Entry("Vote", chain.Vote{Epoch: 1, Acceptor: view.Acceptor[chain.Proposal]{Promised: ballot1(), Accepted: ballot1(), Value: proposal}}),
+	)
+
+	It("is refused if it is no message", func() {
+		for _, w := range []wire{{Kind: -1}, {Kind: 99}, {Kind: 3, Body: []byte{1, 2, 3}}} {
+			_, err := w.open()
+			Expect(err).To(HaveOccurred())
+		}
+		_, err := decodeRecord(nil)
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+var _ = Describe("parts of a record", func() {
+	It("are joined, and dropped where some are missing", func() {
+		var a assembler
+		add := func(b string, first, last bool) string {
+			record, whole := a.add(part([]byte(b), first, last))
+			if !whole {
+				return "-"
+			}
+			return string(record)
+		}
+		Expect(add("x", false, true)).To(Equal("-"), "the beginning was reclaimed")
+		Expect(add("one", true, true)).To(Equal("one"))
+		Expect(add("a", true, false)).To(Equal("-"))
+		Expect(add("b", false, false)).To(Equal("-"))
+		Expect(add("c", false, true)).To(Equal("abc"))
+		Expect(add("lost", true, false)).To(Equal("-"))
+		Expect(add("two", true, true)).To(Equal("two"))
+		_, whole := a.add(nil)
+		Expect(whole).To(BeFalse())
+	})
+})
+
+func FuzzOpen(f *testing.F) {
+	f.Add(0, []byte{2, 4, 0})
+	f.Fuzz(func(_ *testing.T, kind int, b []byte) {
+		_, _ = wire{Kind: kind, Body: b}.open()
+		_, _ = decodeRecord(b)
+	})
+}
