--- a/coordination/chain/conformance_test.go
+++ b/coordination/chain/conformance_test.go
@@ -45,6 +45,12 @@
 		t.propose("a", 0, 6)
 		t.read("a")
 		Expect(t.answers("a")).To(Equal([]int{1, -1, 101}))
+		t.stop("a")
+		t.start("a", false)
+		t.read("a")
+		t.propose("a", 1, 7)
+		t.pass(time.Second)
+		Expect(t.answers("a")[3:]).To(ConsistOf(101, 2))
 	})
 })
 
--- a/coordination/chain/members.go
+++ b/coordination/chain/members.go
@@ -273,7 +273,7 @@
 	}
 }
 
-// Silence, Hears, Settled and Joining make a node the view.Contacts of its own plans.
+// contacts makes a node the view.Contacts of its own plans.
 type contacts struct{ *Node }
 
 // Silence is how long a member has said nothing.
--- a/coordination/chain/write.go
+++ b/coordination/chain/write.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-
-	"emberquay/coordination/view"
 )
 
 // proposed is a command that waits at the head.
@@ -192,19 +190,16 @@
 	}
 }
 
+// resendAppend passes the newest entry on again while it is not known to be committed. The tail learns from the member
+// before it whether that has the entry too, unless it is the whole chain.
 func (n *Node) resendAppend() {
 	if !n.member() || n.committed == n.sequence || n.last == nil || n.acceptor.Sealed() {
 		return
 	}
-	if n.now-n.lastAppend >= resendAfter && n.view.Position(n.self.ID) >= 0 {
-		if _, isTail := n.tailSelf(); !isTail {
-			n.forward()
-		}
+	tail, _ := n.view.Tail()
+	if n.now-n.lastAppend < resendAfter || n.view.Position(n.self.ID) < 0 || tail.ID == n.self.ID && !n.isHead() {
+		return
 	}
-}
-
-// tailSelf gives the tail and whether it is this node.
-func (n *Node) tailSelf() (view.Member, bool) {
-	tail, ok := n.view.Tail()
-	return tail, ok && tail.ID == n.self.ID
+	n.lastAppend = n.now
+	n.forward()
 }
