hollow: fewer nodes a process, slower starts of large fleets

340 nodes in two processes ran into 20,000 descriptors: connections that were opened are kept, so that their number at a node grows with the fleet. Started at once on a loaded machine they never settled: each start has every node sort all it knows.

--- a/cmd/quaylab/hollow.go
+++ b/cmd/quaylab/hollow.go
@@ -26,6 +26,8 @@
 	Bytes     int           `help:"Of the configuration, at least." default:"20000"`
 	Reports   []float64     `help:"Reports of receivers that all proxies publish together, a second; a window for each." default:"5,20"`
 	Restart   float64       `help:"Share of the nodes that restart again and again." default:"0.03"`
+	Spacing   time.Duration `help:"Between the starts of two nodes: each is news to all." default:"10ms"`
+	Patience  time.Duration `help:"For all to know all, and each change." default:"2m"`
 	Out       string        `help:"Write hollow.json, hollow.csv, hollow.txt and hollow.svg here." type:"path" placeholder:"DIR"`
 	Draw      string        `help:"Measure nothing: draw anew what this hollow.json holds." type:"existingfile" placeholder:"FILE"`
 }
@@ -76,6 +78,7 @@
 	return hollow.Options{
 		Nodes: nodes, Controls: c.Controls, Receivers: c.Receivers, Zones: c.Zones, Window: c.Window, Changes: c.Changes,
 		ConfigurationBytes: c.Bytes, Reports: c.Reports, RestartShare: c.Restart,
+		StartSpacing: c.Spacing, Patience: c.Patience,
 	}
 }
 
--- a/internal/hollow/measure.go
+++ b/internal/hollow/measure.go
@@ -128,7 +128,7 @@
 func (f *fleet) startProxies() error {
 	var requests []StartRequest
 	for first := 0; first < f.options.Nodes; first += nodesPerWorker {
-		request := StartRequest{Spacing: f.options.StartSpacing}
+		request := StartRequest{Spacing: f.options.StartSpacing * time.Duration(f.options.workers())}
 		var names []string
 		for i := first; i < min(first+nodesPerWorker, f.options.Nodes); i++ {
 			node := f.layout.proxy(i)
--- a/internal/hollow/options.go
+++ b/internal/hollow/options.go
@@ -15,8 +15,9 @@
 	maxWindow    = 2 * time.Minute
 	maxChanges   = 200
 	maxReports   = 400 // a second, of all receivers together
-	// nodesPerWorker keeps a process under its bound of descriptors: a node has some forty ends of connections.
-	nodesPerWorker = 250
+	// nodesPerWorker keeps a process under a usual bound of 20,000 descriptors: a connection that was opened is kept,
+	// so that the ends at a node grow with the size of the fleet and the time. 250 nodes of 340 were over it.
+	nodesPerWorker = 100
 )
 
 // Options of the measurement of one fleet.
@@ -31,7 +32,7 @@
 
 	Heartbeat          time.Duration // between two of a receiver
 	ConfigurationBytes int           // at least
-	StartSpacing       time.Duration // between the starts of two nodes
+	StartSpacing       time.Duration // between the starts of two nodes; each start is news to all
 	Patience           time.Duration // for all to know something
 }
 
@@ -57,6 +58,9 @@
 	}
 }
 
+// workers is how many processes the proxies need.
+func (o Options) workers() int { return (o.Nodes + nodesPerWorker - 1) / nodesPerWorker }
+
 // Check refuses what the machine would not bear. Call it after Defaults.
 func (o Options) Check() error {
 	switch {
