--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -42,9 +42,13 @@
 	mostSync  = 6 * time.Millisecond
 	stallOne  = 400 // one in so many
 	mostStall = 500 * time.Millisecond
+	slowSync  = 150 * time.Millisecond // of disks in trouble
 )
 
 func (w *world) syncTime() time.Duration {
+	if w.slowDisks > 0 {
+		return w.between(mostSync, slowSync)
+	}
 	if w.one(stallOne) {
 		return w.between(mostSync, mostStall)
 	}
@@ -66,7 +70,7 @@
 	machine chain.StateMachine
 	busy    bool
 	queue   []func()
-	tick    uint64
+	timer   time.Duration // when the node's timer goes off; 0: none is set
 	waiting map[int64]func(chain.Reply)
 	newest  int64  // sequence told
 	last    []byte // newest committed snapshot
@@ -184,15 +188,25 @@
 	})
 }
 
+// schedule sets the node's timer unless one goes off before it is due.
 func (r *replica) schedule() {
 	w := r.life.host.world
-	r.tick++
-	tick := r.tick
-	r.life.later(max(0, r.node.Deadline()-w.now), func() {
-		if r.tick != tick {
-			return
+	due := max(w.now, r.node.Deadline())
+	if r.timer > 0 && r.timer <= due {
+		return
+	}
+	r.timer = due
+	r.life.later(due-w.now, func() {
+		if r.timer != due {
+			return // an earlier one was set since
 		}
-		r.do(func() chain.Output { return r.node.Tick(w.now) })
+		r.timer = 0
+		r.do(func() chain.Output {
+			if w.now < r.node.Deadline() {
+				return chain.Output{}
+			}
+			return r.node.Tick(w.now)
+		})
 	})
 }
 
--- a/internal/sim/fault.go
+++ b/internal/sim/fault.go
@@ -114,7 +114,7 @@
 		}
 	case chain.Confirm:
 		if w.has(sealIgnored) && r.node.Member() {
-			r.post(chain.Envelope{From: self, To: e.From, Body: chain.Confirmed{Epoch: m.Epoch, Nonce: m.Nonce}})
+			r.post(chain.Envelope{From: self, To: e.From, Body: chain.Confirmed(m)})
 			return true
 		}
 	}
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -39,8 +39,8 @@
 	host    *host
 	core    *core.Core
 	frozen  bool
-	backlog []func() // of a frozen process
-	tick    uint64   // the newest timer of the core
+	backlog []func()      // of a frozen process
+	timer   time.Duration // when the core's timer goes off; 0: none is set
 	isReady bool
 
 	replica *replica      // of a control node
@@ -157,7 +157,6 @@
 func (l *life) settleCore() { l.carryOutCore(l.core.Take()) }
 
 func (l *life) carryOutCore(effects core.Effects) {
-	w := l.host.world
 	for _, e := range effects.Changed {
 		l.learn(e)
 	}
@@ -167,13 +166,28 @@
 		}
 	}
 	l.isReady = l.isReady || l.core.Ready()
-	l.tick++
-	tick := l.tick
-	l.later(max(0, l.core.Due().Sub(w.clock())), func() {
-		if l.tick == tick {
-			l.core.Tick(w.clock())
-			l.settleCore()
+	l.schedule()
+}
+
+// schedule sets the core's timer unless one goes off before it is due.
+func (l *life) schedule() {
+	w := l.host.world
+	due := w.now + max(0, l.core.Due().Sub(w.clock()))
+	if l.timer > 0 && l.timer <= due {
+		return
+	}
+	l.timer = due
+	l.later(due-w.now, func() {
+		if l.timer != due {
+			return // an earlier one was set since
+		}
+		l.timer = 0
+		if w.clock().Before(l.core.Due()) {
+			l.schedule()
+			return
 		}
+		l.core.Tick(w.clock())
+		l.settleCore()
 	})
 }
 
--- a/internal/sim/judge.go
+++ b/internal/sim/judge.go
@@ -50,11 +50,11 @@
 	forced  map[uint64]string // body in force by version
 	acked   uint64            // newest version acknowledged
 	ackedBy map[uint64]*order // by base
-	bodies  map[string]*order
+	onAck   []func()          // at the next acknowledgement
 }
 
 func newJudge(w *world) *judge {
-	return &judge{world: w, states: map[int64][]byte{}, forced: map[uint64]string{}, ackedBy: map[uint64]*order{}, bodies: map[string]*order{}}
+	return &judge{world: w, states: map[int64][]byte{}, forced: map[uint64]string{}, ackedBy: map[uint64]*order{}}
 }
 
 // breach notes the first broken invariant; the run ends at it.
@@ -88,6 +88,11 @@
 	j.states[c.Sequence] = c.Snapshot
 	version, body := state.Configuration()
 	j.force(name, version, string(body))
+	for _, h := range j.world.of(storeRole) {
+		if state.Retirement(h.name) == controlstate.RetirementCompleted {
+			j.world.after(j.world.between(0, time.Second), func() { j.world.removeStore(h) })
+		}
+	}
 }
 
 // force notes that a version is in force somewhere, and with which body.
@@ -142,6 +147,11 @@
 	}
 	j.acked = max(j.acked, c.version)
 	j.applied(c)
+	hooks := j.onAck
+	j.onAck = nil
+	for _, do := range hooks {
+		do()
+	}
 }
 
 // applied looks, after the bound, whether the proxies in touch work by the change.
--- a/internal/sim/operator.go
+++ b/internal/sim/operator.go
@@ -39,7 +39,7 @@
 	orders  []*order
 	reads   []*readCall
 	version uint64 // the newest that an operator knows to be acknowledged or read
-	calm    bool // no answer is lost any more
+	calm    bool   // no answer is lost any more
 }
 
 type readCall struct {
--- a/internal/sim/receiver.go
+++ b/internal/sim/receiver.go
@@ -227,6 +227,9 @@
 		if beat.Draining && r.acked == 0 {
 			r.acked, r.ackedBy = w.now, target
 			w.judge.drainAcked(r)
+			if w.one(2) {
+				w.after(drainBound+w.between(0, 4*time.Second), func() { r.leave(3) })
+			}
 		}
 	})
 	w.after(beatPatience, func() {
@@ -237,6 +240,27 @@
 	})
 }
 
+// leave has the receiver end, some time after its draining was acknowledged.
+func (r *receiver) leave(tries int) {
+	w := r.world
+	all := w.of(controlRole)
+	if tries == 0 || len(all) == 0 {
+		return
+	}
+	r.left = true
+	heard := false
+	callFromOutside(w, pick(w, all).address, func(l *life, reply func(bool)) {
+		if l.watch != nil {
+			l.watch.leave(r.id, reply)
+		}
+	}, func(ok bool) { heard = heard || ok })
+	w.after(beatPatience, func() {
+		if !heard {
+			r.leave(tries - 1)
+		}
+	})
+}
+
 // drain has the receiver say that it will end.
 func (r *receiver) drain() {
 	if r.draining || r.left {
--- a/internal/sim/repair.go
+++ b/internal/sim/repair.go
@@ -74,10 +74,10 @@
 // all is everything that is held.
 func (t *storeTable) all() parcel {
 	var p parcel
-	for _, id := range t.sortedTurns() {
+	for _, id := range t.order {
 		p.turns = append(p.turns, t.turns[id])
 	}
-	for _, name := range t.sortedPrograms() {
+	for _, name := range t.names {
 		p.programs = append(p.programs, programEntries{name, t.programs[name].Entries(nil)})
 	}
 	return p
@@ -126,21 +126,29 @@
 		return
 	}
 	m := pick(w, others)
-	p := t.all()
-	p.turns = slices.DeleteFunc(p.turns, func(x storewire.Turn) bool {
-		return !slices.Contains(t.places(x), t.view.Find(m.ID))
+	at, header, digest := t.view.Find(m.ID), storewire.Header{Epoch: t.view.Epoch, Store: m.ID}, uint64(0)
+	digest = t.digest(at)
+	exchange(w, t.life, m.Address, func(l *life, reply func(bool)) {
+		if l.table == nil {
+			return
+		}
+		if _, ok := l.table.admit(header); ok {
+			reply(l.table.digest(at) == digest)
+		}
+	}, func(alike bool) {
+		if alike || t.view.Epoch != header.Epoch {
+			return
+		}
+		p := t.all()
+		p.turns = slices.DeleteFunc(p.turns, func(x storewire.Turn) bool { return !slices.Contains(t.places(x), at) })
+		t.deliver(m, p, func() {})
 	})
-	t.deliver(m, p, func() {})
 }
 
 // empty brings all that is held to the stores that stay, and tells the control state once it is there.
 func (t *storeTable) empty() {
 	if t.emptied() {
-		t.order(controlstate.Command{Kind: controlstate.RetireCompleted, Node: t.life.host.name, StoreID: t.id}, func(status int) {
-			if status == controlstate.StatusOK {
-				t.life.host.world.removeStore(t.life.host)
-			}
-		})
+		t.propose(controlstate.Command{Kind: controlstate.RetireCompleted, Node: t.life.host.name, StoreID: t.id})
 		return
 	}
 	for at, m := range t.view.Members {
@@ -177,7 +185,7 @@
 	if t.life.host.world.has(retireForgets) {
 		return true
 	}
-	for _, id := range t.sortedTurns() {
+	for _, id := range t.order {
 		for _, at := range t.places(t.turns[id]) {
 			if !t.pushed[id][t.view.Members[at].ID] {
 				return false
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"runtime/debug"
 	"time"
 
 	"emberquay/internal/cluster/records"
@@ -26,6 +27,22 @@
 func Run(o Options) Result {
 	w := newWorld(o)
 	w.operators.world = w
+	w.play()
+	for _, c := range w.operators.orders {
+		if c.status == 0 {
+			w.counts.Open++
+		}
+	}
+	return Result{Seed: o.Seed, Breach: w.judge.first, Steps: w.steps, Counts: w.counts, Digest: w.judge.digest, Virtual: w.now}
+}
+
+// play runs all phases. What stops a process of the service, a broken invariant of its own, is a breach.
+func (w *world) play() {
+	defer func() {
+		if stopped := recover(); stopped != nil {
+			w.judge.breach(internalRule, "%v\n%s", stopped, debug.Stack())
+		}
+	}()
 	w.begin()
 	w.phase(startSpan)
 	w.troubles()
@@ -36,12 +53,6 @@
 	if w.judge.first == nil {
 		w.linear()
 	}
-	for _, c := range w.operators.orders {
-		if c.status == 0 {
-			w.counts.Open++
-		}
-	}
-	return Result{Seed: o.Seed, Breach: w.judge.first, Steps: w.steps, Counts: w.counts, Digest: w.judge.digest, Virtual: w.now}
 }
 
 // broken stops the scheduler at the first broken invariant.
@@ -172,6 +183,10 @@
 	for _, r := range w.receivers {
 		state, known := l.edge.receivers[r.id]
 		switch {
+		case r.left:
+			if known && state == records.ReceiverReady {
+				w.judge.breach(DrainRule, "%s takes %s for ready when all is calm, it has left", h.name, r.id)
+			}
 		case !known:
 			w.judge.breach(ProgressRule, "%s does not know receiver %s when all is calm", h.name, r.id)
 		case r.draining && r.acked > 0 && state == records.ReceiverReady:
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -3,11 +3,11 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
 	"emberquay/coordination/budget"
+	"emberquay/coordination/merkle"
 	"emberquay/coordination/placement"
 	"emberquay/internal/cluster/core"
 	"emberquay/internal/controlstate"
@@ -50,7 +50,9 @@
 	told     map[string]bool            // while retiring: ids of stores that know all programs
 	syncing  bool
 	waiting  []func()
-	register bool // registered
+	placed   map[string][]int // places of turns under the view
+	order    []string         // of turns, as they came
+	names    []string         // of programs, as they came
 }
 
 const (
@@ -61,7 +63,8 @@
 
 func (l *life) startStore() {
 	w, h := l.host.world, l.host
-	t := &storeTable{life: l, programs: map[string]*budget.Ledger{}, turns: map[string]storewire.Turn{}}
+	t := &storeTable{life: l, programs: map[string]*budget.Ledger{}, turns: map[string]storewire.Turn{},
+		pushed: map[string]map[string]bool{}, told: map[string]bool{}}
 	l.table = t
 	for _, r := range h.store.synced {
 		t.take(r, true)
@@ -85,9 +88,13 @@
 	case r.complete:
 		t.complete = true
 	case r.turn != nil:
+		if _, known := t.turns[r.turn.ID]; !known {
+			t.order = append(t.order, r.turn.ID)
+		}
 		t.turns[r.turn.ID] = *r.turn
 	case r.view != nil:
 		t.view = *r.view
+		t.placed = map[string][]int{}
 	case r.program != "":
 		if again && r.entry.Open && t.life.host.world.has(reserveForgotten) {
 			return
@@ -99,6 +106,7 @@
 func (t *storeTable) ledger(name string) *budget.Ledger {
 	if t.programs[name] == nil {
 		t.programs[name] = &budget.Ledger{}
+		t.names = append(t.names, name)
 	}
 	return t.programs[name]
 }
@@ -157,9 +165,6 @@
 	}
 	t.write(storeRecord{view: &v})
 	t.pushed, t.told = map[string]map[string]bool{}, map[string]bool{}
-	if v.Find(t.id) < 0 {
-		t.register = false
-	}
 	t.sync(func() {})
 }
 
@@ -174,27 +179,22 @@
 // registers tells a control node of the store until the view has it.
 func (t *storeTable) registers() {
 	w, h := t.life.host.world, t.life.host
-	if _, in := t.self(); !in && !t.register {
+	if _, in := t.self(); !in {
 		store := controlstate.StoreMember{ID: t.id, Node: h.name, Zone: h.zone, Address: h.address}
 		command := controlstate.Command{Kind: controlstate.RegisterStore, Store: store, Bootstrap: h.bootstrap && h.wipes == 0, Tolerance: 1}
-		t.order(command, func(int) {})
+		t.propose(command)
 	}
 	t.life.later(w.between(registerInterval, 2*registerInterval), t.registers)
 }
 
-// order proposes a command at some control node.
-func (t *storeTable) order(command controlstate.Command, done func(status int)) {
+// propose proposes a command at some control node.
+func (t *storeTable) propose(command controlstate.Command) {
 	w := t.life.host.world
 	exchange(w, t.life, pick(w, w.of(controlRole)).address, func(l *life, reply func(int)) {
-		if l.replica == nil {
-			return
+		if l.replica != nil {
+			l.replica.propose(command, func(result controlstate.Result, _ bool) { reply(result.Status) })
 		}
-		l.replica.propose(command, func(result controlstate.Result, open bool) {
-			if !open {
-				reply(result.Status)
-			}
-		})
-	}, done)
+	}, func(int) {}) // what became of it shows in the view
 }
 
 // admit checks the header of a request. Where it gives false the reply says all there is to say.
@@ -280,12 +280,27 @@
 	t.sync(func() { reply(storewire.HistoryAnswer{Reply: r, Known: known}) })
 }
 
-// sortedTurns and sortedPrograms give names in order, so that no map's order decides.
-func (t *storeTable) sortedTurns() []string    { return slices.Sorted(maps.Keys(t.turns)) }
-func (t *storeTable) sortedPrograms() []string { return slices.Sorted(maps.Keys(t.programs)) }
-
-// belongs says whether a turn is placed at a member, by its place in the view.
+// places says where a turn belongs, by places in the view.
 func (t *storeTable) places(x storewire.Turn) []int {
+	if known, ok := t.placed[x.ID]; ok {
+		return known
+	}
 	order := placesOf(t.view).Order(placement.Key(x.Root), x.Home, nil)
-	return order[:min(len(order), t.view.Copies())]
+	order = order[:min(len(order), t.view.Copies())]
+	t.placed[x.ID] = order
+	return order
+}
+
+// digest stands for all budgets, and all turns that belong at a member.
+func (t *storeTable) digest(member int) uint64 {
+	var sum uint64
+	for _, name := range t.names {
+		sum += merkle.Entry(placement.Key(name), t.programs[name].Digest())
+	}
+	for _, id := range t.order {
+		if slices.Contains(t.places(t.turns[id]), member) {
+			sum += merkle.Entry(placement.Key(id), 1)
+		}
+	}
+	return sum
 }
--- a/internal/sim/trouble.go
+++ b/internal/sim/trouble.go
@@ -23,7 +23,7 @@
 // strike does one thing at random and says how long to wait before the next.
 func (t *trouble) strike() {
 	w := t.world
-	switch w.random.IntN(13) {
+	switch w.random.IntN(17) {
 	case 0, 1:
 		t.kill(t.some(controlRole, 1), 3*time.Second)
 	case 2:
@@ -47,7 +47,11 @@
 	case 11:
 		t.change()
 	case 12:
-		t.blink()
+		t.blink(pick(w, w.hosts), 0)
+	case 13, 14:
+		t.powerAtAck()
+	case 15, 16:
+		t.storm()
 	}
 }
 
@@ -78,17 +82,57 @@
 }
 
 // blink kills a process in the middle of what it does, again and again.
-func (t *trouble) blink() {
+func (t *trouble) blink(h *host, from time.Duration) {
 	w := t.world
-	h := pick(w, w.hosts)
 	w.begins("%s blinks", h.name)
-	for n := range 3 + w.random.IntN(5) {
-		w.after(time.Duration(n)*150*time.Millisecond, func() {
+	for range 3 + w.random.IntN(6) {
+		w.after(from+w.between(0, time.Second), func() {
+			if h.gone {
+				return
+			}
 			h.stop()
 			w.after(w.between(time.Millisecond, 100*time.Millisecond), h.start)
 		})
 	}
-	w.after(1400*time.Millisecond, w.ends)
+	w.after(from+1400*time.Millisecond, w.ends)
+}
+
+// powerAtAck has all disks be slow, and all machines lose power right after the next change is acknowledged.
+func (t *trouble) powerAtAck() {
+	w := t.world
+	w.begins("slow disks, then power")
+	w.slowDisks++
+	over := false
+	end := func() {
+		if over {
+			return
+		}
+		over = true
+		w.slowDisks--
+		t.kill(w.hosts, time.Second)
+		w.ends()
+	}
+	w.judge.onAck = append(w.judge.onAck, func() { w.after(w.between(0, 5*time.Millisecond), end) })
+	w.after(w.between(time.Second, 3*time.Second), end)
+}
+
+// storm cuts a control node off and kills others while the rest agree on a view without it.
+func (t *trouble) storm() {
+	w := t.world
+	all := w.of(controlRole)
+	alone := pick(w, all)
+	var cut []link
+	for _, h := range w.hosts {
+		if h != alone && (h.role == controlRole || w.one(2)) {
+			cut = append(cut, link{h.address, alone.address}, link{alone.address, h.address})
+		}
+	}
+	t.cut(cut, "cut off in a storm")
+	for _, h := range all {
+		if h != alone && w.random.IntN(3) > 0 {
+			t.blink(h, w.between(300*time.Millisecond, 1500*time.Millisecond))
+		}
+	}
 }
 
 func (t *trouble) freeze(h *host) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -64,10 +64,9 @@
 	programs  int
 	turns     []*keptTurn
 
-	active       int           // troubles under way
-	lastTrouble  time.Duration // when the last one ended
-	coreStable   time.Duration // since when no core node was touched
-	storeTrouble time.Duration // when a store's disk was last lost, or it was down
+	active      int           // troubles under way
+	lastTrouble time.Duration // when the last one ended
+	slowDisks   int           // troubles that slow all disks
 }
 
 func newWorld(o Options) *world {
