After a loss of power of all the tier serves again sooner: dials begin anew, restarts count

The logs show why: connections opened while the other machine was still dark waited out the whole second, as the opening packet goes again only after seconds; and no node counts for another's readiness before it is ready itself, so all waited for the bound of 1.5 s. Ruled out: the chain's own resends (committed 80 ms after the last replica started where the connections were there). Change: a connection is made in tries of 120, 240, 480 ms; after 400 ms a majority of control nodes counts though they have just started too.

--- a/internal/cluster/core/join.go
+++ b/internal/cluster/core/join.go
@@ -14,6 +14,9 @@
 	// the pauses are an eighth of the time since the start, up to joinIntervalMost.
 	joinInterval     = 250 * time.Millisecond
 	joinIntervalMost = time.Second
+	// restartBound is after what time nodes that are not ready themselves count too: where all have just been
+	// started again nobody is, and what a majority of the control nodes have kept is all that there is.
+	restartBound = 400 * time.Millisecond
 	// readyBound is after what time a comparison with any control node is enough.
 	readyBound = 1500 * time.Millisecond
 	// readyBoundOthers is after what time one with any other machine is.
@@ -22,8 +25,8 @@
 
 // join is how far a node that has just started has come. It is ready once it has compared its table with a
 // majority of the control nodes, so that it knows whatever they had acknowledged before it began. Seeds that
-// have not shown who they are count as control nodes, and nodes that are not ready themselves don't count,
-// until readyBound: then one control node is enough, and after readyBoundOthers any other machine.
+// have not shown who they are count as control nodes, and nodes that are not ready themselves don't count
+// until restartBound. From readyBound on one control node is enough, and from readyBoundOthers any other machine.
 type join struct {
 	ready    bool
 	started  time.Time
@@ -92,15 +95,16 @@
 func (c *Core) openHubs() []string {
 	var open []string
 	covered := map[string]bool{c.address: true}
-	for _, n := range c.membership.Nodes() {
+	c.membership.Others(func(id membership.ID, n *membership.Node) bool {
 		if n.Role != membership.Control || !n.Live() {
-			continue
+			return true
 		}
-		if !covered[n.Address] && !c.join.compared[n.ID()] {
+		if !covered[n.Address] && !c.join.compared[id] {
 			open = append(open, n.Address)
 		}
 		covered[n.Address] = true
-	}
+		return true
+	})
 	for _, address := range c.rejoin.seeds {
 		if !covered[address] {
 			open = append(open, address)
@@ -115,23 +119,34 @@
 		return
 	}
 	age := now.Sub(c.join.started)
-	if c.majorityCompared() || age >= readyBound && c.hubCompared() || age >= readyBoundOthers && c.machineCompared() {
+	if c.majorityCompared(age >= restartBound) || age >= readyBound && c.hubCompared() || age >= readyBoundOthers && c.machineCompared() {
 		c.join.ready = true
 		c.gossip.SetSyncing(false)
 	}
 }
 
-func (c *Core) majorityCompared() bool {
-	done := 0
+// majorityCompared tells whether the table was compared with more control nodes than it was not; unready: those
+// that were not ready themselves count too.
+func (c *Core) majorityCompared(unready bool) bool {
+	done, half := 0, 0
 	if c.membership.Self().Role == membership.Control {
 		done++ // its own disk
 	}
 	for id, ready := range c.join.compared {
-		if n, known := c.membership.Node(id); known && ready && n.Role == membership.Control && n.Live() {
+		n, known := c.membership.Node(id)
+		switch {
+		case !known || n.Role != membership.Control || !n.Live():
+		case ready:
 			done++
+		default:
+			half++
 		}
 	}
-	return done > len(c.openHubs()) && len(c.join.compared) > 0
+	open := len(c.openHubs())
+	if unready {
+		done, open = done+half, open-half
+	}
+	return done > open && len(c.join.compared) > 0
 }
 
 // hubCompared tells whether any control node was compared with, or there is none but this.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -25,8 +25,13 @@
 // ErrLost: the connection ended before the answer came; the call may have been carried out.
 var ErrLost = errors.New("connection lost")
 
-// dialTimeout bounds the making of a connection. A host behind a cut says nothing.
-const dialTimeout = time.Second
+const (
+	// dialTimeout bounds the making of a connection. A host behind a cut says nothing.
+	dialTimeout = time.Second
+	// firstDial bounds the first try to make it; each further one may take twice as long. The opening packet of a
+	// connection is lost at a host that is just coming up, and goes again only after a second: a new try is quicker.
+	firstDial = 120 * time.Millisecond
+)
 
 // Client calls peers over one connection each. The zero value is not usable; NewClient makes one.
 type Client struct {
@@ -137,7 +142,9 @@
 }
 
 func (c *Client) dial(address string, p *peer) {
-	conn, err := net.DialTimeout("tcp4", address, dialTimeout)
+	conn, err := dialTries(func(patience time.Duration) (net.Conn, error) {
+		return net.DialTimeout("tcp4", address, patience)
+	})
 	if err == nil {
 		tune(conn)
 		_, err = conn.Write(preamble[:])
@@ -158,6 +165,20 @@
 	c.drop(address, p)
 }
 
+// dialTries makes a connection in tries that take longer and longer, until one succeeds, one is turned away, or
+// dialTimeout is used up.
+func dialTries(dial func(patience time.Duration) (net.Conn, error)) (net.Conn, error) {
+	left := dialTimeout
+	for patience := firstDial; ; patience *= 2 {
+		conn, err := dial(min(patience, left))
+		left -= patience
+		var timeout net.Error
+		if err == nil || !errors.As(err, &timeout) || !timeout.Timeout() || left <= 0 {
+			return conn, err
+		}
+	}
+}
+
 // drop forgets a connection that has ended.
 func (c *Client) drop(address string, p *peer) {
 	c.mutex.Lock()
