--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -26,6 +26,7 @@
 
 // member is what is known of another node.
 type member struct {
+	id       ID
 	node     Node // State is Alive, Suspect, Down or Left
 	heard    time.Time
 	since    time.Time // when this node began to watch it
@@ -40,6 +41,7 @@
 	leaving bool
 	random  *rand.Rand
 	members map[ID]*member
+	order   []*member // all of them, in the order of their ids
 	ring    ring
 
 	stale    bool // the ring has changed
@@ -83,28 +85,55 @@
 
 // Nodes gives all known nodes, this one among them, in the order of their ids.
 func (m *Membership) Nodes() []Node {
-	nodes := make([]Node, 0, len(m.members)+1)
+	nodes := make([]Node, 0, len(m.order)+1)
+	own := m.self.ID()
+	at, _ := m.position(own)
+	for _, known := range m.order[:at] {
+		nodes = append(nodes, known.node)
+	}
 	nodes = append(nodes, m.self)
-	for _, known := range m.members {
+	for _, known := range m.order[at:] {
 		nodes = append(nodes, known.node)
 	}
-	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(a.ID(), b.ID()) })
 	return nodes
 }
 
+// Others calls f with each other node in the order of their ids, until f returns false.
+func (m *Membership) Others(f func(ID, *Node) bool) {
+	for _, known := range m.order {
+		if !f(known.id, &known.node) {
+			return
+		}
+	}
+}
+
+// position is where an id is, or belongs, in the order.
+func (m *Membership) position(id ID) (int, bool) {
+	return slices.BinarySearchFunc(m.order, id, func(known *member, id ID) int { return cmp.Compare(known.id, id) })
+}
+
+// meet begins to know a node.
+func (m *Membership) meet(id ID) *member {
+	known := &member{id: id}
+	m.members[id] = known
+	at, _ := m.position(id)
+	m.order = slices.Insert(m.order, at, known)
+	return known
+}
+
 // Learn takes a record of a node that has been spread. What is not newer than what is known changes nothing.
 func (m *Membership) Learn(now time.Time, n Node) {
-	if n.ID() == m.self.ID() {
+	id := n.ID()
+	if id == m.self.ID() {
 		m.learnSelf(n)
 		return
 	}
-	known := m.members[n.ID()]
+	known := m.members[id]
 	if known != nil && !newer(n, known.node) {
 		return
 	}
 	if known == nil {
-		known = &member{}
-		m.members[n.ID()] = known
+		known = m.meet(id)
 	}
 	if known.node.Name != "" && known.node.Live() {
 		m.ring.remove(known.node)
@@ -117,7 +146,7 @@
 		m.ring.add(n)
 	}
 	m.stale = true
-	m.changed(n.ID())
+	m.changed(id)
 }
 
 // newer tells whether a record replaces what is known: a higher incarnation, or a later state of the same.
@@ -180,6 +209,9 @@
 		return
 	}
 	delete(m.members, id)
+	if at, found := m.position(id); found {
+		m.order = slices.Delete(m.order, at, at+1)
+	}
 }
 
 // Replaced tells that another process answers at a node's address: it cannot run there any more.
@@ -206,7 +238,7 @@
 	}
 	known.node.State = Alive
 	known.suspect = time.Time{}
-	m.changed(known.node.ID())
+	m.changed(known.id)
 }
 
 // InTouch tells whether this node has lately heard from another machine than its own, or knows of none.
@@ -215,7 +247,7 @@
 // inTouchBut tells the same without the machine of that name.
 func (m *Membership) inTouchBut(now time.Time, name string) bool {
 	others := 0
-	for _, known := range m.members {
+	for _, known := range m.order {
 		if !known.node.Live() || known.node.Name == m.self.Name || known.node.Name == name {
 			continue
 		}
--- a/coordination/membership/monitor.go
+++ b/coordination/membership/monitor.go
@@ -66,7 +66,7 @@
 		m.lookSuspect(now, known)
 	case now.Sub(m.lastSign(known)) > known.patience(now):
 		known.node.State = Suspect
-		m.changed(known.node.ID())
+		m.changed(known.id)
 		m.probe(now, known)
 	}
 }
@@ -99,16 +99,15 @@
 	m.stale = true
 	known.node.State = Down
 	m.declare(known.node)
-	m.changed(known.node.ID())
+	m.changed(known.id)
 }
 
 // probe asks a suspect node directly and through others.
 func (m *Membership) probe(now time.Time, known *member) {
 	known.suspect = now
-	id := known.node.ID()
-	m.send(id, Message{Ping: &Ping{}})
+	m.send(known.id, Message{Ping: &Ping{}})
 	for _, helper := range m.helpers(known.node) {
-		m.send(helper, Message{Probe: &Probe{Target: id}})
+		m.send(helper, Message{Probe: &Probe{Target: known.id}})
 	}
 }
 
--- a/internal/cluster/core/core.go
+++ b/internal/cluster/core/core.go
@@ -190,10 +190,15 @@
 	if n, known := c.membership.Node(e.From); known && n.Address == at && n.Incarnation == e.Incarnation {
 		return // as expected; what was there before has been judged
 	}
-	for _, n := range c.membership.Nodes() {
-		if n.Address == at && n.ID() != e.From && n.Live() && n.Incarnation < e.Incarnation {
-			c.membership.Replaced(n.ID())
+	var replaced []membership.ID
+	c.membership.Others(func(id membership.ID, n *membership.Node) bool {
+		if n.Address == at && id != e.From && n.Live() && n.Incarnation < e.Incarnation {
+			replaced = append(replaced, id)
 		}
+		return true
+	})
+	for _, id := range replaced {
+		c.membership.Replaced(id)
 	}
 }
 
@@ -287,13 +292,13 @@
 
 // peers are the live nodes besides this one.
 func (c *Core) peers() []gossip.Peer {
-	nodes := c.membership.Nodes()
-	peers := make([]gossip.Peer, 0, len(nodes))
-	for _, n := range nodes {
-		if n.Live() && n.ID() != c.id {
-			peers = append(peers, gossip.Peer{ID: string(n.ID()), Zone: n.Zone, Hub: n.Role == membership.Control})
+	var peers []gossip.Peer
+	c.membership.Others(func(id membership.ID, n *membership.Node) bool {
+		if n.Live() {
+			peers = append(peers, gossip.Peer{ID: string(id), Zone: n.Zone, Hub: n.Role == membership.Control})
 		}
-	}
+		return true
+	})
 	return peers
 }
 
--- a/internal/cluster/core/rejoin.go
+++ b/internal/cluster/core/rejoin.go
@@ -72,9 +72,8 @@
 // lostAddresses are the seeds where no live node is known, and the lost nodes.
 func (c *Core) lostAddresses() []string {
 	var addresses []string
-	nodes := c.membership.Nodes()
 	for _, seed := range c.rejoin.seeds {
-		if !slices.ContainsFunc(nodes, func(n membership.Node) bool { return n.Address == seed && n.Live() }) {
+		if !c.isLiveAt(seed) {
 			addresses = append(addresses, seed)
 		}
 	}
@@ -85,3 +84,13 @@
 	}
 	return addresses
 }
+
+// isLiveAt tells whether a live node is known at an address.
+func (c *Core) isLiveAt(address string) bool {
+	found := false
+	c.membership.Others(func(_ membership.ID, n *membership.Node) bool {
+		found = n.Address == address && n.Live()
+		return !found
+	})
+	return found
+}
