--- /dev/null
+++ b/internal/cluster/core/fuzz_test.go
@@ -0,0 +1,58 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"emberquay/coordination/gossip"
+	"emberquay/coordination/membership"
+	"emberquay/internal/cluster/core"
+)
+
+// FuzzReceive: no bytes of a peer stop a node, and it goes on spreading.
+func FuzzReceive(f *testing.F) {
+	zero := epoch
+	for _, e := range []core.Envelope{
+		{From: "front-2/control", Incarnation: 3},
+		{From: "front-2/control", Incarnation: 3, Gossip: []gossip.Message{{Compare: &gossip.Digest{Root: 7}}, {Want: []string{core.ConfigurationKey}}}},
+		{From: "front-2/control", Gossip: []gossip.Message{{Sums: make([]uint32, 16)}, {Summary: &gossip.Summary{Buckets: []int{1, -1, 1 << 30}}}}},
+		{From: "front-2/control", Gossip: []gossip.Message{{Delta: &gossip.Delta{Want: []string{"x"}}, Push: []gossip.Entry{{Key: core.NodePrefix + "x/proxy", Value: []byte{1}}}}}},
+	} {
+		data, err := core.Envelopes.Encode(core.ToWire(e))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		wire, err := core.Envelopes.Decode(data)
+		if err != nil {
+			return
+		}
+		envelope, err := core.FromWire(wire)
+		if err != nil {
+			return
+		}
+		self := membership.Node{Name: "front-1", Role: membership.Control, Zone: "a", Region: "r", Address: "10.0.0.1:7381", Incarnation: 5}
+		node, err := core.New(zero, core.Options{Self: self, Seeds: []string{"10.0.0.2:7381"}, Seed: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for step := range 3 {
+			now := zero.Add(time.Duration(step) * 700 * time.Millisecond)
+			node.Receive(now, envelope, "")
+			node.Receive(now, envelope, "10.0.0.2:7381")
+			for _, out := range node.Take().Messages {
+				if _, err := core.Envelopes.Encode(core.ToWire(out.Envelope)); err != nil {
+					t.Fatalf("what it sends cannot be coded: %v", err)
+				}
+			}
+			node.Tick(now)
+		}
+		if _, news := node.Publish(zero.Add(3*time.Second), gossip.Entry{Key: core.StoresKey, Value: []byte("own")}); !news {
+			if _, known := node.Get(core.StoresKey); !known {
+				t.Fatal("what it publishes is nowhere")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/store/fuzz_test.go
@@ -0,0 +1,42 @@
+package store
+
+import (
+	"testing"
+	"time"
+
+	"emberquay/internal/journal"
+	"emberquay/internal/storewire"
+	"emberquay/internal/vfs/memfs"
+)
+
+// FuzzReplay: no record of a store's files stops it, and what it read can be served.
+func FuzzReplay(f *testing.F) {
+	turn, err := storewire.EncodeTurn(storewire.Turn{ID: "b", Root: "a", Previous: "a", RetentionMillis: 60000, Input: []byte("in")})
+	if err != nil {
+		f.Fatal(err)
+	}
+	program, err := programCodec.Encode(storewire.Program{Name: "p", Entries: []byte{0, 0, 0, 0, 0, 0, 0, 1, 4}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	meta, err := metaCodec.Encode(metaRecord{ID: "x", Fence: 3})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(append([]byte{turnKind}, turn...), append([]byte{metaKind}, meta...))
+	f.Add(append([]byte{programKind}, program...), []byte{programKind})
+	f.Add([]byte{metaKind}, []byte{turnKind, 2, 2})
+	f.Fuzz(func(_ *testing.T, first, second []byte) {
+		t := newTable(Options{Files: memfs.New(), Dir: "data", Now: func() time.Duration { return 0 }}, leastSegment)
+		for at, record := range [][]byte{first, second, first} {
+			if len(record) == 0 {
+				continue // the journal keeps none that is empty
+			}
+			_ = t.replay(journal.Position{Segment: 1, Offset: uint32(at), Length: uint32(len(record))}, record)
+		}
+		t.useView()
+		for _, x := range t.turns {
+			_ = t.placesOf(x)
+		}
+	})
+}
--- /dev/null
+++ b/internal/storewire/fuzz_test.go
@@ -0,0 +1,54 @@
+package storewire_test
+
+import (
+	"bytes"
+	"testing"
+
+	"emberquay/coordination/budget"
+	"emberquay/internal/storewire"
+)
+
+// FuzzDecode: what can be read at all comes out the same again.
+func FuzzDecode(f *testing.F) {
+	turn, err := storewire.EncodeTurn(storewire.Turn{ID: "b", Root: "a", Previous: "a", Program: "p", Tokens: 3, Input: []byte("in"), Output: []byte("out")})
+	if err != nil {
+		f.Fatal(err)
+	}
+	view, err := storewire.EncodeView(storewire.View{Epoch: 3, Tolerance: 1, Members: []storewire.Member{{ID: "x", Node: "n"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(turn)
+	f.Add(view)
+	f.Add(storewire.AppendListed(nil, storewire.Listed{Key: 7, Placed: true}))
+	f.Add(budget.Pack(nil, []budget.Entry{{Turn: 1, Tokens: 5, Open: true}, {Turn: 2, Tokens: 9}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if turn, err := storewire.DecodeTurn(data); err == nil {
+			again, err := storewire.EncodeTurn(turn)
+			if err != nil {
+				t.Fatal(err)
+			}
+			same, err := storewire.DecodeTurn(again)
+			if err != nil || same.ID != turn.ID || !bytes.Equal(same.Output, turn.Output) || same.RetentionMillis != turn.RetentionMillis {
+				t.Fatalf("%+v comes back as %+v: %v", turn, same, err)
+			}
+		}
+		_, _ = storewire.DecodeTurnHead(data)
+		if view, err := storewire.DecodeView(data); err == nil {
+			_ = view.Quorum() + view.CatchUp() + view.Unknown() + view.Copies()
+		}
+		_, _ = storewire.Keys(data)
+		_, _ = storewire.ListedTurns(data)
+		if entries, err := budget.Unpack(data); err == nil {
+			same, err := budget.Unpack(budget.Pack(nil, entries))
+			if err != nil || len(same) != len(entries) {
+				t.Fatalf("%v comes back as %v: %v", entries, same, err)
+			}
+			for at := range entries {
+				if same[at] != entries[at] {
+					t.Fatalf("%v comes back as %v", entries[at], same[at])
+				}
+			}
+		}
+	})
+}
