--- /dev/null
+++ b/internal/cluster/core/alloc_test.go
@@ -0,0 +1,23 @@
+package core_test
+
+import (
+	"encoding/binary"
+	"runtime"
+	"testing"
+
+	"emberquay/internal/cluster/core"
+)
+
+// TestAllocOfALength: a length alone must not cost the memory of what it announces.
+func TestAllocOfALength(t *testing.T) {
+	data := []byte{0, 0, 0}
+	data = binary.AppendVarint(data, 15<<20)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := core.Envelopes.Decode(data)
+	runtime.ReadMemStats(&after)
+	t.Logf("%v, %d bytes allocated", err, after.TotalAlloc-before.TotalAlloc)
+	if err == nil || after.TotalAlloc-before.TotalAlloc > 64<<20 {
+		t.Errorf("%v, %d MB allocated for %d bytes", err, (after.TotalAlloc-before.TotalAlloc)>>20, len(data))
+	}
+}
--- a/internal/cluster/core/world_test.go
+++ b/internal/cluster/core/world_test.go
@@ -34,16 +34,15 @@
 
 // process is one start of a node.
 type process struct {
-	world    *world
-	node     membership.Node
-	core     *core.Core
-	up       bool
-	frozen   bool
-	inbox    []func() // what came while it was frozen
-	version  int      // of the tick that is scheduled
-	newest   map[string]gossip.Stamp
-	readyAt  time.Time
-	statesOf map[membership.ID]membership.State
+	world   *world
+	node    membership.Node
+	core    *core.Core
+	up      bool
+	frozen  bool
+	inbox   []func() // what came while it was frozen
+	version int      // of the tick that is scheduled
+	newest  map[string]gossip.Stamp
+	readyAt time.Time
 }
 
 type event struct {
