A configuration's version travels as a long; only machines that count vote

Cause: hamba/avro's codec of a fixed with Go's uint64 shares a buffer between goroutines (seen by the race detector in the replica's tests): the version of a configuration could have been another's. And a control plane on a machine that does not count for the quorum would have voted, though any number of those may go at once. Change: long on the wire; Voter is counts_for_quorum; without any disk in the core the members keep the state in memory; changed seeds reach the replica too.

--- a/internal/cluster/records/other.go
+++ b/internal/cluster/records/other.go
@@ -1,5 +1,7 @@
 package records
 
+import "math"
+
 // ReportRecord is the value of report/INSTANCE: a receiver's own count of its load. Only the newest matters.
 type ReportRecord struct {
 	Instance  string `avro:"instance"`
@@ -34,21 +36,43 @@
 
 // ConfigurationRecord is the value of configuration: the operator's document as it was sent.
 type ConfigurationRecord struct {
-	Version uint64 `avro:"version"`
+	Version uint64
+	Body    []byte
+}
+
+// configurationWire is the record on the wire.
+type configurationWire struct {
+	Version int64  `avro:"version"`
 	Body    []byte `avro:"body"`
 }
 
-// Configurations codes the value of configuration.
-var Configurations = newCodec(`{"type":"record","name":"Configuration","fields":[
-	{"name":"version","type":{"type":"fixed","name":"Version","size":8}},
+var configurations = newCodec(`{"type":"record","name":"Configuration","fields":[
+	{"name":"version","type":"long"},
 	{"name":"body","type":"bytes"}]}`, checkConfiguration)
 
-func checkConfiguration(r ConfigurationRecord) error {
+func checkConfiguration(r configurationWire) error {
 	c := checker{record: "configuration"}
+	c.within("version", r.Version, 0, math.MaxInt64)
 	c.within("body", int64(len(r.Body)), 0, MaxConfiguration)
 	return c.first
 }
 
+// Configurations codes the value of configuration.
+var Configurations configurationCodec
+
+type configurationCodec struct{}
+
+// Encode gives the bytes of a configuration's record. Its version is at most math.MaxInt64.
+func (configurationCodec) Encode(r ConfigurationRecord) ([]byte, error) {
+	return configurations.Encode(configurationWire{Version: int64(r.Version), Body: r.Body})
+}
+
+// Decode reads a configuration's record.
+func (configurationCodec) Decode(value []byte) (ConfigurationRecord, error) {
+	w, err := configurations.Decode(value)
+	return ConfigurationRecord{Version: uint64(w.Version), Body: w.Body}, err
+}
+
 // StoresRecord is the value of stores: the bytes of a store view, which internal/controlstate reads.
 type StoresRecord struct {
 	View []byte `avro:"view"`
--- /dev/null
+++ b/internal/cluster/records/records_test.go
@@ -0,0 +1,84 @@
+package records_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"emberquay/coordination/membership"
+	"emberquay/internal/cluster/records"
+)
+
+func TestRecords(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cluster/records")
+}
+
+var receiver = records.ReceiverRecord{
+	ID: "i-7f3a91c2", Service: "models", Address: "10.128.0.9:8080", Zone: "a", Version: "v1", Slots: 24,
+	State: records.ReceiverDraining, ColdRemainingMillis: 1500, Stage: "both", Models: []string{"m", "n"}, Sequence: 4, Owner: "front-1",
+}
+
+var _ = Describe("records", func() {
+	It("come back as they were", func() {
+		value, err := records.Receivers.Encode(receiver)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(records.Receivers.Decode(value)).To(Equal(receiver))
+
+		report := records.ReportRecord{Instance: "i", Running: 3, Queued: 1, KVUsed: 200_000, KVTotal: 220_394, AgeMillis: 12, Sequence: 9}
+		value, err = records.Reports.Encode(report)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(records.Reports.Decode(value)).To(Equal(report))
+
+		configuration := records.ConfigurationRecord{Version: 1<<63 + 5, Body: []byte(`{"version":1}`)}
+		value, err = records.Configurations.Encode(configuration)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(records.Configurations.Decode(value)).To(Equal(configuration))
+
+		stores := records.StoresRecord{View: []byte{1, 2, 3}}
+		value, err = records.Stores.Encode(stores)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(records.Stores.Decode(value)).To(Equal(stores))
+
+		node := records.NodeRecord{Name: "front-1", Role: membership.Store, Zone: "a", Region: "r", Address: "10.0.0.1:7380", State: membership.Left}
+		value, err = records.EncodeNode(node)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(records.DecodeNode(value)).To(Equal(node))
+	})
+
+	DescribeTable("of a receiver out of bounds are refused, with the field's name",
+		func(field string, change func(*records.ReceiverRecord)) {
+			bad := receiver
+			change(&bad)
+			_, err := records.Receivers.Encode(bad)
+			var fault *records.FieldError
+			Expect(errors.As(err, &fault)).To(BeTrue())
+			Expect(fault.Field).To(Equal(field))
+		},
+		Entry("no id", "id", func(r *records.ReceiverRecord) { r.ID = "" }),
+		Entry("a long address", "address", func(r *records.ReceiverRecord) { r.Address = strings.Repeat("x", records.MaxText+1) }),
+		Entry("negative slots", "slots", func(r *records.ReceiverRecord) { r.Slots = -1 }),
+		Entry("an unknown state", "state", func(r *records.ReceiverRecord) { r.State = 4 }),
+		Entry("many models", "models", func(r *records.ReceiverRecord) { r.Models = make([]string, records.MaxModels+1) }),
+	)
+
+	It("of a node may not be a suspicion", func() {
+		_, err := records.EncodeNode(records.NodeRecord{Name: "a", Role: membership.Proxy, Address: "x", State: membership.Suspect})
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+func TestAnyBytesAreBorne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		value := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "value")
+		_, _ = records.Receivers.Decode(value)
+		_, _ = records.Reports.Decode(value)
+		_, _ = records.Configurations.Decode(value)
+		_, _ = records.Stores.Decode(value)
+		_, _ = records.DecodeNode(value)
+	})
+}
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -118,15 +118,20 @@
 	return nil
 }
 
-// openReplica takes up the control state that the disk holds. A machine without a disk only forwards calls.
+// openReplica takes up the control state that the disk holds. Only machines that count vote: any number of the
+// others may be gone at once. Where none of the core has a disk, what its members hold is lost with their processes.
 func (p *Plane) openReplica(mux *transport.Mux, address string) (*replica.Replica, error) {
-	return replica.Open(replica.Options{
+	options := replica.Options{
 		Name: p.settings.Name, Address: address, Zone: p.settings.Zone,
-		Seeds: p.settings.SeedInternalAddresses(), Bootstrap: p.settings.Bootstrap, Voter: p.settings.HasDisk(),
-		Files: vfs.OS{}, Dir: p.settings.DataDir, DiskBytes: int64(replicaDiskShare * float64(p.settings.Limits.DiskMB<<20)),
+		Seeds: p.settings.SeedInternalAddresses(), Bootstrap: p.settings.Bootstrap, Voter: p.settings.CountsForQuorum,
 		Machine:  func() chain.StateMachine { return controlstate.New() },
 		OnCommit: p.committed, Client: p.client, Mux: mux, Log: p.log,
-	})
+	}
+	if p.settings.HasDisk() {
+		options.Files, options.Dir = vfs.OS{}, p.settings.DataDir
+		options.DiskBytes = int64(replicaDiskShare * float64(p.settings.Limits.DiskMB<<20))
+	}
+	return replica.Open(options)
 }
 
 // committed spreads a newly committed control state. Every member does; the same entry twice is one.
@@ -207,4 +212,7 @@
 }
 
 // SetSeeds tells where other machines' control planes are.
-func (p *Plane) SetSeeds(addresses []string) { p.cluster.SetSeeds(addresses) }
+func (p *Plane) SetSeeds(addresses []string) {
+	p.cluster.SetSeeds(addresses)
+	p.replica.SetSeeds(addresses)
+}
