Proxies' client of the stores: two stores that refuse at once are not asked in a loop

Cause: a store that failed went back to the end of the queue and was asked again at once; with two such stores a commit kept the processor busy until its context ended. Ruled out: a limit of tries, since a store may come back. Change: it comes back after the usual pause. Found by the client's tests, which come with this: in a bubble whose time is exact.

--- a/internal/storeclient/commit.go
+++ b/internal/storeclient/commit.go
@@ -72,6 +72,7 @@
 	queue     []int           // places in the view that are to be asked next
 	asked     int             // calls under way
 	answers   chan commitAnswer
+	rested    chan int // members that failed a while ago
 }
 
 type commitAnswer struct {
@@ -91,6 +92,7 @@
 		record:    record,
 		confirmed: confirmed,
 		answers:   make(chan commitAnswer, len(order)),
+		rested:    make(chan int, len(order)),
 	}
 	for _, at := range order {
 		if !confirmed[view.view.Members[at].ID] {
@@ -129,9 +131,10 @@
 		select {
 		case a := <-w.answers:
 			w.take(ctx, a)
-			if want := w.missing(); w.asked < want {
-				w.ask(ctx, want-w.asked)
-			}
+			w.ask(ctx, w.missing()-w.asked)
+		case member := <-w.rested:
+			w.queue = append(w.queue, member)
+			w.ask(ctx, w.missing()-w.asked)
 		case <-timer.C:
 			hedge *= 2
 			timer.Reset(hedge)
@@ -165,23 +168,20 @@
 	}
 }
 
-// take counts a confirmation, or has the store asked again a little later.
+// take counts a confirmation. A store that failed comes behind all others, after a pause: two that refuse at once must
+// not be asked in a loop.
 func (w *committing) take(ctx context.Context, a commitAnswer) {
 	store := w.view.view.Members[a.member]
 	w.client.heard(store.Address, a.err == nil)
+	w.asked--
 	if a.err == nil && w.client.heed(a.answer.Reply) {
-		w.asked--
 		w.confirmed[store.ID] = true
 		return
 	}
-	if len(w.queue) > 0 {
-		w.asked-- // the next in order takes its place
-		w.queue = append(w.queue, a.member)
-		return
-	}
 	time.AfterFunc(retryPause, func() {
-		if ctx.Err() == nil {
-			w.call(ctx, a.member)
+		select {
+		case w.rested <- a.member:
+		case <-ctx.Done():
 		}
 	})
 }
