--- a/internal/cluster/records/other.go
+++ b/internal/cluster/records/other.go
@@ -1,7 +1,5 @@
 package records
 
-import "math"
-
 // ReportRecord is the value of report/INSTANCE: a receiver's own count of its load. Only the newest matters.
 type ReportRecord struct {
 	Instance  string `avro:"instance"`
@@ -52,7 +50,6 @@
 
 func checkConfiguration(r configurationWire) error {
 	c := checker{record: "configuration"}
-	c.within("version", r.Version, 0, math.MaxInt64)
 	c.within("body", int64(len(r.Body)), 0, MaxConfiguration)
 	return c.first
 }
@@ -62,7 +59,8 @@
 
 type configurationCodec struct{}
 
-// Encode gives the bytes of a configuration's record. Its version is at most math.MaxInt64.
+// Encode gives the bytes of a configuration's record. The version's bits go as those of a long: avro has no
+// unsigned one.
 func (configurationCodec) Encode(r ConfigurationRecord) ([]byte, error) {
 	return configurations.Encode(configurationWire{Version: int64(r.Version), Body: r.Body})
 }
