transport: an array of a message is bounded in elements

hamba/avro's MaxSliceAllocSize counts elements: at 16 Mi a message of 7 bytes that announces 15 Mi elements cost 1920 MB (TestAllocOfALength).

--- a/internal/transport/codec.go
+++ b/internal/transport/codec.go
@@ -5,8 +5,12 @@
 	"github.com/rotisserie/eris"
 )
 
+// mostElements bounds an array of a message. The decoder makes room for as many as the message announces before it reads
+// them, so that a few bytes could cost gigabytes: MaxSliceAllocSize counts elements, not bytes.
+const mostElements = 1 << 16
+
 // messages is the avro configuration of all internal messages: bounded like the frames that carry them.
-var messages = avro.Config{MaxByteSliceSize: MaxFrame, MaxSliceAllocSize: MaxFrame}.Freeze()
+var messages = avro.Config{MaxByteSliceSize: MaxFrame, MaxSliceAllocSize: mostElements}.Freeze()
 
 // Codec turns messages of one type into avro bytes and back. It is immutable and may be shared.
 type Codec[T any] struct {
