Control planes keep the list of receivers on disk: known at once after a loss of power of all

Ruled out: keeping it in the replicated state (each heartbeat's change would wait for the chain); keeping it at the proxies (they have no disk). Tests: damaged, missing, power lost.

--- /dev/null
+++ b/internal/registration/snapshot/snapshot.go
@@ -0,0 +1,143 @@
+// Package snapshot keeps the list of receivers that a control node knows on its disk, so that the tier knows them
+// again at once when all of it was down: until each has sent a heartbeat nothing could be sent to it.
+//
+//	file := snapshot.File{Files: vfs.OS{}, Dir: dir}
+//	entries, err := file.Load()
+//	err = file.Save(entries)
+//
+// The list is soft state: what the file lacks comes with the next heartbeats, and what is outdated in it is found
+// out by the first call, as each call names the instance that it means. So a file that is not there or not whole
+// is an empty list.
+package snapshot
+
+import (
+	"errors"
+	"io/fs"
+	"path/filepath"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"emberquay/internal/cluster"
+	"emberquay/internal/transport"
+	"emberquay/internal/vfs"
+)
+
+const (
+	// name is the file's name in its folder; a new one is written beside it first.
+	name    = "receivers"
+	newName = "receivers.new"
+	// maxBytes bounds the file.
+	maxBytes = 8 << 20
+	sumBytes = 8
+)
+
+type entry struct {
+	Key      string `avro:"key"`
+	Value    []byte `avro:"value"`
+	Epoch    int64  `avro:"epoch"`
+	Sequence int64  `avro:"sequence"`
+	Origin   string `avro:"origin"`
+}
+
+type list struct {
+	Entries []entry `avro:"entries"`
+}
+
+var lists = transport.MustCodec[list](`{"type":"record","name":"List","fields":[
+	{"name":"entries","type":{"type":"array","items":{"type":"record","name":"Entry","fields":[
+		{"name":"key","type":"string"},
+		{"name":"value","type":"bytes"},
+		{"name":"epoch","type":"long"},
+		{"name":"sequence","type":"long"},
+		{"name":"origin","type":"string"}]}}}]}`)
+
+// File is where the list is kept.
+type File struct {
+	Files vfs.FS
+	Dir   string
+}
+
+// Load reads the list; nil where there is none or not a whole one. Errors: those of the disk.
+func (f File) Load() ([]cluster.Entry, error) {
+	file, err := f.Files.Open(filepath.Join(f.Dir, name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "receivers")
+	}
+	defer file.Close()
+	size, err := file.Size()
+	if err != nil || size < sumBytes || size > maxBytes {
+		return nil, eris.Wrap(err, "receivers")
+	}
+	raw := make([]byte, size)
+	if _, err := file.ReadAt(raw, 0); err != nil {
+		return nil, eris.Wrap(err, "receivers")
+	}
+	return parse(raw), nil
+}
+
+// parse gives nil for bytes that are not a whole list.
+func parse(raw []byte) []cluster.Entry {
+	body := raw[:len(raw)-sumBytes]
+	if string(raw[len(body):]) != string(sum(body)) {
+		return nil
+	}
+	kept, err := lists.Decode(body)
+	if err != nil {
+		return nil
+	}
+	entries := make([]cluster.Entry, 0, len(kept.Entries))
+	for _, e := range kept.Entries {
+		stamp := cluster.Stamp{Epoch: uint64(e.Epoch), Sequence: uint64(e.Sequence), Origin: e.Origin}
+		entries = append(entries, cluster.Entry{Key: e.Key, Value: e.Value, Stamp: stamp})
+	}
+	return entries
+}
+
+func sum(body []byte) []byte {
+	digest := xxhash.New()
+	_, _ = digest.Write(body)
+	return digest.Sum(nil)
+}
+
+// Save writes the list in the place of the one before, in one step. It is on the disk when it returns nil.
+func (f File) Save(entries []cluster.Entry) error {
+	kept := list{Entries: make([]entry, 0, len(entries))}
+	for _, e := range entries {
+		kept.Entries = append(kept.Entries, entry{Key: e.Key, Value: e.Value, Epoch: int64(e.Stamp.Epoch),
+			Sequence: int64(e.Stamp.Sequence), Origin: e.Stamp.Origin})
+	}
+	body, err := lists.Encode(kept)
+	if err != nil || len(body) > maxBytes-sumBytes {
+		return eris.Wrapf(err, "receivers: %d bytes", len(body))
+	}
+	if err := f.write(append(body, sum(body)...)); err != nil {
+		return eris.Wrap(err, "receivers")
+	}
+	return nil
+}
+
+func (f File) write(raw []byte) error {
+	from := filepath.Join(f.Dir, newName)
+	file, err := f.Files.Create(from)
+	if err != nil {
+		return err
+	}
+	_, err = file.WriteAt(raw, 0)
+	if err == nil {
+		err = file.Sync()
+	}
+	if closing := file.Close(); err == nil {
+		err = closing
+	}
+	if err != nil {
+		return err
+	}
+	if err := f.Files.Rename(from, filepath.Join(f.Dir, name)); err != nil {
+		return err
+	}
+	return f.Files.SyncDir(f.Dir)
+}
--- /dev/null
+++ b/internal/registration/snapshot/snapshot_test.go
@@ -0,0 +1,79 @@
+package snapshot_test
+
+import (
+	"math/rand/v2"
+	"path/filepath"
+	"testing"
+
+	"emberquay/internal/cluster"
+	"emberquay/internal/registration/snapshot"
+	"emberquay/internal/vfs"
+	"emberquay/internal/vfs/memfs"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSnapshot(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "snapshot of the receivers")
+}
+
+func entries() []cluster.Entry {
+	return []cluster.Entry{
+		{Key: "receiver/i-1", Value: []byte("one"), Stamp: cluster.Stamp{Epoch: 4, Origin: "front-1"}},
+		{Key: "receiver/i-2", Value: []byte("two"), Stamp: cluster.Stamp{Epoch: 1 << 62, Sequence: 1, Origin: "front-2"}},
+	}
+}
+
+var _ = Describe("the kept list of receivers", func() {
+	It("is empty where there is none", func() {
+		Expect(snapshot.File{Files: vfs.OS{}, Dir: GinkgoT().TempDir()}.Load()).To(BeEmpty())
+	})
+
+	It("comes back with its stamps, the newest written", func() {
+		file := snapshot.File{Files: vfs.OS{}, Dir: GinkgoT().TempDir()}
+		Expect(file.Save(entries()[:1])).To(Succeed())
+		Expect(file.Save(entries())).To(Succeed())
+		Expect(file.Load()).To(Equal(entries()))
+	})
+
+	It("is empty where its bytes are not whole", func() {
+		file := snapshot.File{Files: vfs.OS{}, Dir: GinkgoT().TempDir()}
+		Expect(file.Save(entries())).To(Succeed())
+		damaged, err := vfs.OS{}.OpenReadWrite(filepath.Join(file.Dir, "receivers"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = damaged.WriteAt([]byte{0xff}, 3)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(damaged.Close()).To(Succeed())
+		Expect(file.Load()).To(BeEmpty())
+	})
+
+	It("outlasts a loss of power once it was saved", func() {
+		disk := memfs.New()
+		file := snapshot.File{Files: disk, Dir: "/data"}
+		Expect(disk.MkdirAll("/data")).To(Succeed())
+		Expect(file.Save(entries())).To(Succeed())
+		Expect(snapshot.File{Files: disk.After(memfs.Power, rand.New(rand.NewPCG(1, 2))), Dir: "/data"}.Load()).To(Equal(entries()))
+	})
+})
+
+func FuzzLoad(f *testing.F) {
+	f.Add([]byte("12345678"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		file := snapshot.File{Files: vfs.OS{}, Dir: t.TempDir()}
+		written, err := vfs.OS{}.Create(filepath.Join(file.Dir, "receivers"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := written.WriteAt(raw, 0); err != nil {
+			t.Fatal(err)
+		}
+		if err := written.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := file.Load(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
