Stores: catching up asks each store once; removed machines noticed whatever came after

Cause: a store that waited for one that was down had all others list what they hold twenty times a second; a machine that was removed and came back with an empty disk as a new one looked, to those that missed the view between, as if it had never gone, so that a turn could be answered 404; an emptied machine's removal held reservations up for no reason. Change: inventories are kept under a view, pauses double, holders that failed come last; a member counts as gone unless its id is there or its place was taken. Ruled out: keeping inventories over views, which may lack what a removed machine held.

--- a/internal/store/catchup.go
+++ b/internal/store/catchup.go
@@ -2,18 +2,24 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 
 	"emberquay/internal/storewire"
 )
 
-// inventory is what another store holds.
+// inventory is what another store holds, as far as it has not been taken in.
 type inventory struct {
-	member   int
-	turns    []storewire.Listed
-	programs []storewire.Program
+	member int
+	turns  []storewire.Listed
+}
+
+// inventories are those taken under one view, by member. They are kept until enough have come: a store that can't be
+// reached must not have the others tell all they hold again and again. They belong to the repair.
+type inventories struct {
+	epoch  int64
+	taken  map[int]*inventory
+	failed map[int]bool // holders that did not send what they hold: others are asked first
 }
 
 // catchUp compares with the other members until it lacks nothing, and says whether it does. A store that was added
@@ -22,18 +28,11 @@
 	if !d.complete && !d.unsettled && !d.view.Members[d.self].Replaced {
 		return s.complete(ctx)
 	}
-	inventories := s.inventories(ctx, d)
-	if len(inventories) < d.view.CatchUp() {
-		return false
-	}
-	for _, inventory := range inventories {
-		if !s.takePrograms(ctx, inventory.programs) {
-			return false
-		}
-	}
-	if !s.fetchAll(ctx, d, inventories) {
+	s.takeInventories(ctx, d)
+	if len(s.taken.taken) < d.view.CatchUp() || !s.fetchAll(ctx, d) {
 		return false
 	}
+	s.taken = inventories{}
 	settled := false
 	err := s.do(ctx, func(t *table) bool {
 		// A machine that was removed meanwhile may have held what is missing now.
@@ -60,30 +59,32 @@
 	return err == nil && kept
 }
 
-// inventories asks all others at once. Those that don't answer whole, or are not complete themselves, are left out.
-func (s *Store) inventories(ctx context.Context, d duty) []inventory {
+// takeInventories asks all others, that have not answered under this view, at once. Those that don't answer whole, or
+// are not complete themselves, are left out.
+func (s *Store) takeInventories(ctx context.Context, d duty) {
+	if s.taken.epoch != d.view.Epoch {
+		s.taken = inventories{epoch: d.view.Epoch, taken: map[int]*inventory{}, failed: map[int]bool{}}
+	}
 	answers := make(chan *inventory, len(d.view.Members))
 	var asking sync.WaitGroup
 	for member := range d.view.Members {
-		if member == d.self {
+		if member == d.self || s.taken.taken[member] != nil {
 			continue
 		}
 		asking.Add(1)
 		go func() {
 			defer asking.Done()
 			i := &inventory{member: member}
-			if s.listTurns(ctx, d, i) && s.listPrograms(ctx, d, i) {
+			if s.listTurns(ctx, d, i) && s.takePrograms(ctx, d, member) {
 				answers <- i
 			}
 		}()
 	}
 	asking.Wait()
 	close(answers)
-	var all []inventory
 	for i := range answers {
-		all = append(all, *i)
+		s.taken.taken[i.member] = i
 	}
-	return all
 }
 
 func (s *Store) listTurns(ctx context.Context, d duty, i *inventory) bool {
@@ -111,16 +112,20 @@
 	return s.caller.List(ctx, d.view.Members[member].Address, q)
 }
 
-func (s *Store) listPrograms(ctx context.Context, d duty, i *inventory) bool {
-	q := storewire.ProgramsRequest{Header: d.header(i.member)}
+// takePrograms takes in all that another store knows of budgets.
+func (s *Store) takePrograms(ctx context.Context, d duty, member int) bool {
+	q := storewire.ProgramsRequest{Header: d.header(member)}
 	for {
 		callContext, cancel := context.WithTimeout(ctx, peerLimit)
-		a, err := s.caller.Programs(callContext, d.view.Members[i.member].Address, q)
+		a, err := s.caller.Programs(callContext, d.view.Members[member].Address, q)
 		cancel()
 		if err != nil || !s.heed(a.Reply) || !a.Reply.Complete || len(a.Programs) == 0 && a.More {
 			return false
 		}
-		i.programs = append(i.programs, a.Programs...)
+		in, err := read(nil, a.Programs)
+		if err != nil || !s.takeIn(ctx, in) {
+			return false
+		}
 		if !a.More {
 			return true
 		}
@@ -128,17 +133,6 @@
 	}
 }
 
-// takePrograms takes in what another store knows of budgets.
-func (s *Store) takePrograms(ctx context.Context, programs []storewire.Program) bool {
-	for page := range slices.Chunk(programs, offerPrograms) {
-		in, err := read(nil, page)
-		if err != nil || !s.takeIn(ctx, in) {
-			return false
-		}
-	}
-	return true
-}
-
 func (s *Store) takeIn(ctx context.Context, in *intake) bool {
 	taken := false
 	err := s.do(ctx, func(t *table) bool {
@@ -156,30 +150,49 @@
 
 // fetchAll brings the turns that belong here, and those that too few of the others hold: this store may have been one
 // of theirs before it lost its disk.
-func (s *Store) fetchAll(ctx context.Context, d duty, inventories []inventory) bool {
-	missing, ok := s.missing(ctx, d, inventories)
+func (s *Store) fetchAll(ctx context.Context, d duty) bool {
+	missing, ok := s.missing(ctx, d, s.taken.taken)
 	if !ok {
 		return false
 	}
 	loads := map[int][]uint64{}
 	for key, w := range missing {
 		// The holder with the least to send, so that they send side by side.
-		best := slices.MinFunc(w.holders, func(a, b int) int { return len(loads[a]) - len(loads[b]) })
+		best := slices.MinFunc(w.holders, func(a, b int) int {
+			if s.taken.failed[a] != s.taken.failed[b] {
+				return boolOrder(s.taken.failed[a])
+			}
+			return len(loads[a]) - len(loads[b])
+		})
 		loads[best] = append(loads[best], key)
 	}
-	results := make(chan bool, len(loads))
-	for _, member := range slices.Sorted(maps.Keys(loads)) {
-		go func() { results <- s.fetch(ctx, d, member, loads[member]) }()
+	type result struct {
+		member  int
+		fetched bool
+	}
+	results := make(chan result, len(loads))
+	for member, keys := range loads {
+		go func() { results <- result{member: member, fetched: s.fetch(ctx, d, member, keys)} }()
 	}
 	all := true
 	for range loads {
-		all = <-results && all
+		r := <-results
+		s.taken.failed[r.member] = !r.fetched
+		all = all && r.fetched
 	}
 	return all
 }
 
+// boolOrder puts true behind false.
+func boolOrder(later bool) int {
+	if later {
+		return 1
+	}
+	return -1
+}
+
 // missing works out what is to be brought.
-func (s *Store) missing(ctx context.Context, d duty, inventories []inventory) (map[uint64]*wanted, bool) {
+func (s *Store) missing(ctx context.Context, d duty, inventories map[int]*inventory) (map[uint64]*wanted, bool) {
 	all := map[uint64]*wanted{}
 	for _, inventory := range inventories {
 		for _, l := range inventory.turns {
--- a/internal/store/repair.go
+++ b/internal/store/repair.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// urgentInterval lies between two rounds of a store that is incomplete or being emptied.
+	// urgentInterval lies between the first two rounds of a store that is incomplete or being emptied; it doubles up to
+	// the usual one, since what those wait for may be down for long.
 	urgentInterval = 50 * time.Millisecond
 	// peerLimit bounds a call to another store.
 	peerLimit = time.Second
@@ -33,20 +34,22 @@
 	defer s.done.Done()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	next := 0
-	for {
+	urgent := urgentInterval
+	for next := 0; ; next++ {
 		select {
 		case <-timer.C:
 		case <-s.kick:
+			urgent = urgentInterval
 		case <-s.ctx.Done():
 			return
 		}
-		interval := s.options.RepairInterval
 		if s.round(next) {
-			interval = min(interval, urgentInterval)
+			timer.Reset(urgent)
+			urgent = min(2*urgent, s.options.RepairInterval)
+			continue
 		}
-		next++
-		timer.Reset(interval)
+		timer.Reset(s.options.RepairInterval)
+		urgent = urgentInterval
 	}
 }
 
--- a/internal/store/repair_test.go
+++ b/internal/store/repair_test.go
@@ -58,6 +58,42 @@
 		c.expectFound(ids)
 	})
 
+	It("has the others tell what they hold once, though one can't be reached", func() {
+		chain(c.client("a"), "talk", 5)
+		c.nodes[0].wipe()
+		c.spread()
+		c.nodes[2].down.Store(true)
+		for range 5 {
+			c.nodes[0].store.Round(0)
+		}
+		Expect(c.counted("list")).To(Equal(1+5), "one of the one that answers, five of the one that does not")
+		Expect(c.nodes[0].store.Complete()).To(BeFalse())
+		c.nodes[2].down.Store(false)
+		c.nodes[0].store.Round(0)
+		Expect(c.nodes[0].store.Complete()).To(BeTrue())
+	})
+
+	It("fetches from another holder where one fails", func() {
+		c = newCluster(2, "a", "b", "c", "d", "e")
+		ids := chain(c.client("a"), "talk", 4)
+		c.nodes[0].wipe()
+		c.spread()
+		failed := ""
+		c.failing(func(method, address string) error {
+			if method == "fetch" && (failed == "" || failed == address) {
+				failed = address
+				return errCut
+			}
+			return nil
+		})
+		c.nodes[0].store.Round(0)
+		Expect(c.nodes[0].store.Complete()).To(BeFalse())
+		c.nodes[0].store.Round(0)
+		Expect(c.nodes[0].store.Complete()).To(BeTrue())
+		Expect(c.nodes[0].store.Turns()).To(Equal(4))
+		c.expectFound(ids)
+	})
+
 	It("brings many turns back", func() {
 		client := c.client("a")
 		for at := range 60 {
@@ -288,6 +324,35 @@
 		}
 	})
 
+	It("is not one that had been emptied", func() {
+		c := newCluster(1, "a", "b", "c", "d")
+		c.retire("store-3")
+		c.spread()
+		c.rounds(1)
+		c.nodes[3].down.Store(true)
+		c.remove("store-3")
+		c.nodes = c.nodes[:3]
+		c.spread()
+		Expect(c.lookUp("unheard")).To(Equal(storeclient.Missing))
+		Expect(reserveAt(c, c.nodes[0], "x", true).Reply.Complete).To(BeTrue())
+	})
+
+	It("is one that comes back with another disk as if it were new", func() {
+		c := newCluster(1, "a", "b", "c", "d")
+		n := c.nodes[0]
+		chain(c.client("a"), "talk", 5)
+		c.remove(n.name)
+		n.wipe() // not in the view, and so in nobody's place
+		c.spread()
+		Expect(c.view.Members[3].Replaced).To(BeFalse())
+		Expect(c.lookUp("talk-4")).NotTo(Equal(storeclient.Missing))
+		Expect(reserveAt(c, c.nodes[1], "x", true).Reply.Complete).To(BeFalse())
+		n.store.Round(0)
+		c.rounds(1)
+		c.expectFound([]string{"talk-0", "talk-1", "talk-2", "talk-3", "talk-4"})
+		Expect(c.lookUp("unheard")).To(Equal(storeclient.Missing))
+	})
+
 	It("is not one whose successor took its place", func() {
 		c := newCluster(1, "a", "b", "c")
 		c.nodes[2].wipe()
--- a/internal/store/retire.go
+++ b/internal/store/retire.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// retiredReport is the last call of Options.Retired. It belongs to the repair.
+// retiredReport is the last call of Options.Retired.
 type retiredReport struct {
 	epoch int64
 	at    time.Duration
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -80,7 +80,8 @@
 	caller   storewire.Caller
 	commands chan *command
 	kick     chan struct{} // wakes the repair
-	reported retiredReport
+	reported retiredReport // belongs to the repair
+	taken    inventories   // likewise
 
 	ctx  context.Context
 	stop context.CancelFunc
--- a/internal/store/table.go
+++ b/internal/store/table.go
@@ -142,12 +142,16 @@
 	return true
 }
 
-// removed says whether a machine of the old view is gone from the new one. What it held may be at fewer stores than
-// before, so "unknown" of the stores that are left counts for less.
+// removed says whether a store of the old view is gone from the new one with what it held, so that this may be at fewer
+// stores than before, and "unknown" of those that are left counts for less. One that was retiring went empty; one that
+// took a lost disk's place under the view's eyes catches up itself.
 func removed(old, view storewire.View) bool {
-	return slices.ContainsFunc(old.Members, func(m storewire.Member) bool {
-		return !slices.ContainsFunc(view.Members, func(n storewire.Member) bool { return n.Node == m.Node })
-	})
+	stays := func(m storewire.Member) bool {
+		return slices.ContainsFunc(view.Members, func(n storewire.Member) bool {
+			return n.ID == m.ID || n.Node == m.Node && n.Replaced
+		})
+	}
+	return slices.ContainsFunc(old.Members, func(m storewire.Member) bool { return !m.Retiring && !stays(m) })
 }
 
 // useView works out what the view means for all that is held.
