--- a/internal/transport/codec.go
+++ b/internal/transport/codec.go
@@ -1,6 +1,8 @@
 package transport
 
 import (
+	"sync"
+
 	"github.com/hamba/avro/v2"
 	"github.com/rotisserie/eris"
 )
@@ -12,25 +14,27 @@
 // messages is the avro configuration of all internal messages: bounded like the frames that carry them.
 var messages = avro.Config{MaxByteSliceSize: MaxFrame, MaxSliceAllocSize: mostElements}.Freeze()
 
-// Codec turns messages of one type into avro bytes and back. It is immutable and may be shared.
+// Codec turns messages of one type into avro bytes and back. It may be shared.
 type Codec[T any] struct {
-	schema avro.Schema
+	schema func() avro.Schema
 }
 
-// MustCodec makes a codec of an avro schema. A schema that does not parse is a broken invariant.
+// MustCodec makes a codec of an avro schema. The schema is parsed when it is first used: a process uses few of all
+// that its program knows, and parsing them all would cost it tens of milliseconds and megabytes at its start. A schema
+// that does not parse is a broken invariant.
 func MustCodec[T any](schema string) *Codec[T] {
-	return &Codec[T]{schema: avro.MustParse(schema)}
+	return &Codec[T]{schema: sync.OnceValue(func() avro.Schema { return avro.MustParse(schema) })}
 }
 
 // Encode gives the avro bytes of a message.
 func (c *Codec[T]) Encode(message T) ([]byte, error) {
-	data, err := messages.Marshal(c.schema, message)
+	data, err := messages.Marshal(c.schema(), message)
 	return data, eris.Wrap(err, "encode")
 }
 
 // Decode reads a message. Bytes that are not one are an error.
 func (c *Codec[T]) Decode(data []byte) (T, error) {
 	var message T
-	err := messages.Unmarshal(c.schema, data, &message)
+	err := messages.Unmarshal(c.schema(), data, &message)
 	return message, eris.Wrap(err, "decode")
 }
