Reports go straight to the proxies, not through the whole cluster

Cause: each report was pushed to every node three to four times over, stores and control planes too, which have no use for it; bytes between zones are priced and each message costs processor time. Ruled out: fewer reports (they are what the allowance is made of).

--- a/internal/cluster/records/other.go
+++ b/internal/cluster/records/other.go
@@ -11,15 +11,18 @@
 	Sequence  int64  `avro:"sequence"`
 }
 
-// Reports codes the values of report/INSTANCE.
-var Reports = newCodec(`{"type":"record","name":"Report","fields":[
+// ReportSchema is the avro schema of a ReportRecord.
+const ReportSchema = `{"type":"record","name":"Report","fields":[
 	{"name":"instance","type":"string"},
 	{"name":"running","type":"long"},
 	{"name":"queued","type":"long"},
 	{"name":"kv_used","type":"long"},
 	{"name":"kv_total","type":"long"},
 	{"name":"age_millis","type":"long"},
-	{"name":"sequence","type":"long"}]}`, checkReport)
+	{"name":"sequence","type":"long"}]}`
+
+// Reports codes the values of report/INSTANCE.
+var Reports = newCodec(ReportSchema, checkReport)
 
 func checkReport(r ReportRecord) error {
 	c := checker{record: "report"}
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -17,7 +17,6 @@
 
 	"github.com/apex/log"
 
-	"emberquay/admission/dispatch"
 	"emberquay/internal/cluster"
 	"emberquay/internal/cluster/records"
 	"emberquay/internal/proxy"
@@ -98,7 +97,7 @@
 		Seed:          maphash.Comparable(maphash.MakeSeed(), p.settings.Name),
 		LiveProxies:   func() int { return max(1, p.assignment.live()) },
 		Assigned:      p.assignment.assigned,
-		PublishReport: p.publishReport,
+		PublishReport: newReportSpreader(p.client, p.cluster, p.stopped).spread,
 		BodyMemory:    int64(bodyShare * float64(p.settings.Limits.MemoryMB<<20)),
 		MaxClients:    int(clientShare * float64(p.settings.Limits.MaxFDs)),
 		MaxReceivers:  int(receiverShare * float64(p.settings.Limits.MaxFDs)),
@@ -106,6 +105,7 @@
 	if err != nil {
 		return err
 	}
+	transport.Receive(mux, reportMethod, reportCodec, func(_ context.Context, r records.ReportRecord) { p.takeReport(r) })
 	p.internal, err = transport.Listen(address, mux)
 	return err
 }
@@ -115,7 +115,7 @@
 	p.cluster.Watch(cluster.ConfigurationKey, p.takeConfiguration)
 	p.cluster.Watch(cluster.StoresKey, p.takeStores)
 	p.cluster.Watch(cluster.ReceiverPrefix, p.takeReceiver)
-	p.cluster.Watch(cluster.ReportPrefix, p.takeReport)
+	p.cluster.Watch(cluster.ReportPrefix, p.takeSpreadReport)
 	p.cluster.WatchNodes(p.takeNode)
 }
 
@@ -170,28 +170,6 @@
 	}
 }
 
-func (p *Plane) publishReport(id dispatch.InstanceID, report dispatch.Report) {
-	value, err := records.Reports.Encode(records.ReportRecord{
-		Instance: string(id), Running: report.Running, Queued: report.Queued, KVUsed: int64(report.KVUsed),
-		KVTotal: int64(report.KVTotal), AgeMillis: report.Age.Milliseconds(), Sequence: int64(report.Sequence),
-	})
-	if err != nil {
-		return
-	}
-	p.cluster.Publish(cluster.Entry{Key: cluster.ReportPrefix + string(id), Value: value})
-}
-
-func (p *Plane) takeReport(entry cluster.Entry) {
-	record, err := records.Reports.Decode(entry.Value)
-	if err != nil || p.assignment.assigned(dispatch.InstanceID(record.Instance)) {
-		return
-	}
-	p.proxy.Report(dispatch.InstanceID(record.Instance), dispatch.Report{
-		Running: record.Running, Queued: record.Queued, KVUsed: int(record.KVUsed), KVTotal: int(record.KVTotal),
-		Age: time.Duration(record.AgeMillis) * time.Millisecond, Sequence: uint64(record.Sequence),
-	})
-}
-
 // becomeReady tells the platform that clients may come, once this plane has compared what it knows with others
 // and has a configuration: before, it could refuse routes that are there, or send to receivers that drain.
 func (p *Plane) becomeReady() {
