Dispatch: a receiver with an overdue call gets no more while others are good

Ruled out: a time-out of our own (a receiver's silence is no reason to end an answer sooner). Change: a call whose answer has not begun after six usual times and 300 ms makes its receiver no good as long as it hangs; given up then, it counts as a failure.

--- a/admission/dispatch/buckets.go
+++ b/admission/dispatch/buckets.go
@@ -15,6 +15,10 @@
 	firstRest     = time.Second / 8
 	mostDoublings = 4
 	restSpread    = 0.25 // of a pause, either way, so that senders do not come back together
+	// overdueTimes and leastOverdue say when a call is overdue: after so many usual times to the beginning of an
+	// answer, and a time that neither a busy machine nor a lost packet comes to.
+	overdueTimes = 6
+	leastOverdue = 300 * time.Millisecond
 	// endedKept bounds the ended calls that are remembered for the next report, which may be older than their
 	// ends. Those past it count as still running, the safe side.
 	endedKept = 64
@@ -37,7 +41,18 @@
 func (b *bucket) usable() bool { return !b.Draining && !b.elsewhere }
 
 // good: nothing speaks against it but its allowance and told waits, which bind in any case.
-func (b *bucket) good(now Instant) bool { return b.usable() && !b.Silent && now >= b.restUntil }
+func (b *bucket) good(now Instant) bool {
+	return b.usable() && !b.Silent && now >= b.restUntil && !b.hangs(now)
+}
+
+// hangs: a call out there is overdue. A receiver may take calls, answer some of them and health checks, and leave the
+// others hanging until their deadlines.
+func (b *bucket) hangs(now Instant) bool {
+	return slices.ContainsFunc(b.out, func(q *request) bool { return q.hangs(now) })
+}
+
+// hangs: the answer to the call that is out should have begun.
+func (q *request) hangs(now Instant) bool { return !q.started && now >= q.overdue }
 
 // bearable: it may do where most of a pool is not good. One that rests gets one call at a time. Silence of
 // most says more of the way that heartbeats take than of the receivers.
--- a/admission/dispatch/dispatch.go
+++ b/admission/dispatch/dispatch.go
@@ -168,6 +168,7 @@
 // send passes a request on.
 func (d *Dispatcher) send(s *service, q *request, b *bucket) {
 	q.to, q.sent = b, d.now
+	q.overdue = d.now.Add(overdueTimes*d.usual(s, q).start() + leastOverdue)
 	q.attempt++
 	if b.Engine != nil {
 		q.unread = q.missing(d.now, b)
--- a/admission/dispatch/outcome.go
+++ b/admission/dispatch/outcome.go
@@ -101,6 +101,9 @@
 	case Elsewhere:
 		b.elsewhere = true
 	case Cancelled:
+		if q.hangs(d.now) { // its client has given up what the receiver never began to answer
+			b.failed(d.now, d.chance.Unit())
+		}
 	default:
 		d.failed(q, b, o.Kind, usual)
 	}
--- a/admission/dispatch/state.go
+++ b/admission/dispatch/state.go
@@ -43,6 +43,7 @@
 
 	to       *bucket // where a call is out; nil: none is
 	sent     Instant
+	overdue  Instant // by when the answer to the call that is out should have begun
 	attempt  int
 	unread   int          // prompt tokens that its receiver has yet to read
 	least    float64      // prompt tokens that the free receiver which keeps most would have to read
