--- a/internal/tierlab/client.go
+++ b/internal/tierlab/client.go
@@ -149,7 +149,11 @@
 		}
 		c.drop(machine)
 	}
-	conn, err := dial(ctx, at(machine.ip, frontPort))
+	address := at(machine.ip, frontPort)
+	if c.lab.options.front != nil {
+		address = c.lab.options.front(address)
+	}
+	conn, err := dial(ctx, address)
 	if err == nil {
 		c.conns[machine.machine] = conn
 	}
--- a/internal/tierlab/lab.go
+++ b/internal/tierlab/lab.go
@@ -24,6 +24,8 @@
 	Dir      string   // for disks, settings and logs; empty: one of its own, removed at the end
 	Day      Day
 	Progress func(line string) // may be nil
+
+	front func(address string) string // where clients go instead of a front; tests put faults in between
 }
 
 // Result is what a day came to.
--- a/internal/tierlab/tierlab_test.go
+++ b/internal/tierlab/tierlab_test.go
@@ -1,4 +1,4 @@
-package tierlab_test
+package tierlab
 
 import (
 	"os/exec"
@@ -10,7 +10,6 @@
 	. "github.com/onsi/gomega"
 
 	"emberquay/internal/referee/tierrules"
-	"emberquay/internal/tierlab"
 )
 
 func TestTierLab(t *testing.T) {
@@ -18,18 +17,18 @@
 	RunSpecs(t, "The tier on loopback")
 }
 
-// program builds emberquay in a folder of the test.
-func program() string {
-	GinkgoHelper()
-	path := filepath.Join(GinkgoT().TempDir(), "emberquay")
-	out, err := exec.Command("go", "build", "-o", path, "emberquay/cmd/emberquay").CombinedOutput()
+// binary is emberquay, built for the suite.
+var binary string
+
+var _ = BeforeSuite(func() {
+	binary = filepath.Join(GinkgoT().TempDir(), "emberquay")
+	out, err := exec.Command("go", "build", "-o", binary, "emberquay/cmd/emberquay").CombinedOutput()
 	Expect(err).NotTo(HaveOccurred(), string(out))
-	return path
-}
+})
 
 var _ = Describe("A short day round the real processes", func() {
 	It("is served and keeps every rule", func(ctx SpecContext) {
-		result, err := tierlab.Play(ctx, tierlab.Options{Program: program(), Day: tierlab.Short()})
+		result, err := Play(ctx, Options{Program: binary, Day: Short()})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(result.Crashes).To(BeEmpty())
 		Expect(result.Verdict.Breaches).To(BeEmpty())
@@ -46,7 +45,7 @@
 	}, SpecTimeout(2*time.Minute))
 
 	It("says what a program that ends at once had to say", func(ctx SpecContext) {
-		_, err := tierlab.Play(ctx, tierlab.Options{Program: "/bin/false", Day: tierlab.Short()})
+		_, err := Play(ctx, Options{Program: "/bin/false", Day: Short()})
 		Expect(err).To(MatchError(ContainSubstring("ended by itself")))
 	}, SpecTimeout(time.Minute))
 })
