--- a/internal/sim/edge.go
+++ b/internal/sim/edge.go
@@ -72,6 +72,7 @@
 func (e *edge) force(version uint64, body string) {
 	before := e.version
 	e.version, e.body = version, body
+	e.life.host.world.trace("%s works by %d", e.life.host.name, version)
 	e.life.host.world.judge.inForce(e, before)
 }
 
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -19,6 +19,8 @@
 	startSpan   = 4 * time.Second
 	troubleSpan = 26 * time.Second
 	calmSpan    = 12 * time.Second
+	// restartAfter is when in the calm a proxy is started again.
+	restartAfter = 4 * time.Second
 	// progressBound is how long a change may take at any node once all is calm.
 	progressBound = 2 * time.Second
 	// silenceBound is after how long a receiver that ended without a word is known to be silent: its owner may be down too.
@@ -48,6 +50,7 @@
 	w.begin()
 	w.phase(startSpan)
 	w.troubles()
+	w.after(restartAfter, w.restartProxy)
 	w.phase(calmSpan)
 	if w.judge.first == nil {
 		w.goesOn()
@@ -57,6 +60,13 @@
 	}
 }
 
+// restartProxy starts a proxy again when nothing else happens any more: what it then knows, others have told it.
+func (w *world) restartProxy() {
+	h := pick(w, w.of(proxyRole))
+	h.stop()
+	w.after(200*time.Millisecond, h.start)
+}
+
 // broken stops the scheduler at the first broken invariant.
 func (w *world) broken() bool { return w.judge.first != nil }
 
--- a/internal/sim/teeth_test.go
+++ b/internal/sim/teeth_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -14,14 +13,33 @@
 
 // bite gives the first seed at which a fault breaks a rule, and how.
 func bite(fault Fault, first, most int) *Breach {
-	for seed := first; seed < first+most; seed++ {
-		if r := Run(Options{Seed: uint64(seed), fault: fault}); r.Breach != nil {
-			return r.Breach
+	const block = 20
+	for ; most > 0; first, most = first+block, most-block {
+		total := runRange(uint64(first), min(block, most), setting("SIM_AT_ONCE", 0), fault, nil, nil)
+		if len(total.Breaches) > 0 {
+			return total.Breaches[0]
 		}
 	}
 	return nil
 }
 
+// quickFaults were found within some 13 seeds, so the usual tests look for them; quickSeeds leaves room for the state machines'
+// own draws to change. docs/notes/simulation.md lists all.
+var quickFaults = []Fault{
+	sealIgnored, voteAfterWipe, headAcknowledges, staleRead, repeatByVersion, repeatForgotten, baseIgnored, invalidTaken, versionMayFall,
+	drainUnconfirmed, silenceIgnored, smallQuorum, tooFewCopies, missingTooSoon, brokenNotCounted,
+}
+
+const quickSeeds = 100
+
+var _ = Describe("Deliberate faults that show soon", func() {
+	It("are found", func() {
+		for _, fault := range quickFaults {
+			Expect(bite(fault, 1, quickSeeds)).NotTo(BeNil(), string(fault))
+		}
+	})
+})
+
 // The whole search: SIM_TEETH=2000 go test ./internal/sim -ginkgo.focus 'searched'; SIM_TOOTH names a part of one fault.
 var _ = Describe("Deliberate faults", func() {
 	It("are searched for", func() {
@@ -29,23 +47,16 @@
 		if most == 0 {
 			Skip("SIM_TEETH is not set")
 		}
-		var all sync.WaitGroup
-		slots := make(chan struct{}, setting("SIM_AT_ONCE", 4))
 		for _, fault := range Faults {
 			if !matches(fault, os.Getenv("SIM_TOOTH")) {
 				continue
 			}
-			slots <- struct{}{}
-			all.Go(func() {
-				defer func() { <-slots }()
-				said := "NOT FOUND"
-				if b := bite(fault, setting("SIM_FIRST", 1), min(most, toothSeeds)); b != nil {
-					said = b.String()
-				}
-				fmt.Printf("TOOTH %-75s %.200s\n", fault, said)
-			})
+			said := "NOT FOUND"
+			if b := bite(fault, setting("SIM_FIRST", 1), min(most, toothSeeds)); b != nil {
+				said = b.String()
+			}
+			fmt.Printf("TOOTH %-75s %.200s\n", fault, said)
 		}
-		all.Wait()
 	})
 })
 
