--- a/internal/hollow/options.go
+++ b/internal/hollow/options.go
@@ -16,8 +16,8 @@
 	maxChanges   = 200
 	maxReports   = 400 // a second, of all receivers together
 	// nodesPerWorker keeps a process under a usual bound of 20,000 descriptors: a connection that was opened is kept,
-	// so that the ends at a node grow with the size of the fleet and the time. 250 nodes of 340 were over it.
-	nodesPerWorker = 100
+	// so that the ends at a node grow with the size of the fleet and the time. 100 nodes of 340 were over it.
+	nodesPerWorker = 40
 )
 
 // Options of the measurement of one fleet.
