Dispatch: a receiver that breaks off part of its calls is avoided for a while

Only failures in a row made a receiver rest; one that breaks off four calls in ten looked as good as any, and every second one of its callers was another proxy. The share of failed calls knew the receiver's own 5xx only, and one that was avoided for them had no way back but by being chosen. Change: calls broken off, timed out or given up unanswered count as well; the share halves every 3 s. A test that set the share by hand now goes by the same step as the code.

--- a/admission/dispatch/buckets.go
+++ b/admission/dispatch/buckets.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -19,6 +20,9 @@
 	// answer, and a time that neither a busy machine nor a lost packet comes to.
 	overdueTimes = 6
 	leastOverdue = 300 * time.Millisecond
+	// illnessHalves is the time in which the share of failed calls counts for half: one that is avoided has no
+	// answers by which to show that it is well again.
+	illnessHalves = 3 * time.Second
 	// endedKept bounds the ended calls that are remembered for the next report, which may be older than their
 	// ends. Those past it count as still running, the safe side.
 	endedKept = 64
@@ -179,6 +183,18 @@
 	b.known = false
 }
 
+// sick notes a call that failed though the receiver took it.
+func (b *bucket) sick(now Instant) {
+	b.ill = admission.Share(b.illness(now))
+	b.ill.Seen(true)
+	b.illAt = now
+}
+
+// illness is the share of late calls that failed, fading with time.
+func (b *bucket) illness(now Instant) float64 {
+	return float64(b.ill) * math.Exp2(-float64(now.Sub(b.illAt))/float64(illnessHalves))
+}
+
 // lives notes a sign of life: an answer has begun.
 func (b *bucket) lives(now Instant) {
 	b.known = true
--- a/admission/dispatch/conformance_test.go
+++ b/admission/dispatch/conformance_test.go
@@ -362,7 +362,7 @@
 		s := newScript(plain("a", 9), plain("b", 9)).warm(10 * ms)
 		sick := s.buckets["a"]
 		for range 5 {
-			sick.ill.Seen(true)
+			sick.sick(s.now)
 		}
 		for i := range 9 {
 			s.arrive(RequestID(fmt.Sprint(i)))
--- a/admission/dispatch/outcome.go
+++ b/admission/dispatch/outcome.go
@@ -95,16 +95,20 @@
 	case ErrorAnswer:
 		b.lives(d.now)
 		b.fails = 0
-		b.ill.Seen(true)
+		b.sick(d.now)
 	case Full:
 		b.refused(d.now, q.sent, o.RetryAfter, time.Duration(d.chance.Unit()*float64(usual)))
 	case Elsewhere:
 		b.elsewhere = true
 	case Cancelled:
 		if q.hangs(d.now) { // its client has given up what the receiver never began to answer
+			b.sick(d.now)
 			b.failed(d.now, d.chance.Unit())
 		}
 	default:
+		if o.Kind.MayHaveRun() {
+			b.sick(d.now)
+		}
 		d.failed(q, b, o.Kind, usual)
 	}
 }
--- a/admission/dispatch/state.go
+++ b/admission/dispatch/state.go
@@ -76,12 +76,13 @@
 	known     bool // a call was answered since the bucket was new, waited or rested; until then one call is out
 	elsewhere bool // another instance answered at its address: nothing until the list says otherwise
 	window    admission.Window
-	waitUntil Instant // told with a refusal
-	fullAt    Instant // when a refusal was last counted; those refused together count once
-	restUntil Instant // after failures
-	fails     int     // in a row
-	answered  Instant // last sign of life
-	ill       admission.Share
+	waitUntil Instant         // told with a refusal
+	fullAt    Instant         // when a refusal was last counted; those refused together count once
+	restUntil Instant         // after failures
+	fails     int             // in a row
+	answered  Instant         // last sign of life
+	ill       admission.Share // of late calls that failed, as of illAt
+	illAt     Instant
 	slowness  float64 // how long its calls take against usual ones; 0: not known
 	out       []*request
 	unread    int // prompt tokens of calls out that have not begun to answer
