--- a/internal/store/export_test.go
+++ b/internal/store/export_test.go
@@ -20,3 +20,6 @@
 	}
 	return count
 }
+
+// Oldest is the oldest segment of the journal.
+func (s *Store) Oldest() uint64 { return s.journal.Oldest() }
--- a/internal/store/repair_test.go
+++ b/internal/store/repair_test.go
@@ -264,6 +264,26 @@
 		}),
 	)
 
+	It("is not emptied while one of the others does not know of a reservation", func() {
+		n := c.nodes[0]
+		Expect(reserveAt(c, n, "1", false).Kept).To(BeTrue())
+		emptied()
+		c.failing(func(method, address string) error {
+			if method == "push" && address == "store-3:1" {
+				return errCut
+			}
+			return nil
+		})
+		Expect(n.store.Round(0)).To(BeTrue())
+		Expect(n.retired.Load()).To(BeZero())
+		c.failing(nil)
+		Expect(n.store.Round(1)).To(BeFalse())
+		Expect(n.retired.Load()).To(Equal(int32(1)))
+		for _, other := range c.nodes[1:] {
+			Expect(reserveAt(c, other, "other", true).Entries).NotTo(BeEmpty())
+		}
+	})
+
 	It("takes nothing new, and still serves reads", func() {
 		ids := chain(c.client("a"), "talk", 3)
 		n := emptied()
