Control planes keep the configuration and store view they knew committed, beside the receivers

Cause: after a loss of power of all every proxy waits for the chain to commit its newest entry once more, which needs the last of its members to be back: configuration in force at 36.51 s everywhere, while half of the proxies run since 36.0 to 36.15 s. Change: the kept file holds the two entries as well; what is in the table had been committed, newer stamps win.

--- a/internal/controlplane/keep.go
+++ b/internal/controlplane/keep.go
@@ -9,22 +9,35 @@
 	"emberquay/internal/vfs"
 )
 
-// keepInterval is the least time between two writings of the list of receivers.
+// keepInterval is the least time between two writings of what is kept.
 const keepInterval = 300 * time.Millisecond
 
-func (p *Plane) receiverFile() snapshot.File {
+// keptPrefixes are the keys of the entries that are kept over a stop.
+var keptPrefixes = []string{cluster.ConfigurationKey, cluster.StoresKey, cluster.ReceiverPrefix}
+
+// kept gives the entries to keep.
+func (p *Plane) kept() []cluster.Entry {
+	var entries []cluster.Entry
+	for _, prefix := range keptPrefixes {
+		entries = append(entries, p.cluster.List(prefix)...)
+	}
+	return entries
+}
+
+func (p *Plane) keptFile() snapshot.File {
 	return snapshot.File{Files: vfs.OS{}, Dir: p.settings.DataDir}
 }
 
-// recallReceivers puts the receivers of the last run into the cluster's table: if all of the tier was down, nobody
-// else knows them before each has sent a heartbeat. Newer entries of others win by their stamps.
-func (p *Plane) recallReceivers() {
+// recall puts what the last run knew into the cluster's table. If all of the tier was down, nobody else knows the
+// receivers before each has sent a heartbeat, nor the configuration and the stores before the chain has committed its
+// newest entry once more. What was kept had been committed; newer entries of others win by their stamps.
+func (p *Plane) recall() {
 	if !p.settings.HasDisk() {
 		return
 	}
-	entries, err := p.receiverFile().Load()
+	entries, err := p.keptFile().Load()
 	if err != nil {
-		p.log.WithError(err).Warn("the kept list of receivers cannot be read")
+		p.log.WithError(err).Warn("what the last run kept cannot be read")
 		return
 	}
 	for _, e := range entries {
@@ -32,26 +45,29 @@
 	}
 }
 
-// keepReceivers writes the list whenever it has changed, until the plane ends.
-func (p *Plane) keepReceivers(ctx context.Context) {
+// keep writes what recall reads whenever it has changed, until the plane ends.
+func (p *Plane) keep(ctx context.Context) {
 	if !p.settings.HasDisk() {
 		return
 	}
 	changed := make(chan struct{}, 1)
-	p.cluster.Watch(cluster.ReceiverPrefix, func(cluster.Entry) {
+	note := func(cluster.Entry) {
 		select {
 		case changed <- struct{}{}:
 		default:
 		}
-	})
+	}
+	for _, prefix := range keptPrefixes {
+		p.cluster.Watch(prefix, note)
+	}
 	for {
 		select {
 		case <-changed:
 		case <-ctx.Done():
 			return
 		}
-		if err := p.receiverFile().Save(p.cluster.List(cluster.ReceiverPrefix)); err != nil {
-			p.log.WithError(err).Warn("the list of receivers is not kept")
+		if err := p.keptFile().Save(p.kept()); err != nil {
+			p.log.WithError(err).Warn("what is known is not kept")
 		}
 		select {
 		case <-time.After(keepInterval):
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -74,7 +74,7 @@
 		return nil, err
 	}
 	go p.ownReceivers(ctx)
-	go p.keepReceivers(ctx)
+	go p.keep(ctx)
 	go p.watchStores(ctx)
 	return p, p.listen()
 }
@@ -95,7 +95,7 @@
 	if p.replica, err = p.openReplica(mux, address); err != nil {
 		return err
 	}
-	p.recallReceivers()
+	p.recall()
 	p.registerStores(mux)
 	p.internal, err = transport.Listen(address, mux)
 	return err
--- a/internal/registration/snapshot/snapshot.go
+++ b/internal/registration/snapshot/snapshot.go
@@ -1,12 +1,13 @@
-// Package snapshot keeps the list of receivers that a control node knows on its disk, so that the tier knows them
-// again at once when all of it was down: until each has sent a heartbeat nothing could be sent to it.
+// Package snapshot keeps entries of the cluster's table that a control node knows on its disk, so that the tier knows
+// them again at once when all of it was down: the receivers above all, to which nothing could be sent until each has
+// sent a heartbeat.
 //
 //	file := snapshot.File{Files: vfs.OS{}, Dir: dir}
 //	entries, err := file.Load()
 //	err = file.Save(entries)
 //
-// The list is soft state: what the file lacks comes with the next heartbeats, and what is outdated in it is found
-// out by the first call, as each call names the instance that it means. So a file that is not there or not whole
+// The list is soft state: what the file lacks is learnt anew, and what is outdated in it is replaced by newer stamps or,
+// of a receiver, found out by the first call, as each call names the instance that it means. So a file that is not there or not whole
 // is an empty list.
 package snapshot
 
@@ -25,10 +26,10 @@
 
 const (
 	// name is the file's name in its folder; a new one is written beside it first.
-	name    = "receivers"
-	newName = "receivers.new"
-	// maxBytes bounds the file.
-	maxBytes = 8 << 20
+	name    = "known"
+	newName = "known.new"
+	// maxBytes bounds the file: the largest configuration and many receivers.
+	maxBytes = 12 << 20
 	sumBytes = 8
 )
 
@@ -65,16 +66,16 @@
 		return nil, nil
 	}
 	if err != nil {
-		return nil, eris.Wrap(err, "receivers")
+		return nil, eris.Wrap(err, "known entries")
 	}
 	defer file.Close()
 	size, err := file.Size()
 	if err != nil || size < sumBytes || size > maxBytes {
-		return nil, eris.Wrap(err, "receivers")
+		return nil, eris.Wrap(err, "known entries")
 	}
 	raw := make([]byte, size)
 	if _, err := file.ReadAt(raw, 0); err != nil {
-		return nil, eris.Wrap(err, "receivers")
+		return nil, eris.Wrap(err, "known entries")
 	}
 	return parse(raw), nil
 }
@@ -112,10 +113,10 @@
 	}
 	body, err := lists.Encode(kept)
 	if err != nil || len(body) > maxBytes-sumBytes {
-		return eris.Wrapf(err, "receivers: %d bytes", len(body))
+		return eris.Wrapf(err, "known entries: %d bytes", len(body))
 	}
 	if err := f.write(append(body, sum(body)...)); err != nil {
-		return eris.Wrap(err, "receivers")
+		return eris.Wrap(err, "known entries")
 	}
 	return nil
 }
--- a/internal/registration/snapshot/snapshot_test.go
+++ b/internal/registration/snapshot/snapshot_test.go
@@ -16,7 +16,7 @@
 
 func TestSnapshot(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "snapshot of the receivers")
+	RunSpecs(t, "snapshot")
 }
 
 func entries() []cluster.Entry {
@@ -26,7 +26,7 @@
 	}
 }
 
-var _ = Describe("the kept list of receivers", func() {
+var _ = Describe("what is kept of the table", func() {
 	It("is empty where there is none", func() {
 		Expect(snapshot.File{Files: vfs.OS{}, Dir: GinkgoT().TempDir()}.Load()).To(BeEmpty())
 	})
@@ -41,7 +41,7 @@
 	It("is empty where its bytes are not whole", func() {
 		file := snapshot.File{Files: vfs.OS{}, Dir: GinkgoT().TempDir()}
 		Expect(file.Save(entries())).To(Succeed())
-		damaged, err := vfs.OS{}.OpenReadWrite(filepath.Join(file.Dir, "receivers"))
+		damaged, err := vfs.OS{}.OpenReadWrite(filepath.Join(file.Dir, "known"))
 		Expect(err).NotTo(HaveOccurred())
 		_, err = damaged.WriteAt([]byte{0xff}, 3)
 		Expect(err).NotTo(HaveOccurred())
@@ -62,7 +62,7 @@
 	f.Add([]byte("12345678"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		file := snapshot.File{Files: vfs.OS{}, Dir: t.TempDir()}
-		written, err := vfs.OS{}.Create(filepath.Join(file.Dir, "receivers"))
+		written, err := vfs.OS{}.Create(filepath.Join(file.Dir, "known"))
 		if err != nil {
 			t.Fatal(err)
 		}
