Stores: catching up does not wait for the disk page by page

Cause: each page of half a megabyte was synced before the next was asked for, and refused where a sync took over 0.4 s, which began the round anew. 40 MB over the loopback took 4.1 s a time. Ruled out: the messages and copies (a fifth of a core in use). Change: the disk is waited for behind 2 MB and before the store counts as complete; the bound on stalls is for clients only, who can go elsewhere.

--- a/internal/store/catchup.go
+++ b/internal/store/catchup.go
@@ -8,6 +8,9 @@
 	"emberquay/internal/storewire"
 )
 
+// intakePending bounds what is taken in ahead of the disk, bytes.
+const intakePending = 2 << 20
+
 // inventory is what another store holds, as far as it has not been taken in.
 type inventory struct {
 	member int
@@ -133,11 +136,13 @@
 	}
 }
 
+// takeIn keeps what came. It waits for the disk only where much is waiting for it: the record that says that this store
+// is complete gets there after all of it.
 func (s *Store) takeIn(ctx context.Context, in *intake) bool {
 	taken := false
 	err := s.do(ctx, func(t *table) bool {
 		taken = t.take(in)
-		return taken
+		return taken && t.journal.Pending() > intakePending
 	})
 	return err == nil && taken
 }
--- a/internal/store/serve_client.go
+++ b/internal/store/serve_client.go
@@ -126,7 +126,7 @@
 		if !t.admit(q.Header, &a.Reply) {
 			return false
 		}
-		if !t.keepTurn(record, head, retentionOf(head)) {
+		if t.stalled() || !t.keepTurn(record, head, retentionOf(head)) {
 			a.Reply.Standing = storewire.Busy
 			return false
 		}
--- a/internal/store/turns.go
+++ b/internal/store/turns.go
@@ -205,7 +205,7 @@
 		t.extend(known, t.now()+life)
 		return true
 	}
-	if len(t.turns) >= mostTurns || t.stalled() {
+	if len(t.turns) >= mostTurns {
 		return false
 	}
 	position, ok := t.append(record, turnRoom)
