--- /dev/null
+++ b/internal/store/retire_test.go
@@ -0,0 +1,124 @@
+package store_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/internal/storeclient"
+)
+
+var _ = Describe("a store that retires", func() {
+	var c *cluster
+	BeforeEach(func() { c = newCluster(1, "a", "b", "c", "d") })
+
+	// emptied retires the first store.
+	emptied := func() *node {
+		n := c.nodes[0]
+		c.retire(n.name)
+		c.spread()
+		return n
+	}
+
+	It("is emptied before it says so", func() {
+		client := c.client("a")
+		ids := chain(client, "talk", 10)
+		Expect(client.Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		n := emptied()
+		Expect(n.store.Round(0)).To(BeFalse())
+		Expect(n.retired.Load()).To(Equal(int32(1)))
+		c.remove(n.name)
+		n.down.Store(true)
+		c.spread()
+		for _, other := range c.nodes[1:] {
+			other.wipe()
+			c.spread()
+			Expect(other.store.Round(0)).To(BeFalse())
+			history, verdict := c.client("b").History(ctx, ids[9])
+			Expect(verdict).To(Equal(storeclient.Found))
+			Expect(string(history.Body)).To(Equal(textOf(ids)))
+			Expect(reserveAt(c, other, "other", true).Entries).NotTo(BeEmpty())
+		}
+	})
+
+	DescribeTable("is not emptied while what it holds is not safe elsewhere",
+		func(prepare func(method, address string) error) {
+			client := c.client("a")
+			chain(client, "talk", 10)
+			Expect(client.Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+			n := emptied()
+			c.failing(prepare)
+			Expect(n.store.Round(0)).To(BeTrue())
+			Expect(n.retired.Load()).To(BeZero())
+			c.failing(nil)
+			Expect(n.store.Round(1)).To(BeFalse())
+			Expect(n.retired.Load()).To(Equal(int32(1)))
+		},
+		Entry("a store is cut off", func(method, address string) error {
+			if address == "store-2:1" {
+				return errCut
+			}
+			return nil
+		}),
+		Entry("turns can't be pushed", func(method, _ string) error {
+			if method == "push" {
+				return errCut
+			}
+			return nil
+		}),
+		Entry("nothing can be offered", func(method, _ string) error {
+			if method == "offer" {
+				return errCut
+			}
+			return nil
+		}),
+	)
+
+	It("is not emptied while one of the others does not know of a reservation", func() {
+		n := c.nodes[0]
+		Expect(reserveAt(c, n, "1", false).Kept).To(BeTrue())
+		emptied()
+		c.failing(func(method, address string) error {
+			if method == "push" && address == "store-3:1" {
+				return errCut
+			}
+			return nil
+		})
+		Expect(n.store.Round(0)).To(BeTrue())
+		Expect(n.retired.Load()).To(BeZero())
+		c.failing(nil)
+		Expect(n.store.Round(1)).To(BeFalse())
+		Expect(n.retired.Load()).To(Equal(int32(1)))
+		for _, other := range c.nodes[1:] {
+			Expect(reserveAt(c, other, "other", true).Entries).NotTo(BeEmpty())
+		}
+	})
+
+	It("takes nothing new, and still serves reads", func() {
+		ids := chain(c.client("a"), "talk", 3)
+		n := emptied()
+		for _, other := range c.nodes[1:] {
+			if other.store.Turns() > 0 {
+				other.down.Store(true)
+			}
+		}
+		c.expectFound(ids)
+		before := n.store.Turns()
+		chain(c.client("a"), "later", 3)
+		Expect(n.store.Turns()).To(Equal(before))
+	})
+
+	It("is not emptied while its own disk lacks what it should hold", func() {
+		chain(c.client("a"), "talk", 3)
+		n := emptied()
+		n.wipe()
+		c.retire(n.name)
+		c.spread()
+		c.nodes[1].down.Store(true)
+		n.store.Round(0)
+		Expect(n.retired.Load()).To(BeZero())
+		c.nodes[1].down.Store(false)
+		n.store.Round(1)
+		n.store.Round(2)
+		Expect(n.retired.Load()).To(Equal(int32(1)))
+	})
+})
