Chain: a process that knows of no commit asks before it proposes

A line at each verdict shows it: the replica with the fresh disk proposes knowing of no commit (after 0, sequence 400), sends the command four times while the view forms, and the head, which keeps 256 outcomes, must call it too old. An operator's order through a control plane that has just come would have had no clear answer. Ruled out: easing the test; counting Moved answers off the sends (a repeated message would count twice). Change: the first command of such a process is preceded by a read, which tells what is committed; no copy of the command has left by then. 32 runs of the replica's tests, eight at once: none failed.

--- a/coordination/chain/calls.go
+++ b/coordination/chain/calls.go
@@ -67,8 +67,15 @@
 		return
 	}
 	c.epoch = v.Epoch
-	c.sends++
 	id := CommandID{Process: n.process, Number: c.number}
+	if c.command != nil && !n.learnt {
+		// A command from one that knows of no commit would be too old wherever it is carried out late.
+		if tail, ok := v.Tail(); ok {
+			n.sendMember(tail, Read{ID: id, Have: noState})
+		}
+		return
+	}
+	c.sends++
 	if c.command != nil {
 		n.sendMember(target, Propose{ID: id, After: c.after, Command: c.command})
 		return
@@ -154,7 +161,7 @@
 	if c == nil || c.command == nil {
 		return
 	}
-	n.knownCommit = max(n.knownCommit, m.Sequence)
+	n.learn(m.Sequence)
 	switch m.Verdict {
 	case Moved:
 		n.moved(c)
@@ -190,13 +197,19 @@
 
 func (n *Node) onReadResult(m ReadResult) {
 	c := n.mine(m.ID)
-	if c == nil || c.command != nil {
+	if c == nil || c.command != nil && c.sends > 0 {
 		return
 	}
 	if m.Verdict == Moved {
 		n.moved(c)
 		return
 	}
+	n.learn(m.Sequence)
+	if c.command != nil {
+		c.after = n.knownCommit
+		n.submit(c)
+		return
+	}
 	snapshot := m.Snapshot
 	if !m.Full {
 		if c.have.Snapshot == nil || c.have.Sequence != m.Sequence {
@@ -209,4 +222,10 @@
 	n.reply(Reply{Number: c.number, Epoch: m.Epoch, Sequence: m.Sequence, Snapshot: snapshot})
 }
 
+// learn notes that entries up to a sequence are committed.
+func (n *Node) learn(sequence int64) {
+	n.knownCommit = max(n.knownCommit, sequence)
+	n.learnt = true
+}
+
 func (n *Node) reply(r Reply) { n.out.Replies = append(n.out.Replies, r) }
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -97,6 +97,7 @@
 
 	newest      Commit // newest committed state whose bytes are here
 	knownCommit int64  // newest sequence heard of as committed
+	learnt      bool   // knownCommit tells something: this process has heard of a commit, or that there is none
 
 	queue  []proposed // head
 	flight flight     // head
--- a/coordination/chain/write.go
+++ b/coordination/chain/write.go
@@ -173,6 +173,7 @@
 	if n.committed != n.sequence {
 		return
 	}
+	n.learnt = true
 	if n.newest.Snapshot == nil || n.newest.Sequence != n.committed {
 		n.newest.Snapshot = n.machine.Snapshot()
 	}
