One place for the mixing of hashes in budgets, digests and placement

Cause: the finalizer of splitmix64 stood three times, the digest of a pair twice. Change: coordination/hashing; the same values, held by the published outputs of splitmix64 in its test. Behaviour unchanged.

--- a/coordination/budget/ledger.go
+++ b/coordination/budget/ledger.go
@@ -22,6 +22,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
+
+	"emberquay/coordination/hashing"
 )
 
 // Key names a turn within its program: a hash of its id.
@@ -167,20 +169,7 @@
 }
 
 func digest(e Entry) uint64 {
-	return mix(uint64(e.Turn) + mix(uint64(stateOf(e))+golden))
-}
-
-// golden is 2^64 divided by the golden ratio.
-const golden = 0x9e3779b97f4a7c15
-
-// mix is the finalizer of splitmix64 (Steele, Lea and Flood).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
+	return hashing.Pair(uint64(e.Turn), uint64(stateOf(e)))
 }
 
 // Entries appends all entries, in no order.
--- /dev/null
+++ b/coordination/hashing/hashing_test.go
@@ -0,0 +1,22 @@
+package hashing_test
+
+import (
+	"testing"
+
+	"emberquay/coordination/hashing"
+)
+
+// Stores of different builds compare digests: what these give must not change. The first three are the outputs of
+// splitmix64 from the seed 0, as its authors give them.
+func TestValuesAreFixed(t *testing.T) {
+	state := uint64(0)
+	for i, want := range []uint64{0xe220a8397b1dcdaf, 0x6e789e6aa1b965f4, 0x06c45d188009454f} {
+		state += hashing.Golden
+		if got := hashing.Mix(state); got != want {
+			t.Errorf("output %d of splitmix64: %#x, not %#x", i, got, want)
+		}
+	}
+	if a, b := hashing.Pair(1, 2), hashing.Pair(2, 1); a == b {
+		t.Errorf("key and value are not told apart: %#x", a)
+	}
+}
--- a/coordination/merkle/merkle.go
+++ b/coordination/merkle/merkle.go
@@ -10,6 +10,8 @@
 // differences by chance, not against forgery. The zero Tree is empty.
 package merkle
 
+import "emberquay/coordination/hashing"
+
 // Ranges is the number of leaves: enough that one difference among 100,000 entries brings under 2,000 keys up.
 const Ranges = 64
 
@@ -34,7 +36,7 @@
 func (t *Tree) Root() uint64 {
 	root := uint64(0)
 	for at, leaf := range t.leaves {
-		root += mix(leaf + uint64(at)*golden)
+		root += hashing.Mix(leaf + uint64(at)*hashing.Golden)
 	}
 	return root
 }
@@ -53,18 +55,5 @@
 	return differing
 }
 
-// golden is 2^64 divided by the golden ratio: consecutive multiples are far apart.
-const golden = 0x9e3779b97f4a7c15
-
 // Entry is the digest of one entry.
-func Entry(key, value uint64) uint64 { return mix(key + mix(value+golden)) }
-
-// mix is the finalizer of splitmix64 (Steele, Lea and Flood).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
-}
+func Entry(key, value uint64) uint64 { return hashing.Pair(key, value) }
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -14,6 +14,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"emberquay/coordination/hashing"
 )
 
 // Member is a place.
@@ -56,7 +58,7 @@
 	candidates := space[:0]
 	for at, m := range t.members {
 		if !m.Retiring {
-			candidates = append(candidates, candidate{at: at, weight: mix(key ^ t.hashes[at]), away: m.Zone != home})
+			candidates = append(candidates, candidate{at: at, weight: hashing.Mix(key ^ t.hashes[at]), away: m.Zone != home})
 		}
 	}
 	slices.SortFunc(candidates, heavier)
@@ -99,13 +101,3 @@
 	}
 	return cmp.Compare(a.at, b.at)
 }
-
-// mix spreads the bits of a hash (the finalizer of splitmix64, Steele, Lea and Flood).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
-}
