--- a/internal/storewire/view.go
+++ b/internal/storewire/view.go
@@ -32,6 +32,15 @@
 	return view
 }
 
+// State gives the view back as the control state has it; when members joined is not told.
+func (v *View) State() controlstate.StoreView {
+	stores := controlstate.StoreView{Epoch: uint64(v.Epoch), Tolerance: v.Tolerance}
+	for _, m := range v.Members {
+		stores.Members = append(stores.Members, controlstate.StoreMember{ID: m.ID, Node: m.Node, Zone: m.Zone, Address: m.Address, Retiring: m.Retiring, Replaced: m.Replaced})
+	}
+	return stores
+}
+
 // Find gives the place of a member in Members, or -1.
 func (v *View) Find(id string) int {
 	return slices.IndexFunc(v.Members, func(m Member) bool { return m.ID == id })
