--- a/internal/standin/tiny_test.go
+++ b/internal/standin/tiny_test.go
@@ -147,9 +147,6 @@
 			version = l.Version
 			s.mu.Lock()
 			for _, one := range l.Servers {
-				if s.fault == "drains" {
-					one.State = "active"
-				}
 				s.addrs[one.ID] = tinyAddr{one.Addr, one.Cell, one.State}
 			}
 			s.mu.Unlock()
@@ -219,7 +216,7 @@
 		wait := s.waits[t.Dest]
 		var open []string
 		for _, a := range s.addrs {
-			if a.cell == t.Dest && a.state == "active" {
+			if a.cell == t.Dest && (a.state == "active" || s.fault == "drains") {
 				open = append(open, a.addr)
 			}
 		}
@@ -228,6 +225,9 @@
 			continue
 		}
 		slices.Sort(open)
+		if s.fault == "drains" {
+			open = s.drainingFirst(open)
+		}
 		ran := t.RanAt
 		if ran.IsZero() {
 			t.RanAt = now
@@ -251,6 +251,23 @@
 	}
 }
 
+// drainingFirst leaves those that drain, where there are any: which of a destination's endpoints a call goes to hangs on
+// the turns of all destinations, and by chance no call of a day may meet the one that drains.
+func (s *tiny) drainingFirst(open []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var draining []string
+	for _, a := range s.addrs {
+		if a.state != "active" && slices.Contains(open, a.addr) {
+			draining = append(draining, a.addr)
+		}
+	}
+	if len(draining) == 0 {
+		return open
+	}
+	return draining
+}
+
 func (s *tiny) submit(t *tinyText, addr string) (delivered, never bool, told time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), min(600*time.Millisecond, time.Until(t.Until)))
 	defer cancel()
