Dispatch: a program's prompts are looked for at a home that all senders of a zone compute

Change: rendezvous hashing of the program's name over the engines of the zone names its home; half of what this sender does not know to be kept is taken to be kept there. A kept prompt elsewhere, or a difference of load, still goes before. Besides, a session's part keeps its id and grows from turn to turn: it counts as kept only as far as it was sent (it counted whole).

Ruled out: a place kept with the budget's ledger (needs another record on the stores' disks), gossip of places (70 a second to all).

--- a/admission/dispatch/choice.go
+++ b/admission/dispatch/choice.go
@@ -82,9 +82,13 @@
 	return cost
 }
 
-// missing is how many prompt tokens a receiver would have to read.
+// missing is how many prompt tokens a receiver would have to read, by this sender's guess.
 func (q *request) missing(now Instant, b *bucket) int {
-	return max(0, q.prompt-b.parts.kept(now, q.Prefix))
+	missing := max(0, q.prompt-b.parts.kept(now, q.Prefix))
+	if b == q.home {
+		missing -= int(homeShare * float64(missing))
+	}
+	return missing
 }
 
 // choose finds the cheapest free receiver for a request; nil if it may use none. Other senders choose by the
@@ -99,6 +103,7 @@
 		d.meanLoad += float64(b.load(d.now)) / float64(len(free))
 	}
 	q.least = math.Inf(1)
+	q.home = d.home(s, q)
 	for _, b := range free {
 		cost := math.Inf(1)
 		if !q.ranAt(b) {
--- a/admission/dispatch/dispatch.go
+++ b/admission/dispatch/dispatch.go
@@ -29,6 +29,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"emberquay/admission"
 )
 
@@ -140,6 +142,9 @@
 		q.prompt += p.Tokens
 	}
 	q.prompt = max(q.prompt, r.TokensIn)
+	if r.Program != "" {
+		q.programKey = xxhash.Sum64String(r.Program)
+	}
 	if r.Deadline > 0 {
 		q.end = r.Deadline
 	}
--- /dev/null
+++ b/admission/dispatch/home.go
@@ -0,0 +1,31 @@
+package dispatch
+
+import "emberquay/coordination/hashing"
+
+// homeShare is the part of a prompt's unknown tokens that is taken to be kept at its program's home. All senders find
+// the same home without asking, so a program that comes by another sender, or after all have been started again, finds
+// the receiver that has read it; half of the worth of that is no more than a few calls of a difference in load.
+const homeShare = 0.5
+
+// home finds the receiver on which all senders of a zone agree for a program: the one with the highest weight of those
+// that stand in the zone, or of all where none does (Thaler and Ravishankar's rendezvous hashing). A receiver that comes
+// or goes moves the programs of no other. nil: the request has no program or the service no engines.
+func (d *Dispatcher) home(s *service, q *request) *bucket {
+	if q.programKey == 0 {
+		return nil
+	}
+	var home *bucket
+	var weight uint64
+	near := false
+	for _, b := range s.buckets {
+		own := b.Zone == d.zone
+		if b.Engine == nil || !b.usable() || near && !own {
+			continue
+		}
+		w := hashing.Pair(b.key, q.programKey)
+		if home == nil || own && !near || w > weight {
+			home, weight, near = b, w, own
+		}
+	}
+	return home
+}
--- /dev/null
+++ b/admission/dispatch/home_test.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func ofProgram(name string) func(*Request) { return func(r *Request) { r.Program = name } }
+
+var _ = ginkgo.Describe("the home of a program", func() {
+	shared := PrefixPart{ID: 1, Tokens: 2500}
+	own := PrefixPart{ID: 2, Tokens: 1500}
+
+	// sender makes a dispatcher with engines of its own zone, idle ones in another zone beside them.
+	sender := func(seed uint64, near, far int) *script {
+		var list []Receiver
+		for i := range near {
+			list = append(list, engine(InstanceID(fmt.Sprint("near-", i))))
+		}
+		for i := range far {
+			list = append(list, engine(InstanceID(fmt.Sprint("far-", i)), zone("there")))
+		}
+		s := &script{Dispatcher: New(seed, "here"), now: start}
+		s.list(list...)
+		for _, b := range s.buckets {
+			b.known = true
+		}
+		return s
+	}
+	// first gives where a sender that knows nothing sends the program's prompt.
+	first := func(s *script, program string) InstanceID {
+		s.arrive(RequestID(program), prompt(shared, own), ofProgram(program))
+		return s.last(RequestID(program)).Instance
+	}
+
+	ginkgo.It("is the same at senders that have not heard of each other", func() {
+		for i := range 20 {
+			program := fmt.Sprint("program-", i)
+			Expect(first(sender(1, 4, 8), program)).To(Equal(first(sender(uint64(2+i), 4, 8), program)))
+		}
+	})
+	ginkgo.It("spreads programs over the receivers of the sender's zone", func() {
+		used := map[InstanceID]int{}
+		for i := range 200 {
+			used[first(sender(1, 4, 8), fmt.Sprint("program-", i))]++
+		}
+		Expect(used).To(HaveLen(4))
+		Expect(used).To(HaveEach(BeNumerically(">", 25)))
+	})
+	ginkgo.It("stays where it is for all programs but those of a receiver that goes", func() {
+		for i := range 50 {
+			program := fmt.Sprint("program-", i)
+			before := first(sender(1, 4, 0), program)
+			s := sender(1, 4, 0)
+			s.buckets["near-3"].Draining = true
+			after := first(s, program)
+			if before != "near-3" {
+				Expect(after).To(Equal(before))
+			}
+		}
+	})
+	ginkgo.It("is among all receivers where the sender's zone has none", func() {
+		used := map[InstanceID]bool{}
+		for i := range 50 {
+			program := fmt.Sprint("program-", i)
+			at := first(sender(1, 0, 3), program)
+			Expect(at).To(Equal(first(sender(7, 0, 3), program)))
+			used[at] = true
+		}
+		Expect(used).To(HaveLen(3))
+	})
+	ginkgo.It("is left for a receiver that keeps the prompt", func() {
+		s := sender(1, 4, 0)
+		home := first(s, "program")
+		s.serve("program", 200*ms)
+		other := InstanceID("near-0")
+		if home == other {
+			other = "near-1"
+		}
+		s.buckets[home].parts = prefixCache{}
+		s.buckets[other].parts.add(s.now, []PrefixPart{shared, own}, 200_000)
+		s.arrive("next", prompt(shared, own, PrefixPart{ID: 3, Tokens: 500}), ofProgram("program"))
+		Expect(s.last("next").Instance).To(Equal(other))
+	})
+	ginkgo.It("is left where many run and others are idle", func() {
+		home := first(sender(1, 4, 0), "program")
+		s := sender(1, 4, 0)
+		s.told(home, Report{Running: 20})
+		Expect(first(s, "program")).NotTo(Equal(home))
+	})
+	ginkgo.It("is nothing to a request without a program", func() {
+		used := map[InstanceID]bool{}
+		for i := range 20 {
+			used[first(sender(uint64(i), 4, 0), "")] = true
+		}
+		Expect(len(used)).To(BeNumerically(">", 1))
+	})
+})
+
+var _ = ginkgo.Describe("a part of a prompt that grows from turn to turn", func() {
+	const session = 7
+	grown := func(tokens int) []PrefixPart {
+		return []PrefixPart{{ID: 1, Tokens: 2500}, {ID: session, Tokens: tokens}}
+	}
+
+	ginkgo.It("is kept as far as it was sent", func() {
+		var c prefixCache
+		c.add(start, grown(600), 100_000)
+		Expect(c.kept(start, grown(1300))).To(Equal(3100))
+		c.add(start, grown(1300), 100_000)
+		Expect(c.kept(start, grown(1300))).To(Equal(3800))
+		Expect(c.tokens).To(Equal(3800))
+	})
+	ginkgo.It("counts no part after it that comes behind more of it than was sent", func() {
+		var c prefixCache
+		c.add(start, append(grown(600), PrefixPart{ID: 9, Tokens: 400}), 100_000)
+		Expect(c.kept(start, append(grown(1300), PrefixPart{ID: 9, Tokens: 400}))).To(Equal(3100))
+		Expect(c.kept(start, append(grown(600), PrefixPart{ID: 9, Tokens: 400}))).To(Equal(3500))
+	})
+})
--- a/admission/dispatch/prefix.go
+++ b/admission/dispatch/prefix.go
@@ -42,7 +42,10 @@
 		if part == nil || now.Sub(part.used) > partLife {
 			break
 		}
-		tokens += p.Tokens
+		tokens += min(p.Tokens, part.tokens) // a session's part grows from turn to turn
+		if part.tokens < p.Tokens {
+			break
+		}
 	}
 	return tokens
 }
@@ -71,12 +74,13 @@
 	c.addFrom(now, prefix[1:], key)
 	part := c.parts[key]
 	if part == nil {
-		part = &cachedPart{key: key, tokens: prefix[0].Tokens}
+		part = &cachedPart{key: key}
 		c.parts[key] = part
-		c.tokens += part.tokens
 	} else {
 		c.unlink(part)
 	}
+	c.tokens += prefix[0].Tokens - part.tokens
+	part.tokens = prefix[0].Tokens
 	part.used = now
 	c.link(part)
 }
--- a/admission/dispatch/state.go
+++ b/admission/dispatch/state.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"emberquay/admission"
 )
 
@@ -35,8 +37,10 @@
 type request struct {
 	Request
 	usualKey     usualKey
-	seq          uint64 // order of arrival
-	prompt       int    // tokens
+	seq          uint64  // order of arrival
+	prompt       int     // tokens
+	programKey   uint64  // hash of its program's name; 0: it has none
+	home         *bucket // where its program's prompts are looked for when this sender has not sent them; nil: nowhere
 	arrived      Instant
 	end          Instant // the deadline, or the route's timeout
 	mayWaitUntil Instant // what the objective bears
@@ -73,8 +77,9 @@
 // bucket is what this sender knows of one receiver endpoint, and what it has out there.
 type bucket struct {
 	Receiver
-	known     bool // a call was answered since the bucket was new, waited or rested; until then one call is out
-	elsewhere bool // another instance answered at its address: nothing until the list says otherwise
+	key       uint64 // hash of its id
+	known     bool   // a call was answered since the bucket was new, waited or rested; until then one call is out
+	elsewhere bool   // another instance answered at its address: nothing until the list says otherwise
 	window    admission.Window
 	waitUntil Instant         // told with a refusal
 	fullAt    Instant         // when a refusal was last counted; those refused together count once
@@ -103,7 +108,7 @@
 type endedCall struct{ sent, ended Instant }
 
 func newBucket(r Receiver) *bucket {
-	return &bucket{Receiver: r, window: admission.Window(max(1, r.Slots))}
+	return &bucket{Receiver: r, key: xxhash.Sum64String(string(r.ID)), window: admission.Window(max(1, r.Slots))}
 }
 
 // list takes what the list says of the receiver now.
