Proxies hold requests that come before the first configuration for a moment

Change: such a request is held for 200 ms at most, and served under the configuration that comes. The new case failed before (refused after no time).

--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -142,6 +143,21 @@
 		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
 	})
 
+	It("is held for the first configuration where that comes soon", func() {
+		f := startFleet("plain", 1, echo)
+		p := startPlane(func(o *Options) { o.configurationWait = time.Minute })
+		c := p.dial()
+		c.send("GET /safe/x", "", "Emberquay-Request-Id: 1")
+		Eventually(func() int {
+			p.inHand.mu.Lock()
+			defer p.inHand.mu.Unlock()
+			return p.inHand.count
+		}).Should(Equal(1))
+		p.SetReceivers(f.listed)
+		p.SetConfiguration(configuration(1, usualLimits))
+		Expect(c.result().status).To(Equal(200))
+	})
+
 	It("is refused while no memory is left for its body", func() {
 		p := startPlane(func(o *Options) { o.BodyMemory = 10 })
 		p.SetConfiguration(configuration(1, usualLimits))
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -28,6 +28,8 @@
 	ReportInterval time.Duration   // between two reports of a receiver; default 250 ms
 	Notice         time.Duration   // how long a stopping process goes on accepting; default 2.3 s
 	notice         <-chan struct{} // ends the notice early; for tests
+	// configurationWait is how long a request that comes before any configuration is held for one; default 200 ms. For tests.
+	configurationWait time.Duration
 
 	BodyMemory   int64 // bytes of bodies in hand; default 32 MiB
 	MaxClients   int   // connections of clients; default 2048
@@ -37,10 +39,13 @@
 const (
 	defaultReportInterval = 250 * time.Millisecond
 	// defaultNotice: the platform asks every second and stops sending connections after two misses.
-	defaultNotice       = 2300 * time.Millisecond
-	defaultBodyMemory   = 32 << 20
-	defaultMaxClients   = 2048
-	defaultMaxReceivers = 1024
+	defaultNotice = 2300 * time.Millisecond
+	// defaultConfigurationWait: a process that starts knows the configuration after some 100 ms. A refusal in that time would
+	// use up a try of clients that have found nobody else.
+	defaultConfigurationWait = 200 * time.Millisecond
+	defaultBodyMemory        = 32 << 20
+	defaultMaxClients        = 2048
+	defaultMaxReceivers      = 1024
 )
 
 func (o *Options) fill() {
@@ -59,6 +64,9 @@
 	if o.Notice <= 0 {
 		o.Notice = defaultNotice
 	}
+	if o.configurationWait <= 0 {
+		o.configurationWait = defaultConfigurationWait
+	}
 	if o.BodyMemory <= 0 {
 		o.BodyMemory = defaultBodyMemory
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -27,9 +27,10 @@
 	front     *front
 	readiness net.Listener
 
-	mu       sync.Mutex // over changes of the configuration, and chance
-	random   *rand.Rand
-	snapshot atomic.Pointer[routing.Snapshot]
+	mu         sync.Mutex // over changes of the configuration, and chance
+	random     *rand.Rand
+	snapshot   atomic.Pointer[routing.Snapshot]
+	configured chan struct{} // closed with the first configuration
 
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -46,16 +47,17 @@
 	IdleTimeout:    15 * time.Second,
 }
 
-// New opens the listeners. Requests are answered with 503 until a configuration is known.
+// New opens the listeners. Until a configuration is known requests are held for a moment, then answered with 503.
 func New(options Options) (*Proxy, error) {
 	options.fill()
 	p := &Proxy{
-		options:  options,
-		memory:   memory{limit: options.BodyMemory},
-		pool:     outbound.NewPool(outbound.Options{MaxOpen: options.MaxReceivers}),
-		random:   rand.New(rand.NewPCG(options.Seed, 0)),
-		attempts: attemptLog{logger: options.Logger},
-		finished: make(chan struct{}),
+		options:    options,
+		memory:     memory{limit: options.BodyMemory},
+		pool:       outbound.NewPool(outbound.Options{MaxOpen: options.MaxReceivers}),
+		random:     rand.New(rand.NewPCG(options.Seed, 0)),
+		attempts:   attemptLog{logger: options.Logger},
+		configured: make(chan struct{}),
+		finished:   make(chan struct{}),
 	}
 	p.admission = newAdmission(dispatch.New(options.Seed, options.Zone))
 	p.reporter = newReporter(p)
@@ -131,6 +133,25 @@
 	}
 	p.front.setLimits(snapshot.Limits)
 	p.snapshot.Store(snapshot)
+	if present == nil {
+		close(p.configured)
+	}
+}
+
+// configuration gives the one in force. While there is none a request is held for a moment; nil: none came.
+func (p *Proxy) configuration(ctx context.Context) *routing.Snapshot {
+	if snapshot := p.snapshot.Load(); snapshot != nil {
+		return snapshot
+	}
+	timer := time.NewTimer(p.options.configurationWait)
+	defer timer.Stop()
+	select {
+	case <-p.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-p.finished:
+	}
+	return p.snapshot.Load()
 }
 
 // spareConnections go beyond a receiver's slots where it tells no bound: for its report, and one that is being closed.
@@ -174,14 +195,16 @@
 		if p.inHand.isStopped() {
 			panic(http.ErrAbortHandler) // nothing of it was passed on: the client sends it again
 		}
+		arrived := time.Now()
+		snapshot := p.configuration(r.Context())
 		v := &visit{
 			proxy:    p,
 			writer:   w,
 			flusher:  http.NewResponseController(w),
 			request:  r,
 			leaving:  !current(),
-			snapshot: p.snapshot.Load(),
-			arrived:  time.Now(),
+			snapshot: snapshot,
+			arrived:  arrived,
 		}
 		if p.guarded(v) == cut {
 			panic(http.ErrAbortHandler)
