Reports stay within the zone of a large fleet; the home counts for nine tenths

Change: beyond 40 proxies a report is sent to the proxies of its asker's zone alone; a receiver that no report tells of is taken to have the mean load of those told of, where five or more are (it counted as empty). The home of a program counts for 0.9 of what is not known to be kept, not 0.5.

--- a/admission/dispatch/buckets.go
+++ b/admission/dispatch/buckets.go
@@ -26,6 +26,8 @@
 	// endedKept bounds the ended calls that are remembered for the next report, which may be older than their
 	// ends. Those past it count as still running, the safe side.
 	endedKept = 64
+	// leastTold is how many reports it takes to say what a receiver has as a rule: a few busy ones say little of the rest.
+	leastTold = 5
 )
 
 // binds: something hangs on the bucket that must not be forgotten.
@@ -79,12 +81,29 @@
 	return max(len(b.out), r.Running+r.Queued+r.since-r.returned)
 }
 
-// load is how many requests the receiver is thought to have, running and queued.
-func (b *bucket) load(now Instant) int {
+// load is how many requests the receiver is thought to have, running and queued. One that nothing is told of is no
+// emptier than the others are as a rule: reports may come from a part of the receivers only.
+func (b *bucket) load(now Instant, usual float64) float64 {
 	if b.told(now) {
-		return b.counted()
+		return float64(b.counted())
 	}
-	return len(b.out)
+	return max(float64(len(b.out)), usual)
+}
+
+// usualLoad is what a receiver that nothing is told of is taken to have: the mean load of those that reports tell of, if
+// they are enough to say so, else 0.
+func (s *service) usualLoad(now Instant) float64 {
+	sum, told := 0, 0
+	for _, b := range s.buckets {
+		if b.usable() && b.told(now) {
+			sum += b.counted()
+			told++
+		}
+	}
+	if told < leastTold {
+		return 0
+	}
+	return float64(sum) / float64(told)
 }
 
 // allowance is how many calls more may go out now: slots less what the last report counts and own calls sent
--- a/admission/dispatch/choice.go
+++ b/admission/dispatch/choice.go
@@ -43,7 +43,7 @@
 // cost estimates what it costs, all told, to have a receiver run a request: its own time there and, for
 // engines, the time that it takes from those that run beside it.
 func (d *Dispatcher) cost(s *service, q *request, b *bucket, usual float64) float64 {
-	load := d.meanLoad + loadLasts*(float64(b.load(d.now))-d.meanLoad)
+	load := d.meanLoad + loadLasts*(b.load(d.now, d.usualLoad)-d.meanLoad)
 	cost := errorCost * b.illness(d.now)
 	if b.Engine != nil {
 		cost += d.engineCost(s, q, b, usual, load)
@@ -99,8 +99,9 @@
 	usual := milliseconds(d.usual(s, q).whole())
 	least := math.Inf(1)
 	d.meanLoad = 0
+	d.usualLoad = s.usualLoad(d.now)
 	for _, b := range free {
-		d.meanLoad += float64(b.load(d.now)) / float64(len(free))
+		d.meanLoad += b.load(d.now, d.usualLoad) / float64(len(free))
 	}
 	q.least = math.Inf(1)
 	q.home = d.home(s, q)
--- a/admission/dispatch/home.go
+++ b/admission/dispatch/home.go
@@ -4,8 +4,9 @@
 
 // homeShare is the part of a prompt's unknown tokens that is taken to be kept at its program's home. All senders find
 // the same home without asking, so a program that comes by another sender, or after all have been started again, finds
-// the receiver that has read it; half of the worth of that is no more than a few calls of a difference in load.
-const homeShare = 0.5
+// the receiver that has read it. It is high for prompts that begin too: where they are read is where the rest of their
+// program is looked for.
+const homeShare = 0.9
 
 // home finds the receiver on which all senders of a zone agree for a program: the one with the highest weight of those
 // that stand in the zone, or of all where none does (Thaler and Ravishankar's rendezvous hashing). A receiver that comes
--- a/admission/dispatch/queue.go
+++ b/admission/dispatch/queue.go
@@ -42,7 +42,8 @@
 // outlook: each call out frees its place after a usual call.
 func (s *service) outlook(now Instant) outlook {
 	o := outlook{hold: time.Duration(math.MaxInt64)}
-	places, taken, limits := 0, 0, 0
+	places, taken, limits := 0, 0.0, 0
+	usual := s.usualLoad(now)
 	for _, b := range s.buckets {
 		if !b.usable() {
 			continue
@@ -53,14 +54,14 @@
 		if hold <= defaultPause {
 			places += max(1, len(b.out))
 		}
-		taken += b.load(now)
+		taken += b.load(now, usual)
 		limits += b.limit()
 	}
 	if o.usable == 0 {
 		o.hold = defaultPause
 	}
 	o.gap = time.Duration(s.took / float64(max(1, places)))
-	o.room = o.usable == 0 || float64(taken) < roomShare*float64(limits)
+	o.room = o.usable == 0 || taken < roomShare*float64(limits)
 	return o
 }
 
--- a/admission/dispatch/state.go
+++ b/admission/dispatch/state.go
@@ -25,12 +25,13 @@
 	wake     Instant // the earliest that this event found
 
 	// Kept between events, so that they need not be made anew.
-	effects  Effects
-	free     []*bucket
-	costs    []float64
-	meanLoad float64 // of the receivers among which one is chosen
-	spare    []*request
-	guess    usual
+	effects   Effects
+	free      []*bucket
+	costs     []float64
+	meanLoad  float64 // of the receivers among which one is chosen
+	usualLoad float64 // of the service's receivers that reports tell of
+	spare     []*request
+	guess     usual
 }
 
 // request is a request that has no end yet, or whose call has none.
--- a/internal/dataplane/reports.go
+++ b/internal/dataplane/reports.go
@@ -12,8 +12,10 @@
 
 const (
 	reportMethod transport.Method = "proxy.report"
-	// directReports is up to how many other proxies a report is sent to each of them. Beyond it goes through the
-	// cluster, which brings it to all at a cost that each node bears alike.
+	// directReports is up to how many other proxies a report is sent to each of them: all, where there are no more, else
+	// those of the receiver's asker's zone, whose programs have their homes there. Proxies elsewhere take a receiver
+	// without a report for one of mean load. Where one zone alone has more, reports go through the cluster: every node
+	// then bears some four copies of every report, which is what this bound is there to avoid.
 	directReports = 40
 	// reportTimeout bounds the sending of a report: an older one is of no use.
 	reportTimeout = 300 * time.Millisecond
@@ -41,24 +43,32 @@
 		Instance: string(id), Running: report.Running, Queued: report.Queued, KVUsed: int64(report.KVUsed),
 		KVTotal: int64(report.KVTotal), AgeMillis: report.Age.Milliseconds(), Sequence: int64(report.Sequence),
 	}
-	others := otherProxies(s.cluster.Nodes(), s.cluster.Self().Address)
-	if len(others) > directReports {
+	addresses, direct := reportAddresses(s.cluster.Nodes(), s.cluster.Self())
+	if !direct {
 		s.publish(record)
 		return
 	}
-	for _, address := range others {
+	for _, address := range addresses {
 		s.send(address, record)
 	}
 }
 
-func otherProxies(nodes []cluster.Node, self string) []string {
-	var addresses []string
+// reportAddresses gives the proxies that a report is sent to; false: there are too many for that.
+func reportAddresses(nodes []cluster.Node, self cluster.Node) ([]string, bool) {
+	var all, near []string
 	for _, n := range nodes {
-		if n.Role == cluster.Proxy && n.Live() && n.Address != self {
-			addresses = append(addresses, n.Address)
+		if n.Role != cluster.Proxy || !n.Live() || n.Address == self.Address {
+			continue
 		}
+		all = append(all, n.Address)
+		if n.Zone == self.Zone {
+			near = append(near, n.Address)
+		}
+	}
+	if len(all) <= directReports {
+		return all, true
 	}
-	return addresses
+	return near, len(near) <= directReports
 }
 
 func (s *reportSpreader) publish(record records.ReportRecord) {
