--- a/admission/dispatch/home_test.go
+++ b/admission/dispatch/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -91,6 +92,7 @@
 		}
 		home := short(sender(1, 4, 0))
 		s := sender(1, 4, 0)
+		s.service(pool).fresh, s.service(pool).took = 500, float64(time.Second) // of a usual turn
 		for id := range s.buckets {
 			s.told(id, Report{})
 		}
