--- /dev/null
+++ b/internal/sender/listing.go
@@ -0,0 +1,103 @@
+package sender
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"emberquay/control"
+	"emberquay/internal/directory"
+	"emberquay/internal/learnt"
+)
+
+// The list of receivers: who is where, and what was learnt of them.
+
+// Listed posts news of the list.
+func (s *Sender) Listed(news directory.News) { s.Tell(func() { s.hear(news) }) }
+
+// Known tells the list as it was last known, before Run.
+func (s *Sender) Known(news directory.News) { s.hear(news) }
+
+func (s *Sender) hear(news directory.News) {
+	named := map[control.ReceiverID]bool{}
+	entries := make([]control.Entry, 0, len(news.Hosts))
+	for _, h := range news.Hosts {
+		before, taken := s.at[h.Addr]
+		switch taken = taken && before != h.Receiver; {
+		case h.Listing == control.Removed:
+			s.drop(h.Receiver)
+		case taken && h.Listing == control.Draining: // another has its place already
+			h.Listing = control.Removed
+			s.drop(h.Receiver)
+		default:
+			// An address is that of whoever came there last. What is sent to one that was there before would reach
+			// the new one, perhaps of another destination.
+			if taken {
+				s.drop(before)
+				entries = append(entries, control.Entry{Receiver: before, Listing: control.Removed})
+			}
+			named[h.Receiver] = true
+			s.place(h)
+		}
+		entries = append(entries, h.Entry)
+	}
+	if news.Whole {
+		for id := range s.listed {
+			if !named[id] {
+				s.drop(id)
+			}
+		}
+	}
+	s.module.Listed(news.Whole, entries)
+	for _, h := range news.Hosts {
+		if l, ok := s.recall[h.Addr]; ok && s.at[h.Addr] == h.Receiver {
+			delete(s.recall, h.Addr)
+			if l.Destination == h.Destination && l.Kind == h.Kind {
+				l.Lesson.Receiver = h.Receiver
+				s.module.Recall(l.Lesson)
+			}
+		}
+	}
+}
+
+// Recall takes over what a process before has learnt, as its receivers are listed; before the list is told.
+func (s *Sender) Recall(all []learnt.Receiver) {
+	s.recall = map[string]learnt.Receiver{}
+	for _, l := range all {
+		s.recall[l.Addr] = l
+	}
+}
+
+// Learnt gives what the module has learnt, for the process after this one; after Run. What was taken over of
+// receivers that were not listed yet goes on.
+func (s *Sender) Learnt() (control.Time, []learnt.Receiver) {
+	addr := map[control.ReceiverID]string{}
+	for a, id := range s.at {
+		addr[id] = a
+	}
+	all := slices.SortedFunc(maps.Values(s.recall), func(a, b learnt.Receiver) int { return cmp.Compare(a.Addr, b.Addr) })
+	for _, l := range s.module.Learnt() {
+		if e, ok := s.listed[l.Receiver]; ok && addr[l.Receiver] != "" {
+			all = append(all, learnt.Receiver{Addr: addr[l.Receiver], Destination: e.Destination, Kind: e.Kind, Lesson: l})
+		}
+	}
+	return s.now(), all
+}
+
+// place keeps where a receiver is.
+func (s *Sender) place(h directory.Host) {
+	s.vacate(h.Receiver)
+	s.listed[h.Receiver], s.at[h.Addr] = h.Entry, h.Receiver
+	s.fleet.Listed(h.Receiver, h.Addr)
+}
+
+// vacate frees the address of a receiver.
+func (s *Sender) vacate(id control.ReceiverID) {
+	maps.DeleteFunc(s.at, func(_ string, at control.ReceiverID) bool { return at == id })
+}
+
+func (s *Sender) drop(id control.ReceiverID) {
+	s.vacate(id)
+	delete(s.listed, id)
+	s.fleet.Gone(id)
+}
