Offline tools for the tier's disks: store and control-plane inspect and verify

What a disk held could be seen only by starting a process on it, which writes, and starts over on a disk that lost what was synced. A turn whose predecessor is on other stores is named, not counted as damage.

Records are also coded again and compared, since the avro library takes one that ends too early for one whose last fields are empty. A torn tail stays sound: it cannot be told from a flipped byte in the very last record.

--- a/cmd/emberquay/main.go
+++ b/cmd/emberquay/main.go
@@ -20,8 +20,8 @@
 	Ledger ledgerCmd `cmd:"" help:"Look into the folder that lasts."`
 
 	Proxy        proxyCmd        `cmd:"" help:"Run the data plane of the serving tier on this machine."`
-	ControlPlane controlPlaneCmd `cmd:"" help:"Run the control plane of the serving tier on this machine."`
-	Store        storeCmd        `cmd:"" help:"Run a store of the serving tier on this machine."`
+	ControlPlane controlPlaneCmd `cmd:"" help:"Run the control plane on this machine, or look into its folder."`
+	Store        storeCmd        `cmd:"" help:"Run a store on this machine, or look into its folder."`
 
 	Settings settingsCmd `cmd:"" help:"Look at a settings file of the serving tier."`
 	Config   configCmd   `cmd:"" help:"The configuration of the serving tier: check, compare, read, replace."`
--- a/cmd/emberquay/tier.go
+++ b/cmd/emberquay/tier.go
@@ -32,23 +32,40 @@
 
 type proxyCmd struct{ tierCmd }
 
+// Run runs the plane.
 func (c *proxyCmd) Run() error {
 	return c.run("proxy", func(node *settings.Node, logger log.Interface) (lifecycle.Plane, error) {
 		return dataplane.Start(node, logger)
 	})
 }
 
-type controlPlaneCmd struct{ tierCmd }
+// controlPlaneCmd runs a control plane where no other command is named.
+type controlPlaneCmd struct {
+	Run     controlRunCmd     `cmd:"" default:"withargs" help:"Run the control plane; also without its name."`
+	Inspect controlInspectCmd `cmd:"" help:"Say what the folder of a control plane holds."`
+	Verify  controlVerifyCmd  `cmd:"" help:"Read all of such a folder; the exit status is 0 if it is sound."`
+}
+
+type controlRunCmd struct{ tierCmd }
 
-func (c *controlPlaneCmd) Run() error {
+// Run runs the plane.
+func (c *controlRunCmd) Run() error {
 	return c.run("control-plane", func(node *settings.Node, logger log.Interface) (lifecycle.Plane, error) {
 		return controlplane.Start(node, logger)
 	})
 }
 
-type storeCmd struct{ tierCmd }
+// storeCmd runs a store where no other command is named.
+type storeCmd struct {
+	Run     storeRunCmd     `cmd:"" default:"withargs" help:"Run the store; also without its name."`
+	Inspect storeInspectCmd `cmd:"" help:"Say what the folder of a store holds."`
+	Verify  storeVerifyCmd  `cmd:"" help:"Read all of such a folder; the exit status is 0 if it is sound."`
+}
+
+type storeRunCmd struct{ tierCmd }
 
-func (c *storeCmd) Run() error {
+// Run runs the plane.
+func (c *storeRunCmd) Run() error {
 	return c.run("store", func(node *settings.Node, logger log.Interface) (lifecycle.Plane, error) {
 		return storeplane.Start(node, logger)
 	})
--- /dev/null
+++ b/internal/controlplane/inspect.go
@@ -0,0 +1,159 @@
+package controlplane
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"emberquay/coordination/chain"
+	"emberquay/coordination/view"
+	"emberquay/internal/controlstate"
+	"emberquay/internal/journal"
+	"emberquay/internal/registration/snapshot"
+	"emberquay/internal/replica"
+	"emberquay/internal/vfs"
+)
+
+// Inspection is what the folder of a control plane holds, as a start would find it.
+type Inspection struct {
+	Ring    *journal.Inspection  `json:"ring"`
+	Records replica.RecordsFound `json:"records"`
+
+	Member MemberFound `json:"member"` // as which this disk votes
+	View   ViewFound   `json:"view"`
+	// Sequence is that of the last entry taken; those above Committed were not known to be committed yet.
+	Sequence  int64      `json:"sequence"`
+	Committed int64      `json:"committed"`
+	Vote      VoteFound  `json:"vote"`
+	State     StateFound `json:"state"` // as of Sequence
+	Known     int        `json:"known"` // entries of the cluster's table that are kept over a stop
+	// Findings are those of the ring, of the records in it, of the state that they add up to and of the kept
+	// entries.
+	Findings journal.Findings `json:"findings"`
+}
+
+// MemberFound is a member of the control state.
+type MemberFound struct {
+	ID      int64  `json:"id"` // 0: none was drawn yet
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+}
+
+// ViewFound is the newest view that the disk has adopted.
+type ViewFound struct {
+	Epoch   int64         `json:"epoch"` // 0: none
+	Members []MemberFound `json:"members"`
+	Chain   []int64       `json:"chain"` // member ids, head first
+}
+
+// BallotFound is a ballot of the agreement on the view that is to follow.
+type BallotFound struct {
+	Round    int64 `json:"round"` // 0: none
+	Proposer int64 `json:"proposer"`
+}
+
+// VoteFound is what the disk promised and accepted on the view that is to follow.
+type VoteFound struct {
+	Sealed        bool        `json:"sealed"` // the epoch takes no more writes here
+	Promised      BallotFound `json:"promised"`
+	Accepted      BallotFound `json:"accepted"`
+	AcceptedEpoch int64       `json:"accepted_epoch"`
+	// AcceptedSequence is the end of the state with which the accepted view would begin.
+	AcceptedSequence int64 `json:"accepted_sequence"`
+}
+
+// StateFound is the control state.
+type StateFound struct {
+	ConfigurationVersion uint64 `json:"configuration_version"`
+	ConfigurationBytes   int    `json:"configuration_bytes"`
+	AcceptedChanges      int    `json:"accepted_changes"` // that would be acknowledged again
+	RefusedChanges       int    `json:"refused_changes"`  // that would be refused again
+	StoreEpoch           uint64 `json:"store_epoch"`
+	Stores               int    `json:"stores"`
+	Retirements          int    `json:"retirements"`
+}
+
+// Inspect reads the folder of a control plane without writing anything. Errors: journal.ErrNoRing,
+// replica.ErrNothingKept, replica.ErrNotReplica, or the disk's; all else that is wrong is in the findings.
+func Inspect(files vfs.FS, dir string) (*Inspection, error) {
+	disk, err := replica.Inspect(files, dir)
+	if err != nil {
+		return nil, err
+	}
+	d := &disk.Durable
+	found := &Inspection{
+		Ring: disk.Ring, Records: disk.Records, Member: memberFound(d.Member), View: viewFound(d.View),
+		Sequence: disk.Sequence(), Committed: d.Committed, Vote: voteOf(d), Findings: disk.Findings,
+	}
+	if err := found.readState(d); err != nil {
+		found.Findings.Add(journal.Damage{File: "ring-*", Problem: fmt.Sprint(err)})
+	}
+	return found, found.readKnown(snapshot.File{Files: files, Dir: dir})
+}
+
+func voteOf(d *chain.Durable) VoteFound {
+	a := &d.Acceptor
+	return VoteFound{
+		Sealed:        a.Sealed(),
+		Promised:      BallotFound{Round: a.Promised.Round, Proposer: int64(a.Promised.Proposer)},
+		Accepted:      BallotFound{Round: a.Accepted.Round, Proposer: int64(a.Accepted.Proposer)},
+		AcceptedEpoch: a.Value.View.Epoch, AcceptedSequence: a.Value.State.Sequence,
+	}
+}
+
+func memberFound(m view.Member) MemberFound {
+	return MemberFound{ID: int64(m.ID), Name: m.Name, Address: m.Address, Zone: m.Zone}
+}
+
+func viewFound(v view.View) ViewFound {
+	found := ViewFound{Epoch: v.Epoch}
+	for _, m := range v.Members {
+		found.Members = append(found.Members, memberFound(m))
+	}
+	for _, id := range v.Chain {
+		found.Chain = append(found.Chain, int64(id))
+	}
+	return found
+}
+
+// readState works out the control state from the last whole one and the entries since.
+func (i *Inspection) readState(d *chain.Durable) error {
+	if !d.State.Full {
+		return nil // no view was adopted yet
+	}
+	if err := d.View.Validate(); err != nil {
+		return err
+	}
+	state := controlstate.New()
+	if err := state.Restore(d.State.Snapshot); err != nil {
+		return err
+	}
+	for _, entry := range d.Entries {
+		if _, err := controlstate.DecodeCommand(entry.Command); err != nil {
+			return eris.Wrapf(err, "entry %d", entry.Sequence)
+		}
+		state.Apply(entry.Command)
+	}
+	version, body := state.Configuration()
+	accepted, refused := state.Changes()
+	stores := state.Stores()
+	i.State = StateFound{
+		ConfigurationVersion: version, ConfigurationBytes: len(body),
+		AcceptedChanges: accepted, RefusedChanges: refused,
+		StoreEpoch: stores.Epoch, Stores: len(stores.Members), Retirements: len(state.Retirements()),
+	}
+	return nil
+}
+
+// readKnown reads the entries of the cluster's table.
+func (i *Inspection) readKnown(file snapshot.File) error {
+	entries, err := file.Check()
+	if errors.Is(err, snapshot.ErrNotWhole) {
+		i.Findings.Add(journal.Damage{File: snapshot.Name, Problem: fmt.Sprint(err)})
+		return nil
+	}
+	i.Known = len(entries)
+	return err
+}
--- a/internal/journal/inspect.go
+++ b/internal/journal/inspect.go
@@ -54,6 +54,14 @@
 	}
 }
 
+// Join takes those of another list.
+func (f *Findings) Join(other Findings) {
+	for _, d := range other.Listed {
+		f.Add(d)
+	}
+	f.Count += other.Count - len(other.Listed)
+}
+
 // Stop says why the reading of a segment ended where it did.
 type Stop string
 
@@ -272,7 +280,7 @@
 	}
 	for _, sequence := range missing {
 		if !slices.Contains(found, sequence) {
-			problem := fmt.Sprintf("segment %d is in no file: its file is gone, or nothing of it can be read", sequence)
+			problem := fmt.Sprintf("segment %d is in no file: that is gone, or nothing in it can be read", sequence)
 			i.found.Findings.Add(Damage{File: namePrefix + "*", Problem: problem})
 		}
 	}
--- a/internal/registration/snapshot/snapshot.go
+++ b/internal/registration/snapshot/snapshot.go
@@ -1,14 +1,14 @@
-// Package snapshot keeps entries of the cluster's table that a control node knows on its disk, so that the tier knows
-// them again at once when all of it was down: the receivers above all, to which nothing could be sent until each has
-// sent a heartbeat.
+// Package snapshot keeps entries of the cluster's table that a control node knows on its disk, so that the
+// tier knows them again at once when all of it was down: the receivers above all, to which nothing could be
+// sent until each has sent a heartbeat.
 //
 //	file := snapshot.File{Files: vfs.OS{}, Dir: dir}
 //	entries, err := file.Load()
 //	err = file.Save(entries)
 //
-// The list is soft state: what the file lacks is learnt anew, and what is outdated in it is replaced by newer stamps or,
-// of a receiver, found out by the first call, as each call names the instance that it means. So a file that is not there or not whole
-// is an empty list.
+// The list is soft state: what the file lacks is learnt anew, and what is outdated in it is replaced by newer
+// stamps or, of a receiver, found out by the first call, as each call names the instance that it means. So a
+// file that is not there or not whole is an empty list.
 package snapshot
 
 import (
@@ -24,8 +24,11 @@
 	"emberquay/internal/vfs"
 )
 
+// Name is the file's name in its folder.
+const Name = name
+
 const (
-	// name is the file's name in its folder; a new one is written beside it first.
+	// name is the file's name; a new one is written beside it first.
 	name    = "known"
 	newName = "known.new"
 	// maxBytes bounds the file: the largest configuration and many receivers.
@@ -59,8 +62,20 @@
 	Dir   string
 }
 
+// ErrNotWhole: the file is not a whole list.
+var ErrNotWhole = eris.New("not a whole list of known entries")
+
 // Load reads the list; nil where there is none or not a whole one. Errors: those of the disk.
 func (f File) Load() ([]cluster.Entry, error) {
+	entries, err := f.Check()
+	if errors.Is(err, ErrNotWhole) {
+		return nil, nil
+	}
+	return entries, err
+}
+
+// Check reads the list as Load does; nil where there is none. Errors: ErrNotWhole, or the disk's.
+func (f File) Check() ([]cluster.Entry, error) {
 	file, err := f.Files.Open(filepath.Join(f.Dir, name))
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
@@ -70,32 +85,35 @@
 	}
 	defer file.Close()
 	size, err := file.Size()
-	if err != nil || size < sumBytes || size > maxBytes {
+	if err != nil {
 		return nil, eris.Wrap(err, "known entries")
 	}
+	if size < sumBytes || size > maxBytes {
+		return nil, ErrNotWhole
+	}
 	raw := make([]byte, size)
 	if _, err := file.ReadAt(raw, 0); err != nil {
 		return nil, eris.Wrap(err, "known entries")
 	}
-	return parse(raw), nil
+	return parse(raw)
 }
 
-// parse gives nil for bytes that are not a whole list.
-func parse(raw []byte) []cluster.Entry {
+// parse reads the bytes of a list. Error: ErrNotWhole.
+func parse(raw []byte) ([]cluster.Entry, error) {
 	body := raw[:len(raw)-sumBytes]
 	if string(raw[len(body):]) != string(sum(body)) {
-		return nil
+		return nil, ErrNotWhole
 	}
 	kept, err := lists.Decode(body)
 	if err != nil {
-		return nil
+		return nil, ErrNotWhole
 	}
 	entries := make([]cluster.Entry, 0, len(kept.Entries))
 	for _, e := range kept.Entries {
 		stamp := cluster.Stamp{Epoch: uint64(e.Epoch), Sequence: uint64(e.Sequence), Origin: e.Origin}
 		entries = append(entries, cluster.Entry{Key: e.Key, Value: e.Value, Stamp: stamp})
 	}
-	return entries
+	return entries, nil
 }
 
 func sum(body []byte) []byte {
--- a/internal/registration/snapshot/snapshot_test.go
+++ b/internal/registration/snapshot/snapshot_test.go
@@ -47,6 +47,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(damaged.Close()).To(Succeed())
 		Expect(file.Load()).To(BeEmpty())
+		_, err = file.Check()
+		Expect(err).To(MatchError(snapshot.ErrNotWhole))
 	})
 
 	It("outlasts a loss of power once it was saved", func() {
--- /dev/null
+++ b/internal/store/inspect_test.go
@@ -0,0 +1,199 @@
+package store_test
+
+import (
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/internal/journal"
+	"emberquay/internal/store"
+	"emberquay/internal/storewire"
+	"emberquay/internal/vfs/memfs"
+)
+
+// keepAt commits a turn at one store alone.
+func keepAt(c *cluster, n *node, id, root, previous string) {
+	GinkgoHelper()
+	answer, err := n.store.Commit(ctx, storewire.CommitRequest{
+		Header: storewire.Header{Epoch: int64(c.view.Epoch), Store: n.store.ID()},
+		Turn: storewire.Turn{ID: id, Root: root, Previous: previous, Program: "p", RetentionMillis: 60_000,
+			Input: []byte("in"), Output: []byte("out")},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(answer.Reply.Standing).To(Equal(storewire.Served))
+}
+
+// written gives the disk of a store that has kept what the function had it keep, and has ended.
+func written(keep func(*cluster, *node)) (*memfs.Mem, *node) {
+	c := newCluster(0, "a")
+	n := c.nodes[0]
+	keep(c, n)
+	Expect(n.store.Close()).To(Succeed())
+	return n.disk, n
+}
+
+// appended puts a record into the ring, whole, whatever it says.
+func appended(disk *memfs.Mem, record string) journal.Position {
+	GinkgoHelper()
+	j, err := journal.Open(journal.Options{Files: disk, Dir: "data", SegmentBytes: 1 << 20, Segments: 16},
+		func(journal.Position, []byte) error { return nil })
+	Expect(err).NotTo(HaveOccurred())
+	p, err := j.Append([]byte(record))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(j.Sync()).To(Succeed())
+	Expect(j.Close()).To(Succeed())
+	return p
+}
+
+func inspected(disk *memfs.Mem) *store.Inspection {
+	GinkgoHelper()
+	found, err := store.Inspect(disk, "data")
+	Expect(err).NotTo(HaveOccurred())
+	return found
+}
+
+// conversation keeps three turns, and reservations of two programs of which one is settled.
+func conversation(c *cluster, n *node) {
+	keepAt(c, n, "t-0", "t-0", "")
+	keepAt(c, n, "t-1", "t-0", "t-0")
+	keepAt(c, n, "t-2", "t-0", "t-1")
+	reserveAt(c, n, "a", false)
+	settleAt(c, n, "a", 4)
+	reserveAt(c, n, "b", false) // answered from the disk, and with it what was told before
+}
+
+var _ = Describe("the inspection of a store's disk", func() {
+	It("says what a start would find", func() {
+		disk, n := written(conversation)
+		found := inspected(disk)
+		Expect(found.ID).To(Equal(n.store.ID()))
+		Expect(found.Complete).To(BeTrue())
+		Expect(found.View.Epoch).To(Equal(int64(1)))
+		Expect(found.View.Members).To(HaveLen(1))
+		Expect(found.Findings.Count).To(BeZero())
+		Expect(found.Turns).To(And(HaveField("Count", 3), HaveField("Conversations", 1), HaveField("Whole", 3),
+			HaveField("Partial", 0), HaveField("MissingCount", 0)))
+		Expect(found.Turns.Oldest.ID).To(Equal("t-0"))
+		Expect(found.Turns.Newest.ID).To(Equal("t-2"))
+		Expect(found.Turns.Newest.File).To(Equal("ring-0000"))
+		Expect(found.Programs.Count).To(Equal(1))
+		Expect(found.Programs.Listed).To(Equal([]store.ProgramFound{{Name: "p", Open: 1, Most: 6, Settled: 4}}))
+		kinds := map[string]int{}
+		for _, k := range found.Records {
+			kinds[k.Kind] = k.Records
+		}
+		Expect(kinds).To(HaveKeyWithValue("turn", 3))
+		Expect(kinds).To(HaveKeyWithValue("program", 3))
+		Expect(kinds["meta"]).To(BeNumerically(">=", 2))
+	})
+
+	It("holds what was acknowledged after a loss of power, over many laps of the ring", func() {
+		c := newCrashing(5)
+		for range 400 {
+			c.step()
+		}
+		disk := c.node.disk.After(memfs.Power, rand.New(rand.NewPCG(1, 1)))
+		found := inspected(disk)
+		Expect(found.Findings.Count).To(BeZero(), "%+v", found.Findings)
+		for id, until := range c.turns {
+			if until < c.now() {
+				delete(c.turns, id)
+			}
+		}
+		Expect(found.Turns.Count).To(BeNumerically(">=", len(c.turns)))
+		Expect(found.Ring.Segments[0].Sequence).To(BeNumerically(">", 1))
+	})
+
+	It("names the turns that are held elsewhere and does not take them for damage", func() {
+		disk, _ := written(func(c *cluster, n *node) {
+			conversation(c, n)
+			keepAt(c, n, "u-5", "u-0", "u-4")
+			keepAt(c, n, "u-6", "u-0", "u-5")
+			keepAt(c, n, "u-5-again", "u-0", "u-4")
+		})
+		found := inspected(disk)
+		Expect(found.Findings.Count).To(BeZero())
+		Expect(found.Turns.Whole).To(Equal(3))
+		Expect(found.Turns.Partial).To(Equal(3))
+		Expect(found.Turns.MissingCount).To(Equal(1))
+		Expect(found.Turns.Missing[0].ID).To(Equal("u-4"))
+		Expect(found.Turns.Missing[0].Root).To(Equal("u-0"))
+		Expect(found.Turns.Missing[0].Next.ID).To(Equal("u-5"))
+	})
+
+	DescribeTable("finds conversations that make no sense",
+		func(keep func(*cluster, *node), problem string) {
+			disk, _ := written(keep)
+			found := inspected(disk)
+			Expect(found.Findings.Count).To(Equal(1), "%+v", found.Findings)
+			Expect(found.Findings.Listed[0].Problem).To(ContainSubstring(problem))
+			Expect(found.Findings.Listed[0].Offset).To(BeNumerically(">", 0))
+		},
+		Entry("turns in a circle", func(c *cluster, n *node) {
+			keepAt(c, n, "a", "r", "b")
+			keepAt(c, n, "b", "r", "a")
+		}, "continues a, which continues it"),
+		Entry("a turn of another conversation before it", func(c *cluster, n *node) {
+			keepAt(c, n, "a", "a", "")
+			keepAt(c, n, "b", "other", "a")
+			keepAt(c, n, "c", "other", "b")
+		}, "turn b of conversation other continues a of conversation a"),
+	)
+
+	DescribeTable("finds records that are whole but make no sense, at their place",
+		func(record string, problem string) {
+			disk, _ := written(conversation)
+			p := appended(disk, record)
+			found := inspected(disk)
+			Expect(found.Findings.Count).To(Equal(1), "%+v", found.Findings)
+			Expect(found.Findings.Listed[0].File).To(Equal("ring-0000"))
+			Expect(found.Findings.Listed[0].Offset).To(Equal(int64(p.Offset)))
+			Expect(found.Findings.Listed[0].Problem).To(ContainSubstring(problem))
+			Expect(found.Turns.Count).To(Equal(3))
+		},
+		Entry("another kind", "X and more", "kind 88 is not known"),
+		Entry("a turn that does not decode", "T\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff", "turn record"),
+		Entry("a turn that ends too early", "T\x02a", "coded otherwise"),
+		Entry("a turn of other contents under a known id", "T\x06t-1\x06t-0\x00\x06t-0\x02p\x00\x00\x00\x00", "other contents"),
+		Entry("a program whose entries do not unpack", "P\x02p\x00\x06abc", "malformed entries"),
+		Entry("a program with more behind its end", "P\x02p\x00\x00zzz", "coded otherwise"),
+		Entry("a meta record that ends too early", "M\x02a\x01", "meta record"),
+	)
+
+	It("shows a torn tail as the place where the reading stopped", func() {
+		disk, _ := written(conversation)
+		before := inspected(disk)
+		end := before.Ring.Segments[0].End
+		copy(disk.Data("data/ring-0000")[end:], "half of a record")
+		found := inspected(disk)
+		Expect(found.Findings.Count).To(BeZero())
+		Expect(found.Ring.Segments[0].End).To(Equal(end))
+		Expect(found.Ring.Segments[0].Stop).To(Equal(journal.StopNoRecord))
+	})
+
+	It("finds a flipped byte, and a disk whose first record is lost", func() {
+		disk, _ := written(conversation)
+		disk.Data("data/ring-0000")[60] ^= 4 // in the first record, which says which store this is
+		found := inspected(disk)
+		Expect(found.ID).To(BeEmpty())
+		Expect(found.Findings.Count).To(Equal(1), "%+v", found.Findings)
+		Expect(found.Findings.Listed[0].Offset).To(Equal(int64(40)))
+		Expect(found.Findings.Listed[0].Problem).To(ContainSubstring("stand behind it"))
+	})
+
+	It("says what is no disk of a store", func() {
+		_, err := store.Inspect(memfs.New(), "data")
+		Expect(err).To(MatchError(journal.ErrNoRing))
+
+		empty := memfs.New()
+		empty.Put("data/ring-0000", make([]byte, 1<<20))
+		_, err = store.Inspect(empty, "data")
+		Expect(err).To(MatchError(store.ErrNothingKept))
+
+		other := memfs.New()
+		appended(other, "\x03a part of a replica's record")
+		_, err = store.Inspect(other, "data")
+		Expect(err).To(MatchError(store.ErrNotStore))
+	})
+})
