emberquay node status: what a running process of the tier is and knows

Until now only logs told which view, configuration and nodes a process goes by. Processes of all roles answer the method node.status on their internal address: role, incarnation, uptime, configuration in force, nodes and receivers counted as they know them; a control plane its view and chain, a store its view, completeness and contents, a proxy its requests.

All of it is read when it is asked for. The one thing that was not counted yet is what admission refuses: the owner of the dispatcher adds one to a plain number where it hands a refusal on; reading it is a command in its queue.

--- a/cmd/emberquay/main.go
+++ b/cmd/emberquay/main.go
@@ -23,6 +23,7 @@
 	ControlPlane controlPlaneCmd `cmd:"" help:"Run the control plane on this machine, or look into its folder."`
 	Store        storeCmd        `cmd:"" help:"Run a store on this machine, or look into its folder."`
 
+	Node     nodeCmd     `cmd:"" help:"Ask the running processes of the serving tier."`
 	Settings settingsCmd `cmd:"" help:"Look at a settings file of the serving tier."`
 	Config   configCmd   `cmd:"" help:"The configuration of the serving tier: check, compare, read, replace."`
 	Version  versionCmd  `cmd:"" help:"Say which build this is."`
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -23,6 +23,7 @@
 	"emberquay/internal/cluster"
 	"emberquay/internal/cluster/records"
 	"emberquay/internal/controlstate"
+	"emberquay/internal/nodestatus"
 	"emberquay/internal/registration"
 	"emberquay/internal/replica"
 	"emberquay/internal/settings"
@@ -97,6 +98,7 @@
 	}
 	p.recall()
 	p.registerStores(mux)
+	nodestatus.Register(mux, p.status)
 	p.internal, err = transport.Listen(address, mux)
 	return err
 }
--- /dev/null
+++ b/internal/controlplane/status.go
@@ -0,0 +1,28 @@
+package controlplane
+
+import (
+	"context"
+
+	"emberquay/internal/cluster"
+	"emberquay/internal/nodestatus"
+)
+
+// status collects what an operator is told of this plane.
+func (p *Plane) status(context.Context) (nodestatus.Status, error) {
+	status := nodestatus.Common(p.cluster, p.started)
+	replica := p.replica.Status()
+	stores, _ := p.cluster.Get(cluster.StoresKey)
+	control := &nodestatus.Control{
+		ID: int64(replica.Self.ID), Member: replica.Member, Epoch: replica.View.Epoch,
+		StoreEpoch: int64(stores.Stamp.Epoch),
+	}
+	for _, m := range replica.View.Members {
+		member := nodestatus.Member{ID: int64(m.ID), Name: m.Name, Address: m.Address, Zone: m.Zone}
+		control.Members = append(control.Members, member)
+	}
+	for _, id := range replica.View.Chain {
+		control.Chain = append(control.Chain, int64(id))
+	}
+	status.Control = control
+	return status, nil
+}
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -19,6 +19,7 @@
 
 	"emberquay/internal/cluster"
 	"emberquay/internal/cluster/records"
+	"emberquay/internal/nodestatus"
 	"emberquay/internal/proxy"
 	"emberquay/internal/routing"
 	"emberquay/internal/settings"
@@ -50,6 +51,7 @@
 	proxy    *proxy.Proxy
 	stop     context.CancelFunc
 	stopped  context.Context
+	started  time.Time
 
 	receivers  *receiverList
 	assignment *assignment
@@ -60,7 +62,7 @@
 // Start joins the others and serves; the plane is ready once it knows the configuration and the receivers.
 func Start(node *settings.Node, logger log.Interface) (*Plane, error) {
 	stopped, stop := context.WithCancel(context.Background())
-	p := &Plane{settings: node, log: logger, client: transport.NewClient(), stop: stop, stopped: stopped,
+	p := &Plane{settings: node, log: logger, client: transport.NewClient(), stop: stop, stopped: stopped, started: time.Now(),
 		receivers: newReceiverList(), assignment: newAssignment(node.Name)}
 	p.feed = newFeed(p.feedReceivers)
 	if err := p.open(); err != nil {
@@ -105,6 +107,7 @@
 	if err != nil {
 		return err
 	}
+	nodestatus.Register(mux, p.status)
 	transport.Receive(mux, reportMethod, reportCodec, func(_ context.Context, r records.ReportRecord) { p.takeReport(r) })
 	p.internal, err = transport.Listen(address, mux)
 	return err
--- /dev/null
+++ b/internal/nodestatus/messages.go
@@ -0,0 +1,134 @@
+package nodestatus
+
+import "emberquay/internal/transport"
+
+// Method asks a process of any role for its status.
+const Method transport.Method = "node.status"
+
+// Request asks for a status.
+type Request struct{}
+
+// Status is what a process says of itself and of what it knows. One of Control, Store and Proxy is there.
+type Status struct {
+	Name          string `avro:"name" json:"name"` // of the machine
+	Role          string `avro:"role" json:"role"`
+	Zone          string `avro:"zone" json:"zone"`
+	Address       string `avro:"address" json:"address"` // internal, ip:port
+	Incarnation   int64  `avro:"incarnation" json:"incarnation"`
+	UptimeMillis  int64  `avro:"uptime_millis" json:"uptime_ms"`
+	Configuration int64  `avro:"configuration" json:"configuration"` // version in force here; 0: none yet
+
+	Nodes     []Nodes   `avro:"nodes" json:"nodes"` // by role
+	Receivers Receivers `avro:"receivers" json:"receivers"`
+
+	Control *Control `avro:"control" json:"control,omitempty"`
+	Store   *Store   `avro:"store" json:"store,omitempty"`
+	Proxy   *Proxy   `avro:"proxy" json:"proxy,omitempty"`
+}
+
+// Nodes counts the processes of a role that are known, this one among them.
+type Nodes struct {
+	Role  string `avro:"role" json:"role"`
+	Known int    `avro:"known" json:"known"`
+	Alive int    `avro:"alive" json:"alive"` // or only suspected
+}
+
+// Receivers counts the receivers known, by state. Those that are gone are remembered for a minute.
+type Receivers struct {
+	Ready    int `avro:"ready" json:"ready"`
+	Draining int `avro:"draining" json:"draining"`
+	Silent   int `avro:"silent" json:"silent"`
+	Gone     int `avro:"gone" json:"gone"`
+}
+
+// Control is the replica of a control plane.
+type Control struct {
+	ID      int64    `avro:"id" json:"id"`         // as which it votes
+	Member  bool     `avro:"member" json:"member"` // of the view below
+	Epoch   int64    `avro:"epoch" json:"epoch"`   // of its own view, or of the newest that it heard of
+	Members []Member `avro:"members" json:"members"`
+	Chain   []int64  `avro:"chain" json:"chain"` // ids, head first
+	// StoreEpoch is that of the store view as known here; 0: none.
+	StoreEpoch int64 `avro:"store_epoch" json:"store_epoch"`
+}
+
+// Member votes on the views of the control state.
+type Member struct {
+	ID      int64  `avro:"id" json:"id"`
+	Name    string `avro:"name" json:"name"` // of the machine; empty for one of the first view
+	Address string `avro:"address" json:"address"`
+	Zone    string `avro:"zone" json:"zone"`
+}
+
+// Store is the store itself.
+type Store struct {
+	ID        string `avro:"id" json:"id"` // of its disk
+	Complete  bool   `avro:"complete" json:"complete"`
+	Retiring  bool   `avro:"retiring" json:"retiring"`
+	Member    bool   `avro:"member" json:"member"` // of the view by which it works
+	Epoch     int64  `avro:"epoch" json:"epoch"`   // of that view; 0: none
+	Members   int    `avro:"members" json:"members"`
+	Turns     int    `avro:"turns" json:"turns"`
+	TurnBytes int64  `avro:"turn_bytes" json:"turn_bytes"` // on the disk
+	Programs  int    `avro:"programs" json:"programs"`
+	Entries   int    `avro:"entries" json:"entries"`       // reservations of all programs, settled ones too
+	RingBytes int64  `avro:"ring_bytes" json:"ring_bytes"` // of all segments that its ring may have
+	FreeBytes int64  `avro:"free_bytes" json:"free_bytes"` // of those that hold nothing
+}
+
+// Proxy is what a data plane has to do with its clients.
+type Proxy struct {
+	Ready   bool  `avro:"ready" json:"ready"`     // the platform may send clients
+	InHand  int   `avro:"in_hand" json:"in_hand"` // requests read and not answered
+	Arrived int64 `avro:"arrived" json:"arrived"` // requests that came to admission since the start
+	Refused int64 `avro:"refused" json:"refused"` // of them, those that admission answered
+}
+
+var requests = transport.MustCodec[Request](`{"type":"record","name":"StatusRequest","fields":[]}`)
+
+var statuses = transport.MustCodec[Status](`{"type":"record","name":"Status","fields":[
+	{"name":"name","type":"string"},
+	{"name":"role","type":"string"},
+	{"name":"zone","type":"string"},
+	{"name":"address","type":"string"},
+	{"name":"incarnation","type":"long"},
+	{"name":"uptime_millis","type":"long"},
+	{"name":"configuration","type":"long"},
+	{"name":"nodes","type":{"type":"array","items":{"type":"record","name":"Nodes","fields":[
+		{"name":"role","type":"string"},
+		{"name":"known","type":"int"},
+		{"name":"alive","type":"int"}]}}},
+	{"name":"receivers","type":{"type":"record","name":"Receivers","fields":[
+		{"name":"ready","type":"int"},
+		{"name":"draining","type":"int"},
+		{"name":"silent","type":"int"},
+		{"name":"gone","type":"int"}]}},
+	{"name":"control","type":["null",{"type":"record","name":"Control","fields":[
+		{"name":"id","type":"long"},
+		{"name":"member","type":"boolean"},
+		{"name":"epoch","type":"long"},
+		{"name":"members","type":{"type":"array","items":{"type":"record","name":"Member","fields":[
+			{"name":"id","type":"long"},
+			{"name":"name","type":"string"},
+			{"name":"address","type":"string"},
+			{"name":"zone","type":"string"}]}}},
+		{"name":"chain","type":{"type":"array","items":"long"}},
+		{"name":"store_epoch","type":"long"}]}]},
+	{"name":"store","type":["null",{"type":"record","name":"Store","fields":[
+		{"name":"id","type":"string"},
+		{"name":"complete","type":"boolean"},
+		{"name":"retiring","type":"boolean"},
+		{"name":"member","type":"boolean"},
+		{"name":"epoch","type":"long"},
+		{"name":"members","type":"int"},
+		{"name":"turns","type":"int"},
+		{"name":"turn_bytes","type":"long"},
+		{"name":"programs","type":"int"},
+		{"name":"entries","type":"int"},
+		{"name":"ring_bytes","type":"long"},
+		{"name":"free_bytes","type":"long"}]}]},
+	{"name":"proxy","type":["null",{"type":"record","name":"Proxy","fields":[
+		{"name":"ready","type":"boolean"},
+		{"name":"in_hand","type":"int"},
+		{"name":"arrived","type":"long"},
+		{"name":"refused","type":"long"}]}]}]}`)
--- /dev/null
+++ b/internal/nodestatus/nodestatus_test.go
@@ -0,0 +1,130 @@
+package nodestatus_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"emberquay/internal/cluster"
+	"emberquay/internal/cluster/records"
+	"emberquay/internal/nodestatus"
+	"emberquay/internal/transport"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestNodeStatus(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "node status")
+}
+
+// serve has a server answer by a mux and gives its address.
+func serve(mux *transport.Mux) string {
+	GinkgoHelper()
+	server, err := transport.Listen("127.0.0.1:0", mux)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(server.Close)
+	return server.Address()
+}
+
+func newClient() *transport.Client {
+	client := transport.NewClient()
+	DeferCleanup(client.Close)
+	return client
+}
+
+// filled is a status with something in all that every role tells.
+func filled() nodestatus.Status {
+	return nodestatus.Status{
+		Name: "front-1", Role: "proxy", Zone: "a", Address: "127.0.0.1:7380", Incarnation: 1 << 60, UptimeMillis: 5,
+		Configuration: 1 << 40, Nodes: []nodestatus.Nodes{{Role: "proxy", Known: 3, Alive: 2}},
+		Receivers: nodestatus.Receivers{Ready: 1, Draining: 2, Silent: 3, Gone: 4},
+	}
+}
+
+var _ = Describe("the status of a process", func() {
+	DescribeTable("comes as it was collected",
+		func(ctx SpecContext, fill func(*nodestatus.Status)) {
+			status := filled()
+			fill(&status)
+			mux := transport.NewMux()
+			nodestatus.Register(mux, func(context.Context) (nodestatus.Status, error) { return status, nil })
+			Expect(nodestatus.Ask(ctx, newClient(), serve(mux))).To(Equal(status))
+		},
+		Entry("a proxy's", func(s *nodestatus.Status) {
+			s.Proxy = &nodestatus.Proxy{Ready: true, InHand: 7, Arrived: 900, Refused: 3}
+		}, NodeTimeout(time.Minute)),
+		Entry("a control plane's", func(s *nodestatus.Status) {
+			s.Control = &nodestatus.Control{ID: 1 << 62, Member: true, Epoch: 4, Chain: []int64{1 << 62, 5}, StoreEpoch: 6,
+				Members: []nodestatus.Member{{ID: 5, Name: "front-2", Address: "127.0.0.2:7381", Zone: "b"}}}
+		}, NodeTimeout(time.Minute)),
+		Entry("a store's", func(s *nodestatus.Status) {
+			s.Store = &nodestatus.Store{ID: "s", Complete: true, Retiring: true, Member: true, Epoch: 2, Members: 3,
+				Turns: 4, TurnBytes: 5, Programs: 6, Entries: 7, RingBytes: 8, FreeBytes: 9}
+		}, NodeTimeout(time.Minute)),
+	)
+
+	It("is refused by a process that cannot tell, and by an older build", func(ctx SpecContext) {
+		mux := transport.NewMux()
+		nodestatus.Register(mux, func(context.Context) (nodestatus.Status, error) {
+			return nodestatus.Status{}, errors.New("it ends")
+		})
+		var refused *transport.RemoteError
+		_, err := nodestatus.Ask(ctx, newClient(), serve(mux))
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.Reason).To(Equal("it ends"))
+		_, err = nodestatus.Ask(ctx, newClient(), serve(transport.NewMux()))
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.Reason).To(ContainSubstring("unknown method"))
+	}, NodeTimeout(time.Minute))
+
+	It("is waited for no longer than the caller wants", func(ctx SpecContext) {
+		asked := make(chan struct{})
+		mux := transport.NewMux()
+		nodestatus.Register(mux, func(ctx context.Context) (nodestatus.Status, error) {
+			close(asked)
+			<-ctx.Done()
+			return nodestatus.Status{}, ctx.Err()
+		})
+		short, end := context.WithCancel(ctx)
+		go func() {
+			<-asked
+			end()
+		}()
+		_, err := nodestatus.Ask(short, newClient(), serve(mux))
+		Expect(err).To(MatchError(context.Canceled))
+	}, NodeTimeout(time.Minute))
+
+	It("counts nodes and receivers as the cluster has them", func(ctx SpecContext) {
+		mux := transport.NewMux()
+		c, err := cluster.Start(cluster.Options{
+			Self:   cluster.Identity{Name: "front-1", Role: cluster.Proxy, Zone: "a", Address: "127.0.0.1:1"},
+			Client: newClient(), Mux: mux, Log: &log.Logger{Handler: discard.Default},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		for id, state := range map[string]records.ReceiverState{
+			"i-1": records.ReceiverReady, "i-2": records.ReceiverReady, "i-3": records.ReceiverDraining,
+			"i-4": records.ReceiverSilent, "i-5": records.ReceiverGone,
+		} {
+			value, err := records.Receivers.Encode(records.ReceiverRecord{ID: id, State: state})
+			Expect(err).NotTo(HaveOccurred())
+			c.Publish(cluster.Entry{Key: cluster.ReceiverPrefix + id, Value: value})
+		}
+		c.Publish(cluster.Entry{Key: cluster.ReceiverPrefix + "i-6", Value: []byte("no record")})
+		c.Publish(cluster.Entry{Key: cluster.ConfigurationKey, Value: []byte("any"), Stamp: cluster.Stamp{Epoch: 14}})
+		Eventually(ctx, func() int64 { return nodestatus.Common(c, time.Now()).Configuration }).Should(Equal(int64(14)))
+		status := nodestatus.Common(c, time.Now().Add(-time.Minute))
+		Expect(status.Name).To(Equal("front-1"))
+		Expect(status.Role).To(Equal("proxy"))
+		Expect(status.Incarnation).To(Equal(int64(c.Self().Incarnation)))
+		Expect(status.UptimeMillis).To(BeNumerically(">=", time.Minute.Milliseconds()))
+		Expect(status.Receivers).To(Equal(nodestatus.Receivers{Ready: 2, Draining: 1, Silent: 1, Gone: 1}))
+		Expect(status.Nodes).To(Equal([]nodestatus.Nodes{{Role: "proxy", Known: 1, Alive: 1}, {Role: "control"}, {Role: "store"}}))
+	}, NodeTimeout(time.Minute))
+})
--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -43,7 +43,9 @@
 	done       chan struct{}
 	issued     atomic.Uint64
 
-	tickets map[dispatch.RequestID]*ticket // owned by the goroutine of run
+	// Owned by the goroutine of run.
+	tickets map[dispatch.RequestID]*ticket
+	refused uint64 // requests that it answered
 	timer   *time.Timer
 }
 
@@ -104,6 +106,7 @@
 	for _, refuse := range effects.Refusals {
 		if t := a.tickets[refuse.Request]; t != nil {
 			delete(a.tickets, refuse.Request)
+			a.refused++
 			t.decisions <- decision{refuse: refuse}
 		}
 	}
--- a/internal/proxy/inhand.go
+++ b/internal/proxy/inhand.go
@@ -20,6 +20,13 @@
 	h.count++
 }
 
+// present is how many there are now.
+func (h *inHand) present() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.count
+}
+
 // isStopped says that the process ends, and that nothing may be passed on any more.
 func (h *inHand) isStopped() bool {
 	h.mu.Lock()
--- a/internal/proxy/readiness.go
+++ b/internal/proxy/readiness.go
@@ -31,9 +31,12 @@
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method != http.MethodGet && r.Method != http.MethodHead:
 		w.WriteHeader(http.StatusMethodNotAllowed)
-	case p.ready.Load() && !p.draining.Load():
+	case p.takesClients():
 		w.WriteHeader(http.StatusOK)
 	default:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
+
+// takesClients says whether the platform may send clients.
+func (p *Proxy) takesClients() bool { return p.ready.Load() && !p.draining.Load() }
--- /dev/null
+++ b/internal/proxy/status_test.go
@@ -0,0 +1,73 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/admission/dispatch"
+)
+
+var _ = Describe("The status of a data plane", func() {
+	statusOf := func(p *plane) Status {
+		GinkgoHelper()
+		status, err := p.Status(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		return status
+	}
+
+	It("tells the configuration, readiness and the requests in hand", func() {
+		asked, release := make(chan struct{}), make(chan struct{})
+		finish := sync.OnceFunc(func() { close(release) })
+		DeferCleanup(finish)
+		p, _ := startService("plain", 1, func(_ int, r received) {
+			close(asked)
+			<-release
+			r.answer(200, "done")
+		})
+		p.SetReady(true)
+		c := p.dial()
+		c.send("GET /safe/x", "", "Emberquay-Request-Id: 1")
+		<-asked
+		Expect(statusOf(p)).To(Equal(Status{Configuration: 1, Ready: true, InHand: 1, Arrived: 1}))
+		finish()
+		Expect(c.result().status).To(Equal(200))
+		Eventually(func() int { return statusOf(p).InHand }).Should(BeZero())
+	})
+
+	It("tells what came to admission, also without a receiver", func() {
+		p := startPlane(nil)
+		Expect(statusOf(p)).To(Equal(Status{}))
+		p.SetConfiguration(configuration(3, usualLimits))
+		Expect(p.ask("GET /quick/x", "").status).To(Equal(503)) // there is no receiver
+		status := statusOf(p)
+		Expect(status.Arrived).To(Equal(uint64(1)))
+		Expect(status.Configuration).To(Equal(uint64(3)))
+	})
+
+	It("counts each refusal once", func() {
+		d := &scripted{}
+		a := newAdmission(d)
+		go a.run()
+		DeferCleanup(a.stop)
+		for range 3 {
+			t := a.arrive(dispatch.Request{})
+			a.answered((<-t.decisions).send, dispatch.Outcome{Kind: dispatch.Full})
+			<-t.decisions
+		}
+		Expect(a.countRefused(context.Background())).To(Equal(uint64(3)))
+	})
+
+	It("ends with its caller, and with the data plane", func() {
+		a := newAdmission(&scripted{})
+		ended, end := context.WithCancel(context.Background())
+		end()
+		_, err := a.countRefused(ended)
+		Expect(err).To(MatchError(context.Canceled))
+		a.stop()
+		_, err = a.countRefused(context.Background())
+		Expect(err).To(MatchError(ErrStopped))
+	})
+})
--- a/internal/storeplane/plane.go
+++ b/internal/storeplane/plane.go
@@ -21,6 +21,7 @@
 	"emberquay/internal/cluster"
 	"emberquay/internal/controlplane"
 	"emberquay/internal/controlstate"
+	"emberquay/internal/nodestatus"
 	"emberquay/internal/settings"
 	"emberquay/internal/store"
 	"emberquay/internal/storeview"
@@ -46,6 +47,7 @@
 	store    *store.Store
 	stopped  context.Context
 	stop     context.CancelFunc
+	started  time.Time
 	member   atomic.Bool // the newest view known names this disk
 	turn     atomic.Uint64
 	seeds    atomic.Pointer[[]string]
@@ -54,7 +56,7 @@
 // Start opens the store's disk, joins the others and serves.
 func Start(node *settings.Node, logger log.Interface) (*Plane, error) {
 	stopped, stop := context.WithCancel(context.Background())
-	p := &Plane{settings: node, log: logger, client: transport.NewClient(), stopped: stopped, stop: stop}
+	p := &Plane{settings: node, log: logger, client: transport.NewClient(), stopped: stopped, stop: stop, started: time.Now()}
 	seeds := node.SeedInternalAddresses()
 	p.seeds.Store(&seeds)
 	if err := p.open(); err != nil {
@@ -81,6 +83,7 @@
 		return err
 	}
 	storewire.Register(mux, p.store)
+	nodestatus.Register(mux, p.status)
 	p.cluster, err = cluster.Start(cluster.Options{
 		Self: cluster.Identity{Name: p.settings.Name, Role: cluster.Store, Zone: p.settings.Zone,
 			Region: p.settings.Region, Address: address},
