The messages by which stores register get a package below both planes

storeplane imported controlplane for two methods and their codecs, so one plane stood on the other. internal/storeregistration holds them; the bytes on the wire are the same.

--- a/internal/storeplane/plane.go
+++ b/internal/storeplane/plane.go
@@ -19,11 +19,11 @@
 	"github.com/rotisserie/eris"
 
 	"emberquay/internal/cluster"
-	"emberquay/internal/controlplane"
 	"emberquay/internal/controlstate"
 	"emberquay/internal/nodestatus"
 	"emberquay/internal/settings"
 	"emberquay/internal/store"
+	"emberquay/internal/storeregistration"
 	"emberquay/internal/storeview"
 	"emberquay/internal/storewire"
 	"emberquay/internal/transport"
@@ -133,7 +133,7 @@
 
 // register asks a control node once; false: this disk was emptied and taken away, and stays out.
 func (p *Plane) register() bool {
-	answer, err := p.callControl(controlplane.RegisterMethod)
+	answer, err := p.callControl(storeregistration.Register)
 	switch {
 	case err != nil:
 		p.log.WithError(err).Debug("not registered yet")
@@ -148,7 +148,7 @@
 
 // reportRetired tells the control state that nothing is left here that is not elsewhere.
 func (p *Plane) reportRetired() {
-	answer, err := p.callControl(controlplane.RetiredMethod)
+	answer, err := p.callControl(storeregistration.Retired)
 	if err != nil {
 		p.log.WithError(err).Warn("the end of the retirement is not told yet")
 		return
@@ -156,14 +156,14 @@
 	p.log.WithField("status", answer.Status).Info("retirement completed")
 }
 
-func (p *Plane) callControl(method transport.Method) (controlplane.StoreAnswer, error) {
+func (p *Plane) callControl(method transport.Method) (storeregistration.Answer, error) {
 	ctx, cancel := context.WithTimeout(p.stopped, controlTimeout)
 	defer cancel()
-	news := controlplane.StoreNews{
+	news := storeregistration.News{
 		ID: p.store.ID(), Node: p.settings.Name, Zone: p.settings.Zone,
 		Address: p.settings.InternalAddress(settings.Store), Bootstrap: p.settings.Bootstrap,
 	}
-	return transport.Call(ctx, p.client, p.nextControl(), method, controlplane.StoreNewsCodec, controlplane.StoreAnswerCodec, news)
+	return storeregistration.Call(ctx, p.client, p.nextControl(), method, news)
 }
 
 // nextControl gives the address of a control node, another one each time: the live ones, or else the seeds.
