The planes join the cluster, serve and close by one common part

The three planes started their part in the cluster, listened on their internal address and closed both in nearly the same lines, each with fields of its own for settings, log, client, server and cluster. planes.Base holds these and does so once; the question for the status is registered there as well.

The order of closing is that of before but for stores, which now end their part in the cluster just before their server and not just after it.

--- a/internal/controlplane/deadstores.go
+++ b/internal/controlplane/deadstores.go
@@ -68,7 +68,7 @@
 // downStores says which machines' stores the cluster holds for down.
 func (p *Plane) downStores() func(node string) bool {
 	down := map[string]bool{}
-	for _, n := range p.cluster.Nodes() {
+	for _, n := range p.base.Cluster.Nodes() {
 		if n.Role == cluster.Store && (n.State == cluster.Down || n.State == cluster.Left) {
 			down[n.Name] = true
 		}
@@ -78,7 +78,7 @@
 
 // storeView gives the view that the cluster has of the stores; the zero view if there is none.
 func (p *Plane) storeView() controlstate.StoreView {
-	entry, known := p.cluster.Get(cluster.StoresKey)
+	entry, known := p.base.Cluster.Get(cluster.StoresKey)
 	if !known {
 		return controlstate.StoreView{}
 	}
@@ -93,7 +93,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	result, err := p.propose(ctx, controlstate.Command{Kind: controlstate.RemoveStore, StoreID: member.ID})
-	entry := p.log.WithField("store", member.Node)
+	entry := p.base.Log.WithField("store", member.Node)
 	if err != nil {
 		entry.WithError(err).Warn("dead store not removed yet")
 		return
--- a/internal/controlplane/keep.go
+++ b/internal/controlplane/keep.go
@@ -19,35 +19,35 @@
 func (p *Plane) kept() []cluster.Entry {
 	var entries []cluster.Entry
 	for _, prefix := range keptPrefixes {
-		entries = append(entries, p.cluster.List(prefix)...)
+		entries = append(entries, p.base.Cluster.List(prefix)...)
 	}
 	return entries
 }
 
 func (p *Plane) keptFile() snapshot.File {
-	return snapshot.File{Files: vfs.OS{}, Dir: p.settings.DataDir}
+	return snapshot.File{Files: vfs.OS{}, Dir: p.base.Settings.DataDir}
 }
 
 // recall puts what the last run knew into the cluster's table. If all of the tier was down, nobody else knows the
 // receivers before each has sent a heartbeat, nor the configuration and the stores before the chain has committed its
 // newest entry once more. What was kept had been committed; newer entries of others win by their stamps.
 func (p *Plane) recall() {
-	if !p.settings.HasDisk() {
+	if !p.base.Settings.HasDisk() {
 		return
 	}
 	entries, err := p.keptFile().Load()
 	if err != nil {
-		p.log.WithError(err).Warn("what the last run kept cannot be read")
+		p.base.Log.WithError(err).Warn("what the last run kept cannot be read")
 		return
 	}
 	for _, e := range entries {
-		p.cluster.Publish(e)
+		p.base.Cluster.Publish(e)
 	}
 }
 
 // keep writes what recall reads whenever it has changed, until the plane ends.
 func (p *Plane) keep(ctx context.Context) {
-	if !p.settings.HasDisk() {
+	if !p.base.Settings.HasDisk() {
 		return
 	}
 	changed := make(chan struct{}, 1)
@@ -58,7 +58,7 @@
 		}
 	}
 	for _, prefix := range keptPrefixes {
-		p.cluster.Watch(prefix, note)
+		p.base.Cluster.Watch(prefix, note)
 	}
 	for {
 		select {
@@ -67,7 +67,7 @@
 			return
 		}
 		if err := p.keptFile().Save(p.kept()); err != nil {
-			p.log.WithError(err).Warn("what is known is not kept")
+			p.base.Log.WithError(err).Warn("what is known is not kept")
 		}
 		select {
 		case <-time.After(keepInterval):
--- a/internal/controlplane/operator.go
+++ b/internal/controlplane/operator.go
@@ -71,7 +71,7 @@
 	defer cancel()
 	result, err := p.propose(ctx, command)
 	if err != nil {
-		p.log.WithError(err).WithField("order", r.URL.Path).Warn("order of open fate")
+		p.base.Log.WithError(err).WithField("order", r.URL.Path).Warn("order of open fate")
 		refuse(w, http.StatusServiceUnavailable, "the control state cannot be changed now")
 		return
 	}
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -23,12 +23,11 @@
 	"emberquay/internal/cluster"
 	"emberquay/internal/cluster/records"
 	"emberquay/internal/controlstate"
-	"emberquay/internal/nodestatus"
+	"emberquay/internal/planes"
 	"emberquay/internal/registration"
 	"emberquay/internal/replica"
 	"emberquay/internal/settings"
 	"emberquay/internal/storeview"
-	"emberquay/internal/transport"
 	"emberquay/internal/vfs"
 )
 
@@ -45,14 +44,9 @@
 
 // Plane is a running control plane.
 type Plane struct {
-	settings *settings.Node
-	log      log.Interface
-	client   *transport.Client
-	internal *transport.Server
-	cluster  *cluster.Cluster
-	replica  *replica.Replica
-	server   *http.Server
-	started  time.Time
+	base    *planes.Base
+	replica *replica.Replica
+	server  *http.Server
 
 	receiverCommands chan func(*registration.Table)
 	done             chan struct{}
@@ -66,7 +60,7 @@
 func Start(node *settings.Node, logger log.Interface) (*Plane, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Plane{
-		settings: node, log: logger, client: transport.NewClient(), started: time.Now(), stop: stop,
+		base: planes.NewBase(node, settings.ControlPlane, logger), stop: stop,
 		receiverCommands: make(chan func(*registration.Table), commandBound),
 		done:             make(chan struct{}),
 	}
@@ -82,30 +76,21 @@
 
 // open starts what other nodes call.
 func (p *Plane) open() error {
-	mux := transport.NewMux()
-	address := p.settings.InternalAddress(settings.ControlPlane)
-	var err error
-	p.cluster, err = cluster.Start(cluster.Options{
-		Self: cluster.Identity{Name: p.settings.Name, Role: cluster.Control, Zone: p.settings.Zone,
-			Region: p.settings.Region, Address: address},
-		Seeds: p.settings.SeedInternalAddresses(), Client: p.client, Mux: mux, Log: p.log,
-	})
-	if err != nil {
+	if err := p.base.Join(); err != nil {
 		return err
 	}
-	if p.replica, err = p.openReplica(mux, address); err != nil {
+	var err error
+	if p.replica, err = p.openReplica(); err != nil {
 		return err
 	}
 	p.recall()
-	p.registerStores(mux)
-	nodestatus.Register(mux, p.status)
-	p.internal, err = transport.Listen(address, mux)
-	return err
+	p.registerStores(p.base.Mux)
+	return p.base.Serve(p.addStatus)
 }
 
 // listen serves the operator and the receivers.
 func (p *Plane) listen() error {
-	listener, err := net.Listen("tcp4", p.settings.Listen.Control)
+	listener, err := net.Listen("tcp4", p.base.Settings.Listen.Control)
 	if err != nil {
 		p.close()
 		return eris.Wrapf(err, "listen.control")
@@ -116,7 +101,7 @@
 	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderSize}
 	go func() {
 		if err := p.server.Serve(listener); err != http.ErrServerClosed {
-			p.log.WithError(err).Error("the control listener ended")
+			p.base.Log.WithError(err).Error("the control listener ended")
 		}
 	}()
 	return nil
@@ -124,16 +109,17 @@
 
 // openReplica takes up the control state that the disk holds. Only machines that count vote: any number of the
 // others may be gone at once. Where none of the core has a disk, what its members hold is lost with their processes.
-func (p *Plane) openReplica(mux *transport.Mux, address string) (*replica.Replica, error) {
+func (p *Plane) openReplica() (*replica.Replica, error) {
+	node := p.base.Settings
 	options := replica.Options{
-		Name: p.settings.Name, Address: address, Zone: p.settings.Zone,
-		Seeds: p.settings.SeedInternalAddresses(), Bootstrap: p.settings.Bootstrap, Voter: p.settings.CountsForQuorum,
+		Name: node.Name, Address: p.base.Address, Zone: node.Zone,
+		Seeds: node.SeedInternalAddresses(), Bootstrap: node.Bootstrap, Voter: node.CountsForQuorum,
 		Machine:  func() chain.StateMachine { return controlstate.New() },
-		OnCommit: p.committed, Client: p.client, Mux: mux, Log: p.log,
+		OnCommit: p.committed, Client: p.base.Client, Mux: p.base.Mux, Log: p.base.Log,
 	}
-	if p.settings.HasDisk() {
-		options.Files, options.Dir = vfs.OS{}, p.settings.DataDir
-		options.DiskBytes = int64(replicaDiskShare * float64(p.settings.Limits.DiskMB<<20))
+	if node.HasDisk() {
+		options.Files, options.Dir = vfs.OS{}, node.DataDir
+		options.DiskBytes = int64(replicaDiskShare * float64(node.Limits.DiskMB<<20))
 	}
 	return replica.Open(options)
 }
@@ -142,7 +128,7 @@
 func (p *Plane) committed(_, _ uint64, snapshot []byte) {
 	state := controlstate.New()
 	if err := state.Restore(snapshot); err != nil {
-		p.log.WithError(err).Error("committed state cannot be read")
+		p.base.Log.WithError(err).Error("committed state cannot be read")
 		return
 	}
 	if version, body := state.Configuration(); version > 0 {
@@ -152,27 +138,27 @@
 }
 
 func (p *Plane) publishConfiguration(version uint64, body []byte) {
-	if known, ok := p.cluster.Get(cluster.ConfigurationKey); ok && known.Stamp.Epoch >= version {
+	if known, ok := p.base.Cluster.Get(cluster.ConfigurationKey); ok && known.Stamp.Epoch >= version {
 		return
 	}
 	value, err := records.Configurations.Encode(records.ConfigurationRecord{Version: version, Body: body})
 	if err != nil {
-		p.log.WithError(err).Error("configuration not spread")
+		p.base.Log.WithError(err).Error("configuration not spread")
 		return
 	}
-	p.cluster.Publish(cluster.Entry{Key: cluster.ConfigurationKey, Value: value, Stamp: cluster.Stamp{Epoch: version, Sequence: 1}})
+	p.base.Cluster.Publish(cluster.Entry{Key: cluster.ConfigurationKey, Value: value, Stamp: cluster.Stamp{Epoch: version, Sequence: 1}})
 }
 
 func (p *Plane) publishStores(view controlstate.StoreView) {
-	if known, ok := p.cluster.Get(cluster.StoresKey); view.Epoch == 0 || ok && known.Stamp.Epoch >= view.Epoch {
+	if known, ok := p.base.Cluster.Get(cluster.StoresKey); view.Epoch == 0 || ok && known.Stamp.Epoch >= view.Epoch {
 		return
 	}
 	entry, err := storeview.Entry(view)
 	if err != nil {
-		p.log.WithError(err).Error("store view not spread")
+		p.base.Log.WithError(err).Error("store view not spread")
 		return
 	}
-	p.cluster.Publish(entry)
+	p.base.Cluster.Publish(entry)
 }
 
 // heartbeatTarget is where receivers are asked to send their next heartbeats; empty while the plane ends.
@@ -182,11 +168,11 @@
 	if p.ended {
 		return ""
 	}
-	return p.settings.Listen.Control
+	return p.base.Settings.Listen.Control
 }
 
 // now is the plane's monotonic clock.
-func (p *Plane) now() time.Duration { return time.Since(p.started) }
+func (p *Plane) now() time.Duration { return p.base.Uptime() }
 
 // Shutdown tells the others, answers what has been asked, and ends. It returns when all is done or ctx ends.
 func (p *Plane) Shutdown(ctx context.Context) {
@@ -194,9 +180,9 @@
 	p.ended = true
 	p.mutex.Unlock()
 	if err := p.server.Shutdown(ctx); err != nil {
-		p.log.WithError(err).Warn("calls were cut off by the stop")
+		p.base.Log.WithError(err).Warn("calls were cut off by the stop")
 	}
-	_ = p.cluster.Leave(ctx)
+	p.base.Leave(ctx)
 	p.close()
 }
 
@@ -206,17 +192,11 @@
 	if p.replica != nil {
 		_ = p.replica.Close()
 	}
-	if p.cluster != nil {
-		p.cluster.Close()
-	}
-	if p.internal != nil {
-		_ = p.internal.Close()
-	}
-	p.client.Close()
+	p.base.Close()
 }
 
 // SetSeeds tells where other machines' control planes are.
 func (p *Plane) SetSeeds(addresses []string) {
-	p.cluster.SetSeeds(addresses)
+	p.base.Cluster.SetSeeds(addresses)
 	p.replica.SetSeeds(addresses)
 }
--- a/internal/controlplane/receivers.go
+++ b/internal/controlplane/receivers.go
@@ -109,12 +109,12 @@
 	}
 	entry := cluster.Entry{Key: cluster.ReceiverPrefix + change.Record.ID, Value: value, Stamp: change.Stamp}
 	if !change.Ends {
-		p.cluster.Publish(entry)
+		p.base.Cluster.Publish(entry)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	confirmed, _ := p.cluster.PublishConfirmed(ctx, entry, cluster.Control, cluster.Proxy)
+	confirmed, _ := p.base.Cluster.PublishConfirmed(ctx, entry, cluster.Control, cluster.Proxy)
 	if confirmed == 0 && p.hasPeers() {
 		return errUnconfirmed
 	}
@@ -123,8 +123,8 @@
 
 // hasPeers says whether any other control node or proxy is known.
 func (p *Plane) hasPeers() bool {
-	for _, n := range p.cluster.Nodes() {
-		if n.Role != cluster.Store && n.Name != p.settings.Name && n.State != cluster.Left {
+	for _, n := range p.base.Cluster.Nodes() {
+		if n.Role != cluster.Store && n.Name != p.base.Settings.Name && n.State != cluster.Left {
 			return true
 		}
 	}
@@ -133,7 +133,7 @@
 
 // receiver gives what the cluster knows of a receiver.
 func (p *Plane) receiver(id string) *records.ReceiverRecord {
-	entry, known := p.cluster.Get(cluster.ReceiverPrefix + id)
+	entry, known := p.base.Cluster.Get(cluster.ReceiverPrefix + id)
 	if !known {
 		return nil
 	}
@@ -146,7 +146,7 @@
 
 // receivers gives all known receivers.
 func (p *Plane) receivers() []records.ReceiverRecord {
-	entries := p.cluster.List(cluster.ReceiverPrefix)
+	entries := p.base.Cluster.List(cluster.ReceiverPrefix)
 	list := make([]records.ReceiverRecord, 0, len(entries))
 	for _, e := range entries {
 		if r, err := records.Receivers.Decode(e.Value); err == nil {
@@ -159,7 +159,7 @@
 // ownReceivers owns the table of receivers: it works through the commands that come, and looks for silent
 // receivers, until the plane ends.
 func (p *Plane) ownReceivers(ctx context.Context) {
-	table := registration.New(p.settings.Name, p.settings.HeartbeatInterval)
+	table := registration.New(p.base.Settings.Name, p.base.Settings.HeartbeatInterval)
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
@@ -176,14 +176,14 @@
 
 func (p *Plane) tickReceivers(ctx context.Context, table *registration.Table) {
 	living := map[string]bool{}
-	for _, n := range p.cluster.Nodes() {
+	for _, n := range p.base.Cluster.Nodes() {
 		if n.Role == cluster.Control && (n.State == cluster.Alive || n.State == cluster.Suspect) {
 			living[n.Name] = true
 		}
 	}
 	changes := table.Tick(p.now(), p.receivers(), func(owner string) bool { return living[owner] })
 	for _, change := range changes {
-		p.log.WithField("receiver", change.Record.ID).WithField("state", change.Record.State.String()).Info("receiver silent")
+		p.base.Log.WithField("receiver", change.Record.ID).WithField("state", change.Record.State.String()).Info("receiver silent")
 		_ = p.spread(ctx, change)
 	}
 }
--- a/internal/controlplane/status.go
+++ b/internal/controlplane/status.go
@@ -7,11 +7,10 @@
 	"emberquay/internal/nodestatus"
 )
 
-// status collects what an operator is told of this plane.
-func (p *Plane) status(context.Context) (nodestatus.Status, error) {
-	status := nodestatus.Common(p.cluster, p.started)
+// addStatus adds what an operator is told of this plane.
+func (p *Plane) addStatus(_ context.Context, status *nodestatus.Status) error {
 	replica := p.replica.Status()
-	stores, _ := p.cluster.Get(cluster.StoresKey)
+	stores, _ := p.base.Cluster.Get(cluster.StoresKey)
 	control := &nodestatus.Control{
 		ID: int64(replica.Self.ID), Member: replica.Member, Epoch: replica.View.Epoch,
 		StoreEpoch: int64(stores.Stamp.Epoch),
@@ -24,5 +23,5 @@
 		control.Chain = append(control.Chain, int64(id))
 	}
 	status.Control = control
-	return status, nil
+	return nil
 }
--- a/internal/controlplane/stores.go
+++ b/internal/controlplane/stores.go
@@ -21,7 +21,7 @@
 		Kind:      controlstate.RegisterStore,
 		Store:     controlstate.StoreMember{ID: n.ID, Node: n.Node, Zone: n.Zone, Address: n.Address},
 		Bootstrap: n.Bootstrap,
-		Tolerance: p.settings.Tolerance.Machines,
+		Tolerance: p.base.Settings.Tolerance.Machines,
 	})
 }
 
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -19,7 +19,7 @@
 
 	"emberquay/internal/cluster"
 	"emberquay/internal/cluster/records"
-	"emberquay/internal/nodestatus"
+	"emberquay/internal/planes"
 	"emberquay/internal/proxy"
 	"emberquay/internal/routing"
 	"emberquay/internal/settings"
@@ -42,16 +42,11 @@
 
 // Plane is a running data plane.
 type Plane struct {
-	settings *settings.Node
-	log      log.Interface
-	client   *transport.Client
-	internal *transport.Server
-	cluster  *cluster.Cluster
-	stores   *storeclient.Client
-	proxy    *proxy.Proxy
-	stop     context.CancelFunc
-	stopped  context.Context
-	started  time.Time
+	base    *planes.Base
+	stores  *storeclient.Client
+	proxy   *proxy.Proxy
+	stop    context.CancelFunc
+	stopped context.Context
 
 	receivers  *receiverList
 	assignment *assignment
@@ -62,7 +57,7 @@
 // Start joins the others and serves; the plane is ready once it knows the configuration and the receivers.
 func Start(node *settings.Node, logger log.Interface) (*Plane, error) {
 	stopped, stop := context.WithCancel(context.Background())
-	p := &Plane{settings: node, log: logger, client: transport.NewClient(), stop: stop, stopped: stopped, started: time.Now(),
+	p := &Plane{base: planes.NewBase(node, settings.Proxy, logger), stop: stop, stopped: stopped,
 		receivers: newReceiverList(), assignment: newAssignment(node.Name)}
 	p.feed = newFeed(p.feedReceivers)
 	if err := p.open(); err != nil {
@@ -73,7 +68,7 @@
 	p.watch()
 	go func() {
 		if err := p.proxy.Run(); err != nil {
-			p.log.WithError(err).Error("the proxy ended")
+			p.base.Log.WithError(err).Error("the proxy ended")
 		}
 	}()
 	go p.becomeReady()
@@ -81,56 +76,48 @@
 }
 
 func (p *Plane) open() error {
-	mux := transport.NewMux()
-	address := p.settings.InternalAddress(settings.Proxy)
-	var err error
-	p.cluster, err = cluster.Start(cluster.Options{
-		Self: cluster.Identity{Name: p.settings.Name, Role: cluster.Proxy, Zone: p.settings.Zone,
-			Region: p.settings.Region, Address: address},
-		Seeds: p.settings.SeedInternalAddresses(), Client: p.client, Mux: mux, Log: p.log,
-	})
-	if err != nil {
+	if err := p.base.Join(); err != nil {
 		return err
 	}
-	p.stores = storeclient.New(storeclient.Options{Caller: storewire.NewCaller(p.client), Zone: p.settings.Zone})
+	node := p.base.Settings
+	p.stores = storeclient.New(storeclient.Options{Caller: storewire.NewCaller(p.base.Client), Zone: node.Zone})
+	var err error
 	p.proxy, err = proxy.New(proxy.Options{
-		Front: p.settings.Listen.Front, Readiness: p.settings.Listen.Readiness,
-		Stores: p.stores, Logger: p.log, Zone: p.settings.Zone,
-		Seed:          maphash.Comparable(maphash.MakeSeed(), p.settings.Name),
+		Front: node.Listen.Front, Readiness: node.Listen.Readiness,
+		Stores: p.stores, Logger: p.base.Log, Zone: node.Zone,
+		Seed:          maphash.Comparable(maphash.MakeSeed(), node.Name),
 		LiveProxies:   func() int { return max(1, p.assignment.live()) },
 		Assigned:      p.assignment.assigned,
-		PublishReport: newReportSpreader(p.client, p.cluster, p.stopped).spread,
-		BodyMemory:    int64(bodyShare * float64(p.settings.Limits.MemoryMB<<20)),
-		MaxClients:    int(clientShare * float64(p.settings.Limits.MaxFDs)),
-		MaxReceivers:  int(receiverShare * float64(p.settings.Limits.MaxFDs)),
+		PublishReport: newReportSpreader(p.base.Client, p.base.Cluster, p.stopped).spread,
+		BodyMemory:    int64(bodyShare * float64(node.Limits.MemoryMB<<20)),
+		MaxClients:    int(clientShare * float64(node.Limits.MaxFDs)),
+		MaxReceivers:  int(receiverShare * float64(node.Limits.MaxFDs)),
 	})
 	if err != nil {
 		return err
 	}
-	nodestatus.Register(mux, p.status)
-	transport.Receive(mux, reportMethod, reportCodec, func(_ context.Context, r records.ReportRecord) { p.takeReport(r) })
-	p.internal, err = transport.Listen(address, mux)
-	return err
+	transport.Receive(p.base.Mux, reportMethod, reportCodec, func(_ context.Context, r records.ReportRecord) { p.takeReport(r) })
+	return p.base.Serve(p.addStatus)
 }
 
 // watch hands what the cluster tells to those who work by it.
 func (p *Plane) watch() {
-	p.cluster.Watch(cluster.ConfigurationKey, p.takeConfiguration)
-	p.cluster.Watch(cluster.StoresKey, p.takeStores)
-	p.cluster.Watch(cluster.ReceiverPrefix, p.takeReceiver)
-	p.cluster.Watch(cluster.ReportPrefix, p.takeSpreadReport)
-	p.cluster.WatchNodes(p.takeNode)
+	p.base.Cluster.Watch(cluster.ConfigurationKey, p.takeConfiguration)
+	p.base.Cluster.Watch(cluster.StoresKey, p.takeStores)
+	p.base.Cluster.Watch(cluster.ReceiverPrefix, p.takeReceiver)
+	p.base.Cluster.Watch(cluster.ReportPrefix, p.takeSpreadReport)
+	p.base.Cluster.WatchNodes(p.takeNode)
 }
 
 func (p *Plane) takeConfiguration(entry cluster.Entry) {
 	record, err := records.Configurations.Decode(entry.Value)
 	if err != nil {
-		p.log.WithError(err).Error("configuration cannot be read")
+		p.base.Log.WithError(err).Error("configuration cannot be read")
 		return
 	}
 	snapshot, err := routing.Parse(record.Body)
 	if err != nil {
-		p.log.WithError(err).WithField("version", record.Version).Error("configuration is not valid")
+		p.base.Log.WithError(err).WithField("version", record.Version).Error("configuration is not valid")
 		return
 	}
 	if present := p.snapshot.Load(); present != nil && present.Version >= snapshot.Version {
@@ -139,13 +126,13 @@
 	p.snapshot.Store(snapshot)
 	p.proxy.SetConfiguration(snapshot)
 	p.feed.changed()
-	p.log.WithField("version", snapshot.Version).Info("configuration in force")
+	p.base.Log.WithField("version", snapshot.Version).Info("configuration in force")
 }
 
 func (p *Plane) takeStores(entry cluster.Entry) {
 	view, err := storeview.Read(entry)
 	if err != nil {
-		p.log.WithError(err).Error("store view cannot be read")
+		p.base.Log.WithError(err).Error("store view cannot be read")
 		return
 	}
 	p.stores.SetView(view)
@@ -154,7 +141,7 @@
 func (p *Plane) takeReceiver(entry cluster.Entry) {
 	record, err := records.Receivers.Decode(entry.Value)
 	if err != nil {
-		p.log.WithError(err).Error("receiver's record cannot be read")
+		p.base.Log.WithError(err).Error("receiver's record cannot be read")
 		return
 	}
 	p.receivers.take(record)
@@ -177,7 +164,7 @@
 // and has a configuration: before, it could refuse routes that are there, or send to receivers that drain.
 func (p *Plane) becomeReady() {
 	select {
-	case <-p.cluster.Ready():
+	case <-p.base.Cluster.Ready():
 	case <-p.stopped.Done():
 		return
 	}
@@ -192,11 +179,11 @@
 	}
 	p.feed.now()
 	p.proxy.SetReady(true)
-	p.log.Info("ready")
+	p.base.Log.Info("ready")
 }
 
 func (p *Plane) knowsEnough() bool {
-	_, known := p.cluster.Get(cluster.ConfigurationKey)
+	_, known := p.base.Cluster.Get(cluster.ConfigurationKey)
 	return known
 }
 
@@ -204,7 +191,7 @@
 func (p *Plane) Shutdown(ctx context.Context) {
 	p.stop()
 	p.proxy.Shutdown(ctx)
-	_ = p.cluster.Leave(ctx)
+	p.base.Leave(ctx)
 	p.close()
 }
 
@@ -218,7 +205,7 @@
 
 // Cluster is the plane's part in the cluster, for those who look on. Who watches it after Start is told of a
 // change after the plane itself has taken it.
-func (p *Plane) Cluster() *cluster.Cluster { return p.cluster }
+func (p *Plane) Cluster() *cluster.Cluster { return p.base.Cluster }
 
 func (p *Plane) close() {
 	p.stop()
@@ -226,14 +213,8 @@
 	if p.stores != nil {
 		p.stores.Close()
 	}
-	if p.cluster != nil {
-		p.cluster.Close()
-	}
-	if p.internal != nil {
-		_ = p.internal.Close()
-	}
-	p.client.Close()
+	p.base.Close()
 }
 
 // SetSeeds tells where other machines' control planes are.
-func (p *Plane) SetSeeds(addresses []string) { p.cluster.SetSeeds(addresses) }
+func (p *Plane) SetSeeds(addresses []string) { p.base.Cluster.SetSeeds(addresses) }
--- /dev/null
+++ b/internal/planes/planes_test.go
@@ -0,0 +1,99 @@
+package planes_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"emberquay/internal/nodestatus"
+	"emberquay/internal/planes"
+	"emberquay/internal/settings"
+	"emberquay/internal/transport"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestPlanes(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "planes")
+}
+
+// machine has internal ports of which the one of the kind is free.
+func machine(kind settings.Kind) *settings.Node {
+	GinkgoHelper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	port := l.Addr().(*net.TCPAddr).Port
+	return &settings.Node{Name: "one", IP: "127.0.0.1", Zone: "a", InternalPorts: [2]int{port - int(kind), port + 2}}
+}
+
+func newBase(node *settings.Node, kind settings.Kind) *planes.Base {
+	base := planes.NewBase(node, kind, &log.Logger{Handler: discard.Default})
+	DeferCleanup(base.Close)
+	return base
+}
+
+func nothing(context.Context, *nodestatus.Status) error { return nil }
+
+var _ = Describe("the common part of a plane", func() {
+	DescribeTable("joins under its role, and answers until it is disconnected",
+		func(ctx SpecContext, kind settings.Kind, role string) {
+			node := machine(kind)
+			base := newBase(node, kind)
+			Expect(base.Address).To(Equal(node.InternalAddress(kind)))
+			Expect(base.Join()).To(Succeed())
+			Expect(base.Serve(func(_ context.Context, s *nodestatus.Status) error {
+				s.Configuration = 9
+				return nil
+			})).To(Succeed())
+			client := transport.NewClient()
+			DeferCleanup(client.Close)
+			status, err := nodestatus.Ask(ctx, client, base.Address)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(And(HaveField("Name", "one"), HaveField("Role", role), HaveField("Configuration", int64(9)),
+				HaveField("Address", base.Address)))
+			base.Disconnect()
+			_, err = nodestatus.Ask(ctx, client, base.Address)
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("proxy", settings.Proxy, "proxy", NodeTimeout(time.Minute)),
+		Entry("control plane", settings.ControlPlane, "control", NodeTimeout(time.Minute)),
+		Entry("store", settings.Store, "store", NodeTimeout(time.Minute)),
+	)
+
+	It("tells why a role has no status", func(ctx SpecContext) {
+		base := newBase(machine(settings.Store), settings.Store)
+		Expect(base.Join()).To(Succeed())
+		Expect(base.Serve(func(context.Context, *nodestatus.Status) error { return errors.New("the store ends") })).To(Succeed())
+		_, err := nodestatus.Ask(ctx, base.Client, base.Address)
+		Expect(err).To(MatchError(ContainSubstring("the store ends")))
+	}, NodeTimeout(time.Minute))
+
+	It("cannot serve where another listens, and closes at any point", func() {
+		node := machine(settings.Proxy)
+		first := newBase(node, settings.Proxy)
+		Expect(first.Join()).To(Succeed())
+		Expect(first.Serve(nothing)).To(Succeed())
+		second := newBase(node, settings.Proxy)
+		Expect(second.Join()).To(Succeed())
+		Expect(second.Serve(nothing)).To(MatchError(ContainSubstring(second.Address)))
+		second.Close()
+		newBase(node, settings.Proxy).Close()
+	})
+
+	It("leaves no later than its caller wants", func() {
+		base := newBase(machine(settings.Proxy), settings.Proxy)
+		Expect(base.Join()).To(Succeed())
+		ended, end := context.WithCancel(context.Background())
+		end()
+		base.Leave(ended)
+		Expect(base.Uptime()).To(BeNumerically(">=", 0))
+	})
+})
--- a/internal/storeplane/plane.go
+++ b/internal/storeplane/plane.go
@@ -20,7 +20,7 @@
 
 	"emberquay/internal/cluster"
 	"emberquay/internal/controlstate"
-	"emberquay/internal/nodestatus"
+	"emberquay/internal/planes"
 	"emberquay/internal/settings"
 	"emberquay/internal/store"
 	"emberquay/internal/storeregistration"
@@ -39,67 +39,53 @@
 
 // Plane is a running store plane.
 type Plane struct {
-	settings *settings.Node
-	log      log.Interface
-	client   *transport.Client
-	internal *transport.Server
-	cluster  *cluster.Cluster
-	store    *store.Store
-	stopped  context.Context
-	stop     context.CancelFunc
-	started  time.Time
-	member   atomic.Bool // the newest view known names this disk
-	turn     atomic.Uint64
-	seeds    atomic.Pointer[[]string]
+	base    *planes.Base
+	store   *store.Store
+	stopped context.Context
+	stop    context.CancelFunc
+	member  atomic.Bool // the newest view known names this disk
+	turn    atomic.Uint64
+	seeds   atomic.Pointer[[]string]
 }
 
 // Start opens the store's disk, joins the others and serves.
 func Start(node *settings.Node, logger log.Interface) (*Plane, error) {
 	stopped, stop := context.WithCancel(context.Background())
-	p := &Plane{settings: node, log: logger, client: transport.NewClient(), stopped: stopped, stop: stop, started: time.Now()}
+	p := &Plane{base: planes.NewBase(node, settings.Store, logger), stopped: stopped, stop: stop}
 	seeds := node.SeedInternalAddresses()
 	p.seeds.Store(&seeds)
 	if err := p.open(); err != nil {
 		p.close()
 		return nil, err
 	}
-	p.cluster.Watch(cluster.StoresKey, p.takeView)
+	p.base.Cluster.Watch(cluster.StoresKey, p.takeView)
 	go p.keepRegistered()
 	return p, nil
 }
 
 func (p *Plane) open() error {
-	if !p.settings.HasDisk() {
+	if !p.base.Settings.HasDisk() {
 		return eris.New("data_dir: a store needs a disk")
 	}
-	mux := transport.NewMux()
-	address := p.settings.InternalAddress(settings.Store)
 	var err error
 	p.store, err = store.Start(store.Options{
-		Files: vfs.OS{}, Dir: p.settings.DataDir, DiskBytes: int64(p.settings.Limits.DiskMB) << 20,
-		Bootstrap: p.settings.Bootstrap, Caller: storewire.NewCaller(p.client), Retired: p.reportRetired,
+		Files: vfs.OS{}, Dir: p.base.Settings.DataDir, DiskBytes: int64(p.base.Settings.Limits.DiskMB) << 20,
+		Bootstrap: p.base.Settings.Bootstrap, Caller: storewire.NewCaller(p.base.Client), Retired: p.reportRetired,
 	})
 	if err != nil {
 		return err
 	}
-	storewire.Register(mux, p.store)
-	nodestatus.Register(mux, p.status)
-	p.cluster, err = cluster.Start(cluster.Options{
-		Self: cluster.Identity{Name: p.settings.Name, Role: cluster.Store, Zone: p.settings.Zone,
-			Region: p.settings.Region, Address: address},
-		Seeds: *p.seeds.Load(), Client: p.client, Mux: mux, Log: p.log,
-	})
-	if err != nil {
+	storewire.Register(p.base.Mux, p.store)
+	if err := p.base.Join(); err != nil {
 		return err
 	}
-	p.internal, err = transport.Listen(address, mux)
-	return err
+	return p.base.Serve(p.addStatus)
 }
 
 func (p *Plane) takeView(entry cluster.Entry) {
 	view, err := storeview.Read(entry)
 	if err != nil {
-		p.log.WithError(err).Error("store view cannot be read")
+		p.base.Log.WithError(err).Error("store view cannot be read")
 		return
 	}
 	p.member.Store(names(view, p.store.ID()))
@@ -136,12 +122,12 @@
 	answer, err := p.callControl(storeregistration.Register)
 	switch {
 	case err != nil:
-		p.log.WithError(err).Debug("not registered yet")
+		p.base.Log.WithError(err).Debug("not registered yet")
 	case answer.Status == http.StatusConflict:
-		p.log.WithField("reason", answer.Reason).Warn("this disk stays out of the store view")
+		p.base.Log.WithField("reason", answer.Reason).Warn("this disk stays out of the store view")
 		return false
 	case answer.Status != http.StatusOK:
-		p.log.WithField("status", answer.Status).WithField("reason", answer.Reason).Error("registration refused")
+		p.base.Log.WithField("status", answer.Status).WithField("reason", answer.Reason).Error("registration refused")
 	}
 	return true
 }
@@ -150,26 +136,26 @@
 func (p *Plane) reportRetired() {
 	answer, err := p.callControl(storeregistration.Retired)
 	if err != nil {
-		p.log.WithError(err).Warn("the end of the retirement is not told yet")
+		p.base.Log.WithError(err).Warn("the end of the retirement is not told yet")
 		return
 	}
-	p.log.WithField("status", answer.Status).Info("retirement completed")
+	p.base.Log.WithField("status", answer.Status).Info("retirement completed")
 }
 
 func (p *Plane) callControl(method transport.Method) (storeregistration.Answer, error) {
 	ctx, cancel := context.WithTimeout(p.stopped, controlTimeout)
 	defer cancel()
 	news := storeregistration.News{
-		ID: p.store.ID(), Node: p.settings.Name, Zone: p.settings.Zone,
-		Address: p.settings.InternalAddress(settings.Store), Bootstrap: p.settings.Bootstrap,
+		ID: p.store.ID(), Node: p.base.Settings.Name, Zone: p.base.Settings.Zone,
+		Address: p.base.Address, Bootstrap: p.base.Settings.Bootstrap,
 	}
-	return storeregistration.Call(ctx, p.client, p.nextControl(), method, news)
+	return storeregistration.Call(ctx, p.base.Client, p.nextControl(), method, news)
 }
 
 // nextControl gives the address of a control node, another one each time: the live ones, or else the seeds.
 func (p *Plane) nextControl() string {
 	var addresses []string
-	for _, n := range p.cluster.Nodes() {
+	for _, n := range p.base.Cluster.Nodes() {
 		if n.Role == cluster.Control && n.State == cluster.Alive {
 			addresses = append(addresses, n.Address)
 		}
@@ -186,25 +172,20 @@
 // SetSeeds tells where other machines' control planes are.
 func (p *Plane) SetSeeds(addresses []string) {
 	p.seeds.Store(&addresses)
-	p.cluster.SetSeeds(addresses)
+	p.base.Cluster.SetSeeds(addresses)
 }
 
 // Shutdown tells the others and ends. All that was acknowledged is on the disk.
 func (p *Plane) Shutdown(ctx context.Context) {
-	_ = p.cluster.Leave(ctx)
+	p.base.Leave(ctx)
 	p.close()
 }
 
 func (p *Plane) close() {
 	p.stop()
-	if p.internal != nil {
-		_ = p.internal.Close()
-	}
-	if p.cluster != nil {
-		p.cluster.Close()
-	}
+	p.base.Disconnect()
 	if p.store != nil {
 		_ = p.store.Close()
 	}
-	p.client.Close()
+	p.base.Close()
 }
