Receivers' reports go to proxies directly, whatever the size of a zone

Sending within the zone costs a proxy as many messages a second as there are reports in the zone, sent and received, whatever its size.

Change: up to 40 other proxies get each report, else those of the zone, 96 at most, drawn anew for each report. The cluster's entries `report/` are gone; those that proxies of earlier versions push are refused: the kind of all other keys would keep them for ever, up to the bound it shares with the configuration. Bounds of a report, which only the way through the cluster checked, are checked on this way.

`quaylab hollow` has the planes share made-up reports by the same way, and counts those that came; a column tells packets.

--- a/cmd/quaylab/hollow.go
+++ b/cmd/quaylab/hollow.go
@@ -24,7 +24,7 @@
 	Window    time.Duration `help:"Of rest, and of restarts." default:"20s"`
 	Changes   int           `help:"Changes of the configuration, and as many drains; again during the restarts." default:"10"`
 	Bytes     int           `help:"Of the configuration, at least." default:"20000"`
-	Reports   []float64     `help:"Reports of receivers that all proxies publish together, a second; a window for each." default:"5,20"`
+	Reports   []float64     `help:"Reports of receivers that all proxies share together, a second; a window for each." default:"5,20"`
 	Restart   float64       `help:"Share of the nodes that restart again and again." default:"0.03"`
 	Spacing   time.Duration `help:"Between the starts of two nodes: each is news to all." default:"10ms"`
 	Patience  time.Duration `help:"For all to know all, and each change." default:"2m"`
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -59,14 +59,13 @@
 	Left    = membership.Left
 )
 
-// The prefixes of keys. Reports are ephemeral: only pushed, and the newest of an instance only. A receiver's
-// record that says that it is gone, and a node's that says that it is down or has left, is kept for a minute.
+// The prefixes of keys. A receiver's record that says that it is gone, and a node's that says that it is down or has
+// left, is kept for a minute.
 const (
 	ConfigurationKey = core.ConfigurationKey
 	StoresKey        = core.StoresKey
 	ReceiverPrefix   = core.ReceiverPrefix
 	NodePrefix       = core.NodePrefix
-	ReportPrefix     = core.ReportPrefix
 )
 
 // Identity is what a process says of itself.
--- a/internal/cluster/core/kinds.go
+++ b/internal/cluster/core/kinds.go
@@ -16,14 +16,15 @@
 	StoresKey        = "stores"
 	ReceiverPrefix   = "receiver/"
 	NodePrefix       = "node/"
-	ReportPrefix     = "report/"
 )
 
+// retiredReportPrefix is that of receivers' reports, which proxies of earlier versions publish. They are refused: the
+// kind of all other keys would keep them for ever, and give them the room of the configuration.
+const retiredReportPrefix = "report/"
+
 const (
 	// tombstoneLife is how long an entry is kept that says that something is gone.
 	tombstoneLife = time.Minute
-	// reportLife is how long a receiver's report is kept: older ones say nothing.
-	reportLife = 10 * time.Second
 
 	maxReceivers = 20_000
 	maxNodes     = 10_000
@@ -36,12 +37,12 @@
 		{Prefix: "", Limit: maxOthers},
 		{Prefix: ReceiverPrefix, Limit: maxReceivers, Lifetime: receiverLife},
 		{Prefix: NodePrefix, Limit: maxNodes, Lifetime: nodeLife, Check: checkNode},
-		{Prefix: ReportPrefix, Limit: maxReceivers, Ephemeral: true, Lifetime: always(reportLife)},
+		{Prefix: retiredReportPrefix, Ephemeral: true, Check: refuseRetired},
 	}
 }
 
-func always(life time.Duration) func(gossip.Entry) time.Duration {
-	return func(gossip.Entry) time.Duration { return life }
+func refuseRetired(e gossip.Entry) error {
+	return eris.Errorf("%s is of a kind that is not kept any more", e.Key)
 }
 
 func receiverLife(e gossip.Entry) time.Duration {
--- /dev/null
+++ b/internal/cluster/core/kinds_test.go
@@ -0,0 +1,38 @@
+package core_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/coordination/gossip"
+	"emberquay/coordination/membership"
+	"emberquay/internal/cluster/core"
+	"emberquay/internal/cluster/records"
+)
+
+// retiredEntries is more than the kind of all other keys has room for.
+const retiredEntries = 5000
+
+var _ = Describe("Entries of a kind that earlier versions spread", func() {
+	It("are not kept, not passed on, and take no room from the configuration", func() {
+		self := membership.Node{Name: "a", Role: membership.Proxy, Zone: "z", Address: "10.0.0.1:1", Incarnation: 1}
+		c, err := core.New(epoch, core.Options{Self: self, Seed: 1})
+		Expect(err).NotTo(HaveOccurred())
+		c.Take()
+		for i := range retiredEntries {
+			key := fmt.Sprintf("report/i-%d", i)
+			stamp := gossip.Stamp{Epoch: 1, Sequence: 1, Origin: "b/0"}
+			c.Deliver(epoch, "b/0", gossip.Entry{Key: key, Value: []byte("x"), Stamp: stamp}, true)
+			Expect(c.Has(key, stamp)).To(BeFalse())
+		}
+		Expect(c.Take().Changed).To(BeEmpty())
+
+		body, err := records.Configurations.Encode(records.ConfigurationRecord{Version: 1, Body: []byte("{}")})
+		Expect(err).NotTo(HaveOccurred())
+		stamp := gossip.Stamp{Epoch: 1, Sequence: 1, Origin: "b/0"}
+		c.Deliver(epoch, "b/0", gossip.Entry{Key: core.ConfigurationKey, Value: body, Stamp: stamp}, true)
+		Expect(c.Has(core.ConfigurationKey, stamp)).To(BeTrue())
+	})
+})
--- a/internal/cluster/records/other.go
+++ b/internal/cluster/records/other.go
@@ -1,13 +1,13 @@
 package records
 
-// ReportRecord is the value of report/INSTANCE: a receiver's own count of its load. Only the newest matters.
+// ReportRecord is a receiver's own count of its load, which proxies send each other. Only the newest matters.
 type ReportRecord struct {
 	Instance  string `avro:"instance"`
 	Running   int    `avro:"running"`
 	Queued    int    `avro:"queued"`
 	KVUsed    int64  `avro:"kv_used"`    // tokens
 	KVTotal   int64  `avro:"kv_total"`   // tokens
-	AgeMillis int64  `avro:"age_millis"` // of the report when it was published
+	AgeMillis int64  `avro:"age_millis"` // of the report when it was sent
 	Sequence  int64  `avro:"sequence"`
 }
 
@@ -21,10 +21,8 @@
 	{"name":"age_millis","type":"long"},
 	{"name":"sequence","type":"long"}]}`
 
-// Reports codes the values of report/INSTANCE.
-var Reports = newCodec(ReportSchema, checkReport)
-
-func checkReport(r ReportRecord) error {
+// Check gives a FieldError for the first field that is out of bounds.
+func (r ReportRecord) Check() error {
 	c := checker{record: "report"}
 	c.text("instance", r.Instance, true)
 	c.within("running", int64(r.Running), 0, maxCount)
--- a/internal/cluster/records/records_test.go
+++ b/internal/cluster/records/records_test.go
@@ -29,11 +29,6 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(records.Receivers.Decode(value)).To(Equal(receiver))
 
-		report := records.ReportRecord{Instance: "i", Running: 3, Queued: 1, KVUsed: 200_000, KVTotal: 220_394, AgeMillis: 12, Sequence: 9}
-		value, err = records.Reports.Encode(report)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(records.Reports.Decode(value)).To(Equal(report))
-
 		configuration := records.ConfigurationRecord{Version: 1<<63 + 5, Body: []byte(`{"version":1}`)}
 		value, err = records.Configurations.Encode(configuration)
 		Expect(err).NotTo(HaveOccurred())
@@ -66,6 +61,23 @@
 		Entry("many models", "models", func(r *records.ReceiverRecord) { r.Models = make([]string, records.MaxModels+1) }),
 	)
 
+	DescribeTable("of a report out of bounds are refused, with the field's name",
+		func(field string, change func(*records.ReportRecord)) {
+			bad := records.ReportRecord{Instance: "i", Running: 3, Queued: 1, KVUsed: 200_000, KVTotal: 220_394, AgeMillis: 12, Sequence: 9}
+			Expect(bad.Check()).To(Succeed())
+			change(&bad)
+			var fault *records.FieldError
+			Expect(errors.As(bad.Check(), &fault)).To(BeTrue())
+			Expect(fault.Field).To(Equal(field))
+		},
+		Entry("no instance", "instance", func(r *records.ReportRecord) { r.Instance = "" }),
+		Entry("a negative count", "running", func(r *records.ReportRecord) { r.Running = -1 }),
+		Entry("a negative queue", "queued", func(r *records.ReportRecord) { r.Queued = -1 }),
+		Entry("more tokens than any memory", "kv_used", func(r *records.ReportRecord) { r.KVUsed = 1 << 50 }),
+		Entry("a negative memory", "kv_total", func(r *records.ReportRecord) { r.KVTotal = -1 }),
+		Entry("an age before the time", "age_millis", func(r *records.ReportRecord) { r.AgeMillis = -1 }),
+	)
+
 	It("of a node may not be a suspicion", func() {
 		_, err := records.EncodeNode(records.NodeRecord{Name: "a", Role: membership.Proxy, Address: "x", State: membership.Suspect})
 		Expect(err).To(HaveOccurred())
@@ -76,7 +88,6 @@
 	rapid.Check(t, func(t *rapid.T) {
 		value := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "value")
 		_, _ = records.Receivers.Decode(value)
-		_, _ = records.Reports.Decode(value)
 		_, _ = records.Configurations.Decode(value)
 		_, _ = records.Stores.Decode(value)
 		_, _ = records.DecodeNode(value)
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -48,6 +48,7 @@
 	cluster  *cluster.Cluster
 	stores   *storeclient.Client
 	proxy    *proxy.Proxy
+	reports  *reportSpreader
 	stop     context.CancelFunc
 	stopped  context.Context
 
@@ -55,6 +56,8 @@
 	assignment *assignment
 	snapshot   atomic.Pointer[routing.Snapshot] // written by the watchers' goroutine; nil until one is known
 	feed       *feed                            // of receivers to the proxy
+
+	reportsReceived atomic.Int64
 }
 
 // Start joins the others and serves; the plane is ready once it knows the configuration and the receivers.
@@ -91,13 +94,14 @@
 		return err
 	}
 	p.stores = storeclient.New(storeclient.Options{Caller: storewire.NewCaller(p.client), Zone: p.settings.Zone})
+	p.reports = newReportSpreader(p.client, p.cluster, p.stopped)
 	p.proxy, err = proxy.New(proxy.Options{
 		Front: p.settings.Listen.Front, Readiness: p.settings.Listen.Readiness,
 		Stores: p.stores, Logger: p.log, Zone: p.settings.Zone,
 		Seed:          maphash.Comparable(maphash.MakeSeed(), p.settings.Name),
 		LiveProxies:   func() int { return max(1, p.assignment.live()) },
 		Assigned:      p.assignment.assigned,
-		PublishReport: newReportSpreader(p.client, p.cluster, p.stopped).spread,
+		PublishReport: p.reports.spread,
 		BodyMemory:    int64(bodyShare * float64(p.settings.Limits.MemoryMB<<20)),
 		MaxClients:    int(clientShare * float64(p.settings.Limits.MaxFDs)),
 		MaxReceivers:  int(receiverShare * float64(p.settings.Limits.MaxFDs)),
@@ -115,7 +119,6 @@
 	p.cluster.Watch(cluster.ConfigurationKey, p.takeConfiguration)
 	p.cluster.Watch(cluster.StoresKey, p.takeStores)
 	p.cluster.Watch(cluster.ReceiverPrefix, p.takeReceiver)
-	p.cluster.Watch(cluster.ReportPrefix, p.takeSpreadReport)
 	p.cluster.WatchNodes(p.takeNode)
 }
 
--- a/internal/dataplane/reports.go
+++ b/internal/dataplane/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"emberquay/admission/dispatch"
@@ -12,20 +13,23 @@
 
 const (
 	reportMethod transport.Method = "proxy.report"
-	// directReports is up to how many other proxies a report is sent to each of them: all, where there are no more, else
-	// those of the receiver's asker's zone, whose programs have their homes there. Proxies elsewhere take a receiver
-	// without a report for one of mean load. Where one zone alone has more, reports go through the cluster: every node
-	// then bears some four copies of every report, which is what this bound is there to avoid.
-	directReports = 40
+	// fleetReports is up to how many other proxies a report is sent to each of them. Where there are more, it goes to
+	// those of the asker's zone, whose programs have their homes there. Proxies elsewhere take a receiver without a
+	// report for one of mean load. Every message costs a small proxy some of its processor, and so this bound is one
+	// on what reports cost a fleet without many proxies in any zone.
+	fleetReports = 40
+	// zoneReports bounds the proxies of a zone that one report is sent to. Where there are more, each report goes to a
+	// part of them, drawn anew: each proxy gets fewer reports then, none gets none.
+	zoneReports = 96
 	// reportTimeout bounds the sending of a report: an older one is of no use.
 	reportTimeout = 300 * time.Millisecond
-	// reportSends bounds the sends under way; reports beyond are dropped, as the next ones come soon.
-	reportSends = 64
+	// reportSends bounds the sends under way, two reports' worth; those beyond are dropped, as the next report comes soon.
+	reportSends = 2 * zoneReports
 )
 
 var reportCodec = transport.MustCodec[records.ReportRecord](records.ReportSchema)
 
-// reportSpreader brings the reports that this proxy has asked for to the others.
+// reportSpreader sends the reports that this proxy has asked for to the others.
 type reportSpreader struct {
 	client  *transport.Client
 	cluster *cluster.Cluster
@@ -37,24 +41,20 @@
 	return &reportSpreader{client: client, cluster: c, slots: make(chan struct{}, reportSends), closed: closed}
 }
 
-// spread sends a report to the other live proxies. It does not wait for them.
+// spread sends a report to other live proxies. It does not wait for them.
 func (s *reportSpreader) spread(id dispatch.InstanceID, report dispatch.Report) {
 	record := records.ReportRecord{
 		Instance: string(id), Running: report.Running, Queued: report.Queued, KVUsed: int64(report.KVUsed),
 		KVTotal: int64(report.KVTotal), AgeMillis: report.Age.Milliseconds(), Sequence: int64(report.Sequence),
 	}
-	addresses, direct := reportAddresses(s.cluster.Nodes(), s.cluster.Self())
-	if !direct {
-		s.publish(record)
-		return
-	}
-	for _, address := range addresses {
+	for _, address := range reportAddresses(s.cluster.Nodes(), s.cluster.Self(), rand.Uint64()) {
 		s.send(address, record)
 	}
 }
 
-// reportAddresses gives the proxies that a report is sent to; false: there are too many for that.
-func reportAddresses(nodes []cluster.Node, self cluster.Node) ([]string, bool) {
+// reportAddresses gives the proxies that a report is sent to: all others where they are few, else those of the own
+// zone, zoneReports of them at most. The draw says with which of them the list begins: any number will do.
+func reportAddresses(nodes []cluster.Node, self cluster.Node, draw uint64) []string {
 	var all, near []string
 	for _, n := range nodes {
 		if n.Role != cluster.Proxy || !n.Live() || n.Address == self.Address {
@@ -65,18 +65,21 @@
 			near = append(near, n.Address)
 		}
 	}
-	if len(all) <= directReports {
-		return all, true
+	if len(all) <= fleetReports {
+		return rotated(all, draw)
 	}
-	return near, len(near) <= directReports
+	addresses := rotated(near, draw)
+	return addresses[:min(len(addresses), zoneReports)]
 }
 
-func (s *reportSpreader) publish(record records.ReportRecord) {
-	value, err := records.Reports.Encode(record)
-	if err != nil {
-		return
+// rotated begins a list at a drawn place. Without it the same proxies would be last in every list, and so those whose
+// reports are dropped when too many sends are under way.
+func rotated(list []string, draw uint64) []string {
+	if len(list) == 0 {
+		return nil
 	}
-	s.cluster.Publish(cluster.Entry{Key: cluster.ReportPrefix + record.Instance, Value: value})
+	first := int(draw % uint64(len(list)))
+	return append(list[first:len(list):len(list)], list[:first]...)
 }
 
 func (s *reportSpreader) send(address string, record records.ReportRecord) {
@@ -93,9 +96,19 @@
 	}()
 }
 
+// ShareReport sends a receiver's report to the other proxies, as those are that this proxy has asked for. It neither
+// takes the report itself nor waits for the others.
+func (p *Plane) ShareReport(id dispatch.InstanceID, report dispatch.Report) {
+	p.reports.spread(id, report)
+}
+
+// ReportsReceived counts the reports that other proxies have sent here since the start.
+func (p *Plane) ReportsReceived() int64 { return p.reportsReceived.Load() }
+
 // takeReport hands a report of another proxy to the dispatcher.
 func (p *Plane) takeReport(record records.ReportRecord) {
-	if p.assignment.assigned(dispatch.InstanceID(record.Instance)) {
+	p.reportsReceived.Add(1)
+	if record.Check() != nil || p.assignment.assigned(dispatch.InstanceID(record.Instance)) {
 		return
 	}
 	p.proxy.Report(dispatch.InstanceID(record.Instance), dispatch.Report{
@@ -103,10 +116,3 @@
 		Age: time.Duration(record.AgeMillis) * time.Millisecond, Sequence: uint64(record.Sequence),
 	})
 }
-
-// takeSpreadReport does so with one that came through the cluster.
-func (p *Plane) takeSpreadReport(entry cluster.Entry) {
-	if record, err := records.Reports.Decode(entry.Value); err == nil {
-		p.takeReport(record)
-	}
-}
--- a/internal/dataplane/reports_test.go
+++ b/internal/dataplane/reports_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -18,37 +19,77 @@
 		{Name: "store", Role: cluster.Store, Address: "10.1.0.6:1", State: cluster.Alive},
 		{Name: "core", Role: cluster.Control, Address: "10.1.0.2:2", State: cluster.Alive},
 	}
-	got, direct := reportAddresses(nodes, cluster.Node{Address: "10.1.0.1:1"})
-	if want := []string{"10.1.0.2:1", "10.1.0.3:1"}; !slices.Equal(got, want) || !direct {
-		t.Errorf("reports go to %v (%v), not %v", got, direct, want)
+	got := reportAddresses(nodes, cluster.Node{Address: "10.1.0.1:1"}, 0)
+	if want := []string{"10.1.0.2:1", "10.1.0.3:1"}; !slices.Equal(got, want) {
+		t.Errorf("reports go to %v, not %v", got, want)
 	}
 }
 
-// Where there are many proxies each report costs its asker as many messages as its zone has, and no node any more.
+// fleetOf is some zones of as many proxies each.
+func fleetOf(zones, each int) []cluster.Node {
+	var nodes []cluster.Node
+	for zone := range zones {
+		for i := range each {
+			nodes = append(nodes, cluster.Node{Role: cluster.Proxy, Zone: fmt.Sprint("zone-", zone),
+				Address: fmt.Sprintf("10.1.%d.%d:1", zone, i), State: cluster.Alive})
+		}
+	}
+	return nodes
+}
+
+// Where there are many proxies each report costs its asker as many messages as its zone has, up to a bound, and no
+// other node any.
 func TestReportsStayInTheZoneOfALargeFleet(t *testing.T) {
-	self := cluster.Node{Address: "10.1.0.0:1", Zone: "zone-0"}
 	for _, c := range []struct {
 		zones, each int
 		sent        int
-		direct      bool
 	}{
-		{1, directReports + 1, directReports, true},
-		{2, directReports/2 + 1, directReports / 2, true},
-		{4, 10, 39, true},
-		{5, 16, 15, true},
-		{2, directReports + 2, directReports + 1, false},
+		{1, 1, 0},
+		{1, fleetReports + 1, fleetReports},
+		{2, fleetReports/2 + 1, fleetReports / 2},
+		{4, 10, 39},
+		{5, 16, 15},
+		{50, 1, 0},
+		{2, fleetReports + 2, fleetReports + 1},
+		{5, 68, 67},
+		{1, zoneReports + 1, zoneReports},
+		{1, zoneReports + 2, zoneReports},
+		{2, 3 * zoneReports, zoneReports},
 	} {
-		var nodes []cluster.Node
-		for zone := range c.zones {
-			for i := range c.each {
-				nodes = append(nodes, cluster.Node{Role: cluster.Proxy, Zone: fmt.Sprint("zone-", zone),
-					Address: fmt.Sprintf("10.1.%d.%d:1", zone, i), State: cluster.Alive})
+		nodes := fleetOf(c.zones, c.each)
+		for _, draw := range []uint64{0, 1, zoneReports, math.MaxUint64} {
+			got := reportAddresses(nodes, nodes[0], draw)
+			if len(got) != c.sent {
+				t.Errorf("%d zones of %d: sent to %d, not %d", c.zones, c.each, len(got), c.sent)
+			}
+			slices.Sort(got)
+			if distinct := slices.Compact(slices.Clone(got)); len(distinct) != len(got) || slices.Contains(got, nodes[0].Address) {
+				t.Errorf("%d zones of %d: twice to the same, or to itself: %v", c.zones, c.each, got)
+			}
+			outside := slices.ContainsFunc(nodes[c.each:], func(n cluster.Node) bool { return slices.Contains(got, n.Address) })
+			if outside && c.zones*c.each > fleetReports+1 {
+				t.Errorf("%d zones of %d: sent to other zones: %v", c.zones, c.each, got)
 			}
 		}
-		nodes[0].Address = self.Address
-		got, direct := reportAddresses(nodes, self)
-		if len(got) != c.sent || direct != c.direct {
-			t.Errorf("%d zones of %d: sent to %d, direct %v, not %d, %v", c.zones, c.each, len(got), direct, c.sent, c.direct)
+	}
+}
+
+// Over all draws each proxy of a zone gets the same share of the reports.
+func TestReportsReachEveryProxyOfALargeZone(t *testing.T) {
+	const others = 2*zoneReports + 17
+	nodes := fleetOf(1, others+1)
+	times := map[string]int{}
+	for draw := range uint64(others) {
+		for _, address := range reportAddresses(nodes, nodes[0], draw) {
+			times[address]++
+		}
+	}
+	if len(times) != others {
+		t.Errorf("%d of %d proxies are sent to", len(times), others)
+	}
+	for address, count := range times {
+		if count != zoneReports {
+			t.Errorf("%s: %d of %d reports, not %d", address, count, others, zoneReports)
 		}
 	}
 }
--- a/internal/hollow/messages.go
+++ b/internal/hollow/messages.go
@@ -15,7 +15,7 @@
 	Sample() (Sample, error)
 	// Restart ends proxies and starts them again after a pause.
 	Restart(RestartRequest) error
-	// Reports has the worker's proxies publish made-up reports until Stop.
+	// Reports has the worker's proxies share made-up reports, or stop it.
 	Reports(ReportsRequest) error
 	// Sightings gives what was seen since the last call.
 	Sightings() ([]Sighting, error)
@@ -35,7 +35,7 @@
 	Pause  time.Duration
 }
 
-// ReportsRequest tells which receivers' reports the worker's proxies publish in turn; Interval 0 stops them.
+// ReportsRequest tells which receivers' reports the worker's proxies share in turn; Interval 0 stops them.
 type ReportsRequest struct {
 	Receivers []string
 	Interval  time.Duration // between two reports of the worker
@@ -60,7 +60,7 @@
 	Internal  Traffic       // on the tier's own ports
 	API       Traffic       // on the operator's and the receivers' port
 	Sockets   int           // connected ends
-	Delivered int64         // reports that came to the worker's proxies from others
+	Delivered int64         // reports that came to the worker's proxies from others, since these started
 }
 
 // Traffic is what went over sockets that are still open.
--- a/internal/hollow/meter.go
+++ b/internal/hollow/meter.go
@@ -35,7 +35,9 @@
 		return sample, err
 	}
 	sample.Resident, sample.Heap, sample.Threads = resident, liveHeap(), runtime.NumGoroutine()
-	sample.Delivered = w.sightings.delivered.Load()
+	for _, plane := range w.running() {
+		sample.Delivered += plane.ReportsReceived()
+	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if err := w.meter.read(); err != nil {
--- a/internal/hollow/reports.go
+++ b/internal/hollow/reports.go
@@ -4,12 +4,14 @@
 	"sync"
 	"time"
 
-	"emberquay/internal/cluster"
-	"emberquay/internal/cluster/records"
+	"emberquay/admission/dispatch"
 	"emberquay/internal/dataplane"
 )
 
-// reporter publishes made-up reports of receivers, as proxies do with those that they have asked for.
+// reportAge is that of a report that a proxy has just taken.
+const reportAge = 300 * time.Millisecond
+
+// reporter has proxies share made-up reports of receivers, as they do with those that they have asked for.
 type reporter struct {
 	mutex sync.Mutex
 	done  chan struct{} // guarded by mutex; nil while it rests
@@ -31,10 +33,10 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.done, r.ended = make(chan struct{}), make(chan struct{})
-	go publish(request, planes, r.done, r.ended)
+	go share(request, planes, r.done, r.ended)
 }
 
-func publish(request ReportsRequest, planes []*dataplane.Plane, done <-chan struct{}, ended chan<- struct{}) {
+func share(request ReportsRequest, planes []*dataplane.Plane, done <-chan struct{}, ended chan<- struct{}) {
 	defer close(ended)
 	ticker := time.NewTicker(request.Interval)
 	defer ticker.Stop()
@@ -45,16 +47,13 @@
 		case <-ticker.C:
 		}
 		id := request.Receivers[turn%len(request.Receivers)]
-		value, err := records.Reports.Encode(records.ReportRecord{
-			Instance: id, Running: turn % 24, KVUsed: int64(turn % 200_000), KVTotal: 220_394, AgeMillis: 300, Sequence: int64(turn),
+		planes[turn%len(planes)].ShareReport(dispatch.InstanceID(id), dispatch.Report{
+			Running: turn % 24, KVUsed: turn % 200_000, KVTotal: 220_394, Age: reportAge,
 		})
-		if err == nil {
-			planes[turn%len(planes)].Cluster().Publish(cluster.Entry{Key: cluster.ReportPrefix + id, Value: value})
-		}
 	}
 }
 
-// Reports starts or stops the publishing of reports.
+// Reports starts or stops the sharing of reports.
 func (w *Worker) Reports(request ReportsRequest) error {
 	w.reporter.stop()
 	var planes []*dataplane.Plane
--- a/internal/hollow/result.go
+++ b/internal/hollow/result.go
@@ -47,7 +47,7 @@
 
 // ReportUsage is what reports cost a node.
 type ReportUsage struct {
-	ASecond float64 // published by all nodes together
+	ASecond float64 // shared by all nodes together
 	Usage   Usage
 }
 
--- a/internal/hollow/sightings.go
+++ b/internal/hollow/sightings.go
@@ -3,7 +3,6 @@
 import (
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"emberquay/internal/cluster"
@@ -15,9 +14,8 @@
 
 // sightings notes when the proxies of a worker know of changes.
 type sightings struct {
-	mutex     sync.Mutex
-	list      []Sighting   // guarded by mutex
-	delivered atomic.Int64 // reports of other proxies
+	mutex sync.Mutex
+	list  []Sighting // guarded by mutex
 }
 
 func configurationSeen(version uint64) string {
@@ -28,7 +26,6 @@
 
 // watch notes what a plane's cluster tells, after the plane itself was told.
 func (s *sightings) watch(node string, c *cluster.Cluster) {
-	own := string(c.Self().ID())
 	c.Watch(cluster.ConfigurationKey, func(e cluster.Entry) { s.add(node, configurationSeen(e.Stamp.Epoch)) })
 	c.Watch(cluster.ReceiverPrefix, func(e cluster.Entry) {
 		record, err := records.Receivers.Decode(e.Value)
@@ -36,11 +33,6 @@
 			s.add(node, drainSeen(record.ID))
 		}
 	})
-	c.Watch(cluster.ReportPrefix, func(e cluster.Entry) {
-		if e.Stamp.Origin != own {
-			s.delivered.Add(1)
-		}
-	})
 }
 
 func (s *sightings) add(node, what string) {
--- a/internal/hollow/table.go
+++ b/internal/hollow/table.go
@@ -112,13 +112,14 @@
 }
 
 func writeReports(out io.Writer, results []Result) error {
-	fmt.Fprintln(out, "Shared reports: a proxy, by how many all of them publish a second")
+	fmt.Fprintln(out, "Shared reports: a proxy, by how many all of them share a second")
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "nodes\treports/s\tthat came/s\tKB/s sent\treceived\tcore %\t")
+	fmt.Fprintln(t, "nodes\treports/s\tthat came/s\tKB/s sent\treceived\tpackets/s\tcore %\t")
 	for _, r := range results {
 		for _, reports := range r.Reports {
 			u := reports.Usage
-			fmt.Fprintf(t, "%d\t%.0f\t%.1f\t%.2f\t%.2f\t%.2f\t\n", r.Nodes, reports.ASecond, u.ReportsASecond, u.KBSent, u.KBReceived, 100*u.CoreShare)
+			fmt.Fprintf(t, "%d\t%.0f\t%.1f\t%.2f\t%.2f\t%.1f\t%.2f\t\n", r.Nodes, reports.ASecond, u.ReportsASecond, u.KBSent, u.KBReceived,
+				u.PacketsSent, 100*u.CoreShare)
 		}
 	}
 	return eris.Wrap(t.Flush(), "table")
