--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -45,6 +45,7 @@
 	base    *planes.Base
 	stores  *storeclient.Client
 	proxy   *proxy.Proxy
+	reports *reportSpreader
 	stop    context.CancelFunc
 	stopped context.Context
 
@@ -52,6 +53,8 @@
 	assignment *assignment
 	snapshot   atomic.Pointer[routing.Snapshot] // written by the watchers' goroutine; nil until one is known
 	feed       *feed                            // of receivers to the proxy
+
+	reportsReceived atomic.Int64
 }
 
 // Start joins the others and serves; the plane is ready once it knows the configuration and the receivers.
@@ -82,13 +85,14 @@
 	node := p.base.Settings
 	p.stores = storeclient.New(storeclient.Options{Caller: storewire.NewCaller(p.base.Client), Zone: node.Zone})
 	var err error
+	p.reports = newReportSpreader(p.base.Client, p.base.Cluster, p.stopped)
 	p.proxy, err = proxy.New(proxy.Options{
 		Front: node.Listen.Front, Readiness: node.Listen.Readiness,
 		Stores: p.stores, Logger: p.base.Log, Zone: node.Zone,
 		Seed:          maphash.Comparable(maphash.MakeSeed(), node.Name),
 		LiveProxies:   func() int { return max(1, p.assignment.live()) },
 		Assigned:      p.assignment.assigned,
-		PublishReport: newReportSpreader(p.base.Client, p.base.Cluster, p.stopped).spread,
+		PublishReport: p.reports.spread,
 		BodyMemory:    int64(bodyShare * float64(node.Limits.MemoryMB<<20)),
 		MaxClients:    int(clientShare * float64(node.Limits.MaxFDs)),
 		MaxReceivers:  int(receiverShare * float64(node.Limits.MaxFDs)),
@@ -105,7 +109,6 @@
 	p.base.Cluster.Watch(cluster.ConfigurationKey, p.takeConfiguration)
 	p.base.Cluster.Watch(cluster.StoresKey, p.takeStores)
 	p.base.Cluster.Watch(cluster.ReceiverPrefix, p.takeReceiver)
-	p.base.Cluster.Watch(cluster.ReportPrefix, p.takeSpreadReport)
 	p.base.Cluster.WatchNodes(p.takeNode)
 }
 
