Proxies tell each other of receivers whose calls fail

Ruled out: gossip (every node would bear each word), resting receivers on hearsay (a broken link would condemn them for all), telling failures of receivers that answer others (lost answers of one in twenty would hold all under suspicion).

--- a/admission/dispatch/messages.go
+++ b/admission/dispatch/messages.go
@@ -147,5 +147,6 @@
 type Effects struct {
 	Sends    []Send
 	Refusals []Refuse
-	Wake     Instant // call Tick at this instant at the latest; 0: as asked before
+	Failing  []InstanceID // the other senders should know that calls there fail
+	Wake     Instant      // call Tick at this instant at the latest; 0: as asked before
 }
