--- a/internal/referee/tierrules/history.go
+++ b/internal/referee/tierrules/history.go
@@ -190,6 +190,7 @@
 const (
 	Killed     What = "kill"
 	Wiped      What = "wipe"
+	Frozen     What = "freeze" // it does not run, and goes on where it was
 	Terminated What = "term" // planned
 	Reloaded   What = "hup"  // planned; no trouble
 	Final      What = "final"
--- a/internal/tierlab/acts.go
+++ b/internal/tierlab/acts.go
@@ -7,60 +7,77 @@
 	"time"
 
 	"emberquay/internal/referee/tierrules"
+	"emberquay/internal/tierworld"
 )
 
 const (
-	// downFor is how long a killed process stays down.
-	downFor = 500 * time.Millisecond
-	// reuseAfter is when the address of a receiver that ended is another's.
-	reuseAfter = 2200 * time.Millisecond
+	// retiredWithin bounds how long the operator waits for a store to be emptied.
+	retiredWithin = 20 * time.Second
+	retiredLook   = 200 * time.Millisecond
 )
 
-// act carries out one act of the day.
-func (l *lab) act(ctx context.Context, what What) {
-	l.say("%s", what)
-	switch what {
-	case AddRoute:
+// strike carries out one trouble of the day, to its end.
+func (l *lab) strike(ctx context.Context, s tierworld.Strike) {
+	l.say("%s", s)
+	over := l.mark(s)
+	defer over()
+	switch s.What {
+	case tierworld.AddRoute:
 		l.operator.add(ctx)
-	case MoveRoute:
+	case tierworld.MoveRoute:
 		l.operator.move(ctx)
-	case RemoveRoute:
+	case tierworld.RemoveRoute:
 		l.operator.remove(ctx)
-	case RaceOperators:
+	case tierworld.Race:
 		l.operator.race(ctx)
-	case SendInvalid:
+	case tierworld.Invalid:
 		l.operator.invalid(ctx)
-	case RepeatAccepted:
+	case tierworld.Repeat:
 		l.operator.repeat(ctx)
-	case DrainReceiver:
-		l.replaceReceiver(ctx, 0, otherService, (*receiver).drain)
-	case CrashReceiver:
-		l.replaceReceiver(ctx, crashPlace, modelService, func(r *receiver, _ context.Context) { r.crash() })
-	case KillCore:
-		l.trouble(ctx, tierrules.Killed, l.controls[0])
-	case WipeStore:
-		l.trouble(ctx, tierrules.Wiped, l.stores[0])
-	case StopProxy:
-		l.stopProxy(ctx, l.proxies[1])
-	case ReloadProxy:
-		l.reloadProxy(l.proxies[0])
-	case KillAll:
-		l.killAll(ctx)
+	case tierworld.Drain:
+		l.replaceReceiver(ctx, s, (*receiver).drain)
+	case tierworld.Crash:
+		l.replaceReceiver(ctx, s, func(r *receiver, _ context.Context) { r.crash() })
+	case tierworld.Kill, tierworld.Wipe:
+		l.kill(ctx, s, l.processAt(s))
+	case tierworld.Freeze:
+		l.freeze(ctx, s, l.processAt(s))
+	case tierworld.Restart:
+		l.restart(ctx, s, l.processAt(s))
+	case tierworld.Reload:
+		l.reload(l.processAt(s))
+	case tierworld.Retire:
+		l.retire(ctx, l.processAt(s))
+	case tierworld.KillAll:
+		l.killAll(ctx, s)
+	default: // what receivers and arrivals look up in the schedule themselves
+		sleep(ctx, s.Lasts())
 	}
 }
 
-// replaceReceiver ends the receiver of a place, and after the bound starts one of a service at its address.
-func (l *lab) replaceReceiver(ctx context.Context, place int, service string, end func(*receiver, context.Context)) {
-	old := l.receiverAt(place)
-	if old == nil {
-		return
+// processAt is the process that a strike is on.
+func (l *lab) processAt(s tierworld.Strike) *process {
+	switch s.On {
+	case tierworld.ControlPlane:
+		return l.controls[s.No]
+	case tierworld.Store:
+		return l.stores[s.No]
+	default:
+		return l.proxies[s.No]
 	}
-	end(old, ctx)
-	sleep(ctx, reuseAfter)
+}
+
+// replaceReceiver ends the receiver of a place, and for the strike's length later starts one at its address.
+func (l *lab) replaceReceiver(ctx context.Context, s tierworld.Strike, end func(*receiver, context.Context)) {
+	place := l.shape.Receivers.Place(s.On, s.No)
+	l.replacing[place].Lock()
+	defer l.replacing[place].Unlock()
+	end(l.receiverAt(place), ctx)
+	sleep(ctx, s.Lasts())
 	if ctx.Err() != nil {
 		return
 	}
-	next, err := l.startReceiver(ctx, place, service)
+	next, err := l.startReceiver(ctx, place, s.Next)
 	if err != nil {
 		l.record.crashed(fmt.Sprintf("a stand-in cannot listen: %v", err))
 		return
@@ -80,37 +97,57 @@
 	}
 }
 
-// trouble kills a process of the core or a store, wipes its disk where that is meant, and starts it again.
-func (l *lab) trouble(ctx context.Context, what tierrules.What, p *process) {
-	over := l.struck(p.machine, what, true)
+// core says whether trouble of a process is trouble of all machines, since it takes part in what they agree on.
+func (p *process) core() bool { return p.role != proxyRole }
+
+// kill kills a process, wipes its disk where that is meant, and starts it again.
+func (l *lab) kill(ctx context.Context, s tierworld.Strike, p *process) {
+	what := tierrules.Killed
+	if s.What == tierworld.Wipe {
+		what = tierrules.Wiped
+	}
+	over := l.struck(p.machine, what, p.core())
 	p.kill()
-	if what == tierrules.Wiped {
-		if err := p.wipe(); err != nil {
-			l.record.crashed(fmt.Sprintf("a disk cannot be wiped: %v", err))
-		}
+	if s.What == tierworld.Wipe {
+		l.wipe(p)
 	}
-	sleep(ctx, downFor)
+	sleep(ctx, s.Lasts())
 	l.again(p)
 	over()
 }
 
+func (l *lab) wipe(p *process) {
+	if err := p.wipe(); err != nil {
+		l.record.crashed(fmt.Sprintf("a disk cannot be wiped: %v", err))
+	}
+}
+
 func (l *lab) again(p *process) {
 	if err := p.start(); err != nil {
 		l.record.crashed(fmt.Sprintf("%s cannot be started again: %v", p.name(), err))
 	}
 }
 
-// stopProxy stops a proxy as planned. Clients that come in the meantime go to the other.
-func (l *lab) stopProxy(ctx context.Context, p *process) {
-	over := l.struck(p.machine, tierrules.Terminated, false)
+// freeze stops a process where it is, and wakes it.
+func (l *lab) freeze(ctx context.Context, s tierworld.Strike, p *process) {
+	over := l.struck(p.machine, tierrules.Frozen, p.core())
+	p.signal(syscall.SIGSTOP, false)
+	sleep(ctx, s.Lasts())
+	p.signal(syscall.SIGCONT, false)
+	over()
+}
+
+// restart stops a process as planned. Clients that come in the meantime go to other proxies.
+func (l *lab) restart(ctx context.Context, s tierworld.Strike, p *process) {
+	over := l.struck(p.machine, tierrules.Terminated, p.core())
 	p.stop(ctx)
-	sleep(ctx, downFor)
+	sleep(ctx, s.Lasts())
 	l.again(p)
 	over()
 }
 
-// reloadProxy changes a proxy's settings file: its bytes differ, its meaning does not.
-func (l *lab) reloadProxy(p *process) {
+// reload changes a process's settings file: its bytes differ, its meaning does not.
+func (l *lab) reload(p *process) {
 	l.struck(p.machine, tierrules.Reloaded, false)()
 	if _, err := p.write(false); err != nil {
 		l.record.crashed(fmt.Sprintf("settings cannot be written: %v", err))
@@ -118,8 +155,21 @@
 	p.signal(syscall.SIGHUP, false)
 }
 
+// retire has a store emptied and takes its machine away, disk and all. An emptied store is missed by nobody, so that
+// its end is no trouble to the referee.
+func (l *lab) retire(ctx context.Context, p *process) {
+	ctx, cancel := context.WithTimeout(ctx, retiredWithin)
+	defer cancel()
+	if !l.operator.retire(ctx, p.machine) {
+		l.note("%s is not emptied within %s, and stays", p.machine, retiredWithin)
+		return
+	}
+	p.takeAway()
+	l.wipe(p)
+}
+
 // killAll kills every process at the same moment, and starts all of them again: the day's final fault.
-func (l *lab) killAll(ctx context.Context) {
+func (l *lab) killAll(ctx context.Context, s tierworld.Strike) {
 	over := l.struck("", tierrules.Final, true)
 	all := l.all()
 	exits := make([]chan struct{}, 0, len(all))
@@ -129,7 +179,7 @@
 	for _, exited := range exits {
 		<-exited
 	}
-	sleep(ctx, downFor)
+	sleep(ctx, s.Lasts())
 	for _, p := range all {
 		l.again(p)
 	}
--- a/internal/tierlab/configuration.go
+++ b/internal/tierlab/configuration.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"emberquay/internal/referee/tierrules"
+	"emberquay/internal/tierworld"
 )
 
 const (
 	authority    = "lab.example"
-	modelService = "model"
-	firstService = "alfa"
-	otherService = "beta"
+	modelService = tierworld.Model
+	firstService = tierworld.Alfa
+	otherService = tierworld.Beta
 	retention    = 60 * time.Second
 	idleTimeout  = 15 * time.Second
 )
@@ -44,10 +45,18 @@
 type configuration struct {
 	version uint64
 	routes  []route
+	engine  tierworld.ModelReceivers
 }
 
-func firstConfiguration() configuration {
-	return configuration{version: 3, routes: []route{readRoute, orderRoute, textRoute, turnRoute}}
+func (l *lab) firstConfiguration() configuration {
+	return configuration{version: 3, routes: []route{readRoute, orderRoute, textRoute, l.turnRoute()}, engine: l.shape.Receivers.Model}
+}
+
+// turnRoute is that of programs' turns, which the tier keeps or not.
+func (l *lab) turnRoute() route {
+	r := turnRoute
+	r.retained = l.shape.Programs.Retained
+	return r
 }
 
 // with gives the next version with a route added or replaced.
@@ -60,7 +69,7 @@
 // without gives the next version without a route.
 func (c configuration) without(version uint64, name string) configuration {
 	routes := slices.DeleteFunc(slices.Clone(c.routes), func(o route) bool { return o.name == name })
-	return configuration{version: version, routes: routes}
+	return configuration{version: version, routes: routes, engine: c.engine}
 }
 
 func (c configuration) has(name string) bool {
@@ -155,7 +164,7 @@
 		d.Services = append(d.Services, serviceItem{Name: name, HealthPath: "/health", MaxConnections: 64, Protocol: "h1"})
 	}
 	d.Services = append(d.Services, serviceItem{Name: modelService, HealthPath: "/health", MaxConnections: 64, Protocol: "h1",
-		Engine: &engineItem{Slots: modelSlots, Capacity: modelCapacity, TokenBytes: 1024, LinkMbps: 1000, Chunk: chunkTokens, Models: []modelItem{{modelName}}}})
+		Engine: &engineItem{Slots: c.engine.Slots, Capacity: c.engine.MemoryTokens, TokenBytes: 1024, LinkMbps: 1000, Chunk: chunkTokens, Models: []modelItem{{modelName}}}})
 	return encoded(d)
 }
 
--- a/internal/tierlab/doc.go
+++ b/internal/tierlab/doc.go
@@ -1,8 +1,8 @@
-// Package tierlab plays a day round the real processes of the serving tier on loopback: a control plane of three, three
-// stores, two proxies, and stand-ins of receivers, agent programs, other clients and the operator. What these saw on their
-// sockets goes to internal/referee/tierrules, which judges it.
+// Package tierlab plays a day round the real processes of the serving tier on loopback: control planes, stores, proxies, and
+// stand-ins of receivers, agent programs, other clients and the operator, as internal/tierworld describes them. What these
+// saw on their sockets goes to internal/referee/tierrules, which judges it.
 //
-//	result, err := tierlab.Play(ctx, tierlab.Options{Program: "bin/emberquay", Day: tierlab.Full(), Seed: 1})
+//	result, err := tierlab.Play(ctx, tierlab.Options{Program: "bin/emberquay", Day: tierlab.DayOf(world)})
 //	fmt.Print(result.Verdict)
 //
 // Each machine has an address of its own in 127.0.0.0/8, and ports are alike on all. Everything is bounded: in time by the
--- a/internal/tierlab/heartbeat.go
+++ b/internal/tierlab/heartbeat.go
@@ -51,15 +51,14 @@
 
 // tell sends one heartbeat and says whether it was acknowledged.
 func (r *receiver) tell(ctx context.Context) bool {
-	state, slots, models := "ready", plainSlots, []any{}
+	state, models := "ready", []any{}
 	if r.draining.Load() {
 		state = "draining"
 	}
 	if r.model != nil {
-		slots = modelSlots
 		models = append(models, map[string]any{"name": modelName, "version": 1, "adapters": []string{}})
 	}
-	raw, err := json.Marshal(heartbeat{Service: r.service, Address: r.address, Zone: r.zone, Version: "v1", Slots: slots, State: state,
+	raw, err := json.Marshal(heartbeat{Service: r.service, Address: r.address, Zone: r.zone, Version: "v1", Slots: r.slotCount(), State: state,
 		Stage: "both", Models: models, Sequence: r.sequence.Add(1)})
 	if err != nil {
 		return false
--- a/internal/tierlab/lab.go
+++ b/internal/tierlab/lab.go
@@ -15,6 +15,7 @@
 
 	"emberquay/internal/processes"
 	"emberquay/internal/referee/tierrules"
+	"emberquay/internal/tierworld"
 )
 
 // Options say how a day is played.
@@ -34,7 +35,10 @@
 	Served   []Served
 	Programs map[Outcome]int
 	Crashes  []string
+	Notes    []string // what the reader has to know beside the rules
 	Took     time.Duration
+
+	Recording *Recording
 }
 
 // Kept says whether all rules were kept, no process ended by itself and something was served.
@@ -43,8 +47,6 @@
 var zones = []string{"a", "b", "c"}
 
 const (
-	// crashPlace is that of the receiver that crashes: the second of the model's.
-	crashPlace = 6
 	// readyWithin bounds the start of the tier.
 	readyWithin = 15 * time.Second
 	// frontLook is the interval at which the platform asks senders whether they are ready, and frontMisses after how many
@@ -53,13 +55,11 @@
 	frontMisses = 2
 )
 
-// places are the services of the receivers at the start.
-var places = []string{firstService, firstService, firstService, otherService, otherService, modelService, modelService, modelService}
-
 // lab is a day that is being played.
 type lab struct {
 	options Options
 	day     Day
+	shape   *tierworld.World
 	dir     string
 	bounds  tierrules.Bounds
 	net     *network
@@ -75,9 +75,13 @@
 	receiverCount atomic.Int64
 	clients       atomic.Uint64
 	count         counts
+	trafficFrom   atomic.Int64 // on the record's clock, in ns; 0: it has not begun
+	replacing     []sync.Mutex // by place: one receiver takes over from another
 
-	mu        sync.Mutex // guards what follows
-	receivers []*receiver
+	mu        sync.Mutex  // guards what follows
+	receivers []*receiver // by place
+	seen      Recording
+	notes     []string
 	in        []*process // the fronts that get clients
 	turns     []string   // that ended whole
 	oldTurns  []string   // before the final fault
@@ -110,21 +114,35 @@
 }
 
 func newLab(options Options, network *network) *lab {
-	l := &lab{options: options, day: options.Day, dir: options.Dir, bounds: Bounds(), net: network, launch: processes.NewLauncher(),
-		controlClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	l := &lab{options: options, day: options.Day, shape: options.Day.Shape, dir: options.Dir, bounds: Bounds(), net: network,
+		launch: processes.NewLauncher(), controlClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	if l.shape == nil {
+		l.shape = tierworld.Default()
+	}
+	l.replacing = make([]sync.Mutex, len(l.shape.Receivers.Places()))
 	l.record = newRecord(l.bounds)
 	l.operator = &operator{lab: l}
-	for i, zone := range zones {
-		front, store := "front-"+zone+"-1", "store-"+zone+"-1"
-		l.controls = append(l.controls, &process{lab: l, machine: front, ip: network.machine(1 + i), zone: zone, role: controlRole})
-		l.stores = append(l.stores, &process{lab: l, machine: store, ip: network.machine(1 + len(zones) + i), zone: zone, role: storeRole})
-		if i < 2 {
-			l.proxies = append(l.proxies, &process{lab: l, machine: front, ip: network.machine(1 + i), zone: zone, role: proxyRole})
-		}
+	tier := l.shape.Tier
+	fronts := max(tier.ControlPlanes, tier.Proxies)
+	for i := range tier.ControlPlanes {
+		l.controls = append(l.controls, l.newProcess(controlRole, "front", i, 0))
+	}
+	for i := range tier.Proxies {
+		l.proxies = append(l.proxies, l.newProcess(proxyRole, "front", i, 0))
+	}
+	for i := range tier.Stores {
+		l.stores = append(l.stores, l.newProcess(storeRole, "store", i, fronts))
 	}
 	return l
 }
 
+// newProcess is that of a role on a class's machine of a number; before is how many machines other classes have.
+func (l *lab) newProcess(r role, class string, no, before int) *process {
+	zone := zones[no%len(zones)]
+	machine := fmt.Sprintf("%s-%s-%d", class, zone, 1+no/len(zones))
+	return &process{lab: l, machine: machine, ip: l.net.machine(1 + before + no), zone: zone, role: r}
+}
+
 func (l *lab) all() []*process { return slices.Concat(l.controls, l.stores, l.proxies) }
 
 func (l *lab) controlAddresses() []string {
@@ -166,7 +184,7 @@
 
 // startAll starts the tier and the receivers, gives it its first configuration and waits until clients can come.
 func (l *lab) startAll(ctx context.Context) error {
-	for place, service := range places {
+	for place, service := range l.shape.Receivers.Places() {
 		r, err := l.startReceiver(ctx, place, service)
 		if err != nil {
 			return err
@@ -183,7 +201,7 @@
 	defer cancel()
 	l.record.onCrash(cancel)
 	for within.Err() == nil && l.operator.now().version == 0 {
-		l.operator.replace(within, "first", firstConfiguration())
+		l.operator.replace(within, "first", l.firstConfiguration())
 	}
 	for within.Err() == nil && len(l.frontsIn()) < len(l.proxies) {
 		sleep(within, frontLook/5)
@@ -198,21 +216,34 @@
 	return ctx.Err()
 }
 
-// run plays the traffic and the acts beside it.
+// run plays the traffic and the strikes beside it.
 func (l *lab) run(ctx context.Context) {
-	var acts sync.WaitGroup
+	watched, stop := context.WithCancel(ctx)
+	defer stop()
+	var strikes sync.WaitGroup
 	begin := time.Now()
-	for _, a := range l.day.Acts {
-		acts.Go(func() {
-			sleep(ctx, time.Until(begin.Add(a.At)))
+	l.trafficFrom.Store(int64(l.record.now()))
+	go l.watchLoad(watched)
+	for _, s := range l.day.Strikes {
+		strikes.Go(func() {
+			sleep(ctx, time.Until(begin.Add(s.From)))
 			if ctx.Err() == nil {
-				l.act(ctx, a.What)
+				l.strike(ctx, s)
 			}
 		})
 	}
 	l.load(ctx)
 	l.record.see(func(now time.Duration, h *tierrules.History) { h.Length = now })
-	acts.Wait()
+	strikes.Wait()
+}
+
+// sinceTraffic is the instant on the clock of the day's strikes; below 0 before the traffic begins.
+func (l *lab) sinceTraffic() time.Duration {
+	from := l.trafficFrom.Load()
+	if from == 0 {
+		return -1
+	}
+	return l.record.now() - time.Duration(from)
 }
 
 // readBack asks for the configuration as the operator does at the end, for the contact bound at most.
--- a/internal/tierlab/load.go
+++ b/internal/tierlab/load.go
@@ -7,13 +7,13 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"emberquay/internal/tierworld"
 )
 
 const (
 	plainDeadline = 2 * time.Second
 	textDeadline  = 5 * time.Second
-	// poolClients is how many clients of a kind keep connections.
-	poolClients = 12
 	// mostCalls bounds the calls that are under way.
 	mostCalls = 400
 )
@@ -38,39 +38,56 @@
 	var all sync.WaitGroup
 	pool := l.newPool()
 	defer pool.close()
-	begin := func(rate float64, do func()) {
-		all.Go(func() { l.arrivals(ctx, rate, &all, do) })
+	begin := func(kind string, rate float64, do func()) {
+		all.Go(func() { l.arrivals(ctx, kind, rate, &all, do) })
 	}
-	begin(float64(l.day.Plain), func() { pool.call(ctx, l.plainCall()) })
-	begin(float64(l.day.Texts), func() { pool.call(ctx, textCall()) })
-	begin(l.day.Programs, func() { l.runProgram(ctx, l.earlierTurn()) })
+	begin(tierworld.PlainCalls, l.day.Plain, func() { pool.call(ctx, l.plainCall()) })
+	begin(tierworld.TextCalls, l.day.Texts, func() { pool.call(ctx, l.textCall()) })
+	begin(tierworld.AgentRuns, l.day.Programs, func() { l.runProgram(ctx, l.earlierTurn()) })
 	all.Wait()
 }
 
-// arrivals begins calls at drawn instants until the traffic ends.
-func (l *lab) arrivals(ctx context.Context, rate float64, all *sync.WaitGroup, do func()) {
-	end := time.Now().Add(l.day.Length)
+// arrivals begins calls of a kind at drawn instants until the traffic ends. Instants are drawn at the day's highest rate,
+// and those beyond the rate of the moment are left out, so that a burst begins and ends when it should.
+func (l *lab) arrivals(ctx context.Context, kind string, rate float64, all *sync.WaitGroup, do func()) {
+	if rate <= 0 {
+		return
+	}
+	most := l.day.Strikes.MostRate(kind)
 	limit := make(chan struct{}, mostCalls)
-	for time.Now().Before(end) && ctx.Err() == nil {
-		sleep(ctx, time.Duration(rand.ExpFloat64()/rate*float64(time.Second)))
+	dropped := 0
+	for {
+		sleep(ctx, time.Duration(rand.ExpFloat64()/(rate*most)*float64(time.Second)))
+		at := l.sinceTraffic()
+		if ctx.Err() != nil || at >= l.day.Length {
+			break
+		}
+		if rand.Float64()*most >= l.day.Strikes.Rate(kind, at) {
+			continue
+		}
 		select {
 		case limit <- struct{}{}:
 		default:
-			continue // too many are under way
+			dropped++
+			continue
 		}
 		all.Go(func() {
 			defer func() { <-limit }()
 			do()
 		})
 	}
+	if dropped > 0 {
+		l.note("%d arrivals of %s were left out, as %d were under way", dropped, kind, mostCalls)
+	}
 }
 
 // pool is a number of clients that keep their connections, each with one call at a time.
 type pool struct{ free chan *client }
 
 func (l *lab) newPool() *pool {
-	p := &pool{free: make(chan *client, poolClients)}
-	for range poolClients {
+	clients := l.shape.Traffic.Clients
+	p := &pool{free: make(chan *client, clients)}
+	for range clients {
 		p.free <- l.newClient()
 	}
 	return p
@@ -87,13 +104,13 @@
 }
 
 func (p *pool) close() {
-	for range poolClients {
+	for range cap(p.free) {
 		(<-p.free).close()
 	}
 }
 
 func (l *lab) plainCall() *call {
-	if rand.IntN(3) == 0 {
+	if rand.Float64() < l.shape.Traffic.Unsafe {
 		body := fmt.Appendf(nil, "order %x", rand.Uint64())
 		return &call{class: "order", route: orderRoute, path: "new", method: http.MethodPost, body: body, deadline: plainDeadline}
 	}
@@ -103,8 +120,16 @@
 	return &call{class: "read", route: readRoute, path: fmt.Sprintf("%d?q=%d", rand.IntN(9), rand.IntN(99)), method: http.MethodGet, deadline: plainDeadline}
 }
 
-func textCall() *call {
-	prompt, most := 200+rand.IntN(400), 30+3*rand.IntN(30)
+// between draws evenly from a least to a most.
+func between(pair []int) int { return pair[0] + rand.IntN(pair[1]-pair[0]+1) }
+
+// wholeChunks draws the tokens of an answer, from the least on in whole events.
+func wholeChunks(pair []int) int {
+	return pair[0] + chunkTokens*rand.IntN((pair[1]-pair[0])/chunkTokens+1)
+}
+
+func (l *lab) textCall() *call {
+	prompt, most := between(l.shape.Traffic.PromptTokens), wholeChunks(l.shape.Traffic.OutTokens)
 	header := http.Header{}
 	header.Set("Emberquay-Model-Name", modelName)
 	header.Set("Emberquay-Token-Usage", fmt.Sprintf("%d,%d", prompt, most))
--- a/internal/tierlab/machine.go
+++ b/internal/tierlab/machine.go
@@ -30,7 +30,7 @@
 	storeRole   = role{name: "store", serves: settings.ServesStore, disk: true}
 )
 
-// process is one of the tier's processes, started anew as the day has it.
+// process is one of the tier's processes, started anew as the day has it. mu guards what follows it.
 type process struct {
 	lab     *lab
 	machine string
@@ -43,6 +43,7 @@
 	cmd     *exec.Cmd
 	exited  chan struct{}
 	meant   bool // its end is wanted
+	away    bool // its machine was taken away
 }
 
 func (p *process) name() string { return p.machine + "/" + p.role.name }
@@ -102,11 +103,11 @@
 	return strings.Join(parts, ",")
 }
 
-// start starts the process, unless another act of the day has done so.
+// start starts the process, unless another strike has done so or its machine was taken away.
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.runs() {
+	if p.away || p.runs() {
 		return nil
 	}
 	path, err := p.write(!p.started)
@@ -184,6 +185,14 @@
 // kill ends it at once.
 func (p *process) kill() { <-p.signal(syscall.SIGKILL, true) }
 
+// takeAway ends it for good.
+func (p *process) takeAway() {
+	p.mu.Lock()
+	p.away = true
+	p.mu.Unlock()
+	p.kill()
+}
+
 // stop lets it end within the grace, and kills it then.
 func (p *process) stop(ctx context.Context) {
 	exited := p.signal(syscall.SIGTERM, true)
--- a/internal/tierlab/model.go
+++ b/internal/tierlab/model.go
@@ -15,9 +15,6 @@
 
 const (
 	modelName     = "m"
-	modelSlots    = 8
-	modelQueue    = 8
-	modelCapacity = 24000
 	chunkTokens   = 3
 	usualPriority = 5
 	// reportLag is how old the state that a receiver reports is.
@@ -41,8 +38,10 @@
 }
 
 func newModel(r *receiver) *model {
-	config := engine.Config{Slots: modelSlots, Queue: modelQueue, Capacity: modelCapacity, PrefillPiece: 512,
-		Pass: 4 * time.Millisecond, PassEach: 500 * time.Microsecond, PassPrefill: 500 * time.Microsecond}
+	shape := r.lab.shape.Receivers.Model
+	ms := func(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+	config := engine.Config{Slots: shape.Slots, Queue: shape.Queue, Capacity: shape.MemoryTokens, PrefillPiece: shape.PrefillPiece,
+		Pass: ms(shape.PassMs), PassEach: ms(shape.EachMs), PassPrefill: ms(shape.PrefillMs)}
 	return &model{receiver: r, engine: engine.New(config), outlets: map[string]chan engine.Token{}, wake: make(chan struct{}, 1)}
 }
 
@@ -59,7 +58,8 @@
 		m.mu.Unlock()
 		var done <-chan time.Time
 		if !idle {
-			done = time.After(pass.Took)
+			conduct, _ := m.receiver.conduct()
+			done = time.After(time.Duration(conduct.Slow * float64(pass.Took)))
 		}
 		select {
 		case <-ctx.Done():
@@ -99,6 +99,14 @@
 	}
 }
 
+// now is the state as it is.
+func (m *model) now() engine.Report {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.engine.Report()
+}
+
+// report is the state as the receiver tells it: somewhat old.
 func (m *model) report() engine.Report {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -149,6 +157,7 @@
 	}
 	defer m.remove(key)
 	var run *tierrules.Run
+	var fate fate
 	next := last
 	for {
 		select {
@@ -159,7 +168,11 @@
 			return
 		case token := <-tokens:
 			if run == nil {
-				run = m.begin(w, q, id, body)
+				fate = m.receiver.draw()
+				run = m.begin(w, q, id, body, fate)
+				if run.Status != http.StatusOK {
+					return
+				}
 			}
 			if token.Made%chunkTokens != 0 && !token.Last {
 				continue
@@ -169,6 +182,9 @@
 				m.receiver.ended(run, false)
 				return
 			}
+			if fate.loses {
+				m.receiver.breakOff(run)
+			}
 			if token.Last {
 				m.receiver.ended(run, true)
 				return
@@ -177,15 +193,26 @@
 	}
 }
 
-func (m *model) begin(w http.ResponseWriter, q *http.Request, id string, body []byte) *tierrules.Run {
+// begin notes a run and answers its head; of a run that fails it answers all.
+func (m *model) begin(w http.ResponseWriter, q *http.Request, id string, body []byte, fate fate) *tierrules.Run {
 	run := m.receiver.begin(q, id, body)
 	_, out := usage(q.Header.Get("Emberquay-Token-Usage"))
+	status := http.StatusOK
+	if fate.fails {
+		status = http.StatusInternalServerError
+	}
 	m.receiver.lab.record.see(func(time.Duration, *tierrules.History) {
-		run.Status = http.StatusOK
+		run.Status = status
 		run.Most = uint64((out + chunkTokens - 1) / chunkTokens)
 	})
-	w.Header().Set("Content-Type", "text/event-stream")
+	sleep(q.Context(), fate.hangs)
 	w.Header().Set("Emberquay-Server-Stamp", run.Stamp)
+	if status != http.StatusOK {
+		w.WriteHeader(status)
+		m.receiver.ended(run, q.Context().Err() == nil)
+		return run
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Versions", "1")
 	w.WriteHeader(http.StatusOK)
 	return run
--- a/internal/tierlab/operator.go
+++ b/internal/tierlab/operator.go
@@ -182,6 +182,48 @@
 	}
 }
 
+// retire has a store machine emptied, and says whether it is before ctx ends.
+func (o *operator) retire(ctx context.Context, machine string) bool {
+	addresses := o.lab.controlAddresses()
+	started := false
+	for try := 0; ctx.Err() == nil; try++ {
+		address := addresses[try%len(addresses)]
+		if !started {
+			started = o.retirement(ctx, http.MethodPost, address, "Start", machine) == http.StatusOK
+		} else if o.retirement(ctx, http.MethodGet, address, "Read", machine) == retirementCompleted {
+			return true
+		}
+		sleep(ctx, retiredLook)
+	}
+	return false
+}
+
+// retirementCompleted stands for the answer that a machine may go.
+const retirementCompleted = -1
+
+// retirement sends one order about a retirement and gives its status, 0 where none came.
+func (o *operator) retirement(ctx context.Context, method, address, order, machine string) int {
+	ctx, cancel := context.WithTimeout(ctx, operatorSilence)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/api/Retire."+order+"/"+machine, http.NoBody)
+	if err != nil {
+		return 0
+	}
+	resp, err := o.lab.controlClient.Do(q)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		State string `json:"state"`
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, mostAnswer)).Decode(&answer)
+	if err == nil && answer.State == "completed" {
+		return retirementCompleted
+	}
+	return resp.StatusCode
+}
+
 // read reads the configuration from each node; last says that the day is over.
 func (o *operator) read(ctx context.Context, last bool) bool {
 	done := false
--- a/internal/tierlab/program.go
+++ b/internal/tierlab/program.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"emberquay/internal/referee/tierrules"
+	"emberquay/internal/tierworld"
 )
 
 const (
@@ -18,17 +20,14 @@
 	turnDeadline = 5 * time.Second
 	// resends is how often a turn that failed is sent anew.
 	resends = 2
-	// loopingShare is one in so many programs that go on until they are stopped.
-	loopingShare = 8
 	// mostLoops ends such a one where its budget does not.
 	mostLoops = 40
-	// programWorth is what a program may take, as its objective.
-	programWorth = 12 * time.Second
 )
 
 // program is one run of an agent: turns, tools and sub-agents under one budget.
 type program struct {
 	lab     *lab
+	shape   tierworld.Programs
 	name    string
 	budget  int64
 	finish  time.Time
@@ -41,7 +40,8 @@
 	program *program
 	client  *client
 	session string
-	last    string // the turn that it continues from
+	last    string // the turn that it continues from, where the tier keeps turns
+	history []byte // what was said, where it does not
 	prefix  []string
 	prompt  int
 }
@@ -59,11 +59,11 @@
 
 // runProgram plays one; previous, if any, is a turn of another to continue from.
 func (l *lab) runProgram(ctx context.Context, previous string) {
-	p := &program{lab: l, name: fmt.Sprintf("p%012x", rand.Uint64()>>16), finish: time.Now().Add(programWorth)}
-	looping := rand.IntN(loopingShare) == 0
-	p.budget = int64(180 + rand.IntN(300))
+	began := l.record.now()
+	p := l.newProgram()
+	looping := rand.Float64() < p.shape.Looping
 	if looping {
-		p.budget = 240
+		p.budget = int64(p.shape.LoopingBudget)
 	}
 	main := p.line(previous)
 	defer main.client.close()
@@ -77,6 +77,13 @@
 		}
 	}
 	l.count.programs(outcome)
+	l.programEnded(ProgramRun{Began: began, Ended: l.record.now(), Outcome: outcome})
+}
+
+func (l *lab) newProgram() *program {
+	shape := l.shape.Programs
+	return &program{lab: l, shape: shape, name: fmt.Sprintf("p%012x", rand.Uint64()>>16), budget: int64(between(shape.Budget)),
+		finish: time.Now().Add(time.Duration(shape.FinishS * float64(time.Second)))}
 }
 
 // line starts one, with a system prompt that many share.
@@ -88,26 +95,43 @@
 // fork gives a sub-agent's line, whose prompt begins with that of its parent.
 func (n *line) fork() *line {
 	return &line{program: n.program, client: n.program.lab.newClient(), session: fmt.Sprintf("s%08x", rand.Uint32()), last: n.last,
-		prefix: append([]string{}, n.prefix...), prompt: n.prompt}
+		history: slices.Clone(n.history), prefix: append([]string{}, n.prefix...), prompt: n.prompt}
 }
 
-// usual is three turns with tools and a sub-agent between them.
+// usual is some turns, with tools after the first and sub-agents before the last.
 func (p *program) usual(ctx context.Context, main *line) bool {
-	if !main.turn(ctx) || !p.tools(ctx, main) || !main.turn(ctx) {
+	if !main.turns(ctx, 1) || !p.tools(ctx, main) {
 		return false
 	}
-	var both sync.WaitGroup
-	ok := make([]bool, 2)
+	if !main.turns(ctx, p.shape.Turns-2) || !p.subAgents(ctx, main) {
+		return false
+	}
+	return main.turns(ctx, min(1, p.shape.Turns-1))
+}
+
+// turns takes so many, one after the other; it says whether all were served.
+func (n *line) turns(ctx context.Context, count int) bool {
+	for range count {
+		if !n.turn(ctx) {
+			return false
+		}
+	}
+	return true
+}
+
+// subAgents runs them side by side.
+func (p *program) subAgents(ctx context.Context, main *line) bool {
+	var all sync.WaitGroup
+	ok := make([]bool, p.shape.SubAgents)
 	for i := range ok {
 		sub := main.fork()
-		both.Go(func() {
+		all.Go(func() {
 			defer sub.client.close()
-			first := sub.turn(ctx)
-			ok[i] = first && sub.turn(ctx)
+			ok[i] = sub.turns(ctx, p.shape.SubTurns)
 		})
 	}
-	both.Wait()
-	return ok[0] && ok[1] && main.turn(ctx)
+	all.Wait()
+	return !slices.Contains(ok, false)
 }
 
 // loop starts sub-agents again and again until a turn ends it.
@@ -146,7 +170,7 @@
 
 // turn takes one, sent anew twice where it fails.
 func (n *line) turn(ctx context.Context) bool {
-	most := 24 + 3*rand.IntN(12)
+	most := wholeChunks(n.program.shape.OutTokens)
 	input := fmt.Appendf(nil, "input of %s %x\n", n.session, rand.Uint64())
 	tokens := 20 + len(input)/8
 	prefix := append(append([]string{}, n.prefix...), fmt.Sprintf("%x:%d", rand.Uint32(), tokens))
@@ -161,9 +185,9 @@
 		}
 		switch {
 		case status == http.StatusOK && r.Answer.Complete:
-			n.last, n.prompt = r.ID, n.prompt+tokens+most
+			n.prompt += tokens + most
 			n.prefix = append(prefix, fmt.Sprintf("%x:%d", rand.Uint32(), most))
-			n.program.lab.turnEnded(r.ID)
+			n.said(r, input)
 			return true
 		case status == http.StatusPaymentRequired:
 			n.program.end()
@@ -176,13 +200,27 @@
 	return false
 }
 
+// said notes a turn that was served: by its name where the tier keeps it, else by what was said.
+func (n *line) said(r *tierrules.Request, input []byte) {
+	if n.program.shape.Retained {
+		n.last = r.ID
+		n.program.lab.turnEnded(r.ID)
+		return
+	}
+	n.history = append(n.history, input...)
+	for _, event := range r.Answer.Events {
+		n.history = append(append(n.history, event.Data...), '\n')
+	}
+}
+
 func (n *line) call(input []byte, prefix []string, prompt, most int) *call {
 	header := http.Header{}
 	header.Set("Emberquay-Model-Name", modelName)
 	header.Set("Emberquay-Token-Usage", fmt.Sprintf("%d,%d", prompt, most))
 	header.Set("Emberquay-Prompt-Prefix", strings.Join(prefix, ","))
 	n.program.headers(header, n.session)
-	return &call{class: "turn", route: turnRoute, path: n.session, method: http.MethodPost, body: input, deadline: turnDeadline, header: header,
+	body := slices.Concat(n.history, input)
+	return &call{class: "turn", route: n.program.lab.turnRoute(), path: n.session, method: http.MethodPost, body: body, deadline: turnDeadline, header: header,
 		program: n.program.name, budget: n.program.budget, most: int64(most), previous: n.last}
 }
 
@@ -191,10 +229,10 @@
 	header.Set("Finish-Ms", strconv.FormatInt(max(1, time.Until(p.finish).Milliseconds()), 10))
 }
 
-// tools calls two at once.
+// tools calls some at once.
 func (p *program) tools(ctx context.Context, main *line) bool {
 	var both sync.WaitGroup
-	ok := make([]bool, 2)
+	ok := make([]bool, p.shape.Tools)
 	for i := range ok {
 		both.Go(func() {
 			c := p.lab.newClient()
@@ -206,7 +244,7 @@
 		})
 	}
 	both.Wait()
-	return ok[0] && ok[1]
+	return !slices.Contains(ok, false)
 }
 
 // served says that a call ended whole; the 500 of a tool's own is one.
--- a/internal/tierlab/receiver.go
+++ b/internal/tierlab/receiver.go
@@ -8,23 +8,20 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"emberquay/internal/referee/tierrules"
+	"emberquay/internal/tierworld"
 )
 
 const (
 	heartbeatInterval = 500 * time.Millisecond
 	// mostReceiverBody bounds a request's body.
 	mostReceiverBody = 4 << 20
-	// plainSlots and plainQueue are those of a plain service's receiver.
-	plainSlots = 6
-	plainQueue = 12
-	// ownFailures is the share of a plain service's requests that it answers with a 500 of its own.
-	ownFailures = 0.01
 )
 
 // receiver is one incarnation of a stand-in's receiver.
@@ -32,16 +29,20 @@
 	lab      *lab
 	id       string
 	service  string
+	home     string // the service whose receiver stood at its place first, and the number there: by these it is struck
+	homeNo   int
 	zone     string
 	address  string
 	listener net.Listener
 	server   *http.Server
-	model    *model // nil: a plain service
+	model    *model                   // nil: a plain service
+	shape    tierworld.PlainReceivers // of a plain service
 
 	slots    chan struct{} // of a plain service
 	waiting  atomic.Int64
 	draining atomic.Bool
 	leaving  atomic.Bool
+	over     atomic.Bool
 	sequence atomic.Int64
 	stamps   atomic.Int64
 
@@ -55,7 +56,17 @@
 func (l *lab) startReceiver(ctx context.Context, place int, service string) (*receiver, error) {
 	no := l.receiverCount.Add(1)
 	r := &receiver{lab: l, id: fmt.Sprintf("i-%s-%d", service, no), service: service, zone: zones[place%len(zones)],
-		address: l.net.receiver(place), slots: make(chan struct{}, plainSlots)}
+		address: l.net.receiver(place)}
+	places := l.shape.Receivers.Places()
+	r.home = places[place]
+	r.homeNo = place - slices.Index(places, r.home)
+	switch service {
+	case firstService:
+		r.shape = l.shape.Receivers.Alfa
+	case otherService:
+		r.shape = l.shape.Receivers.Beta
+	}
+	r.slots = make(chan struct{}, r.shape.Slots)
 	listener, err := net.Listen("tcp4", r.address)
 	if err != nil {
 		return nil, err
@@ -74,6 +85,7 @@
 
 // end closes everything; requests in hand break off.
 func (r *receiver) end() {
+	r.over.Store(true)
 	r.stop()
 	_ = r.server.Close()
 	r.work.Wait()
@@ -161,10 +173,53 @@
 	r.lab.record.see(func(now time.Duration, _ *tierrules.History) { run.Ended, run.Complete = now, complete })
 }
 
+// fate is what becomes of a request by the day's strikes on its receiver.
+type fate struct {
+	fails bool          // with a 500
+	loses bool          // its answer
+	hangs time.Duration // before anything is answered
+	slow  float64       // its work takes so many times as long
+}
+
+// conduct is how the receiver is told to treat requests now, and the instant on the clock of the strikes.
+func (r *receiver) conduct() (tierworld.Conduct, time.Duration) {
+	at := r.lab.sinceTraffic()
+	return r.lab.day.Strikes.Conduct(r.home, r.homeNo, at), at
+}
+
+// draw draws a request's fate.
+func (r *receiver) draw() fate {
+	c, at := r.conduct()
+	f := fate{fails: rand.Float64() < c.Errors, loses: rand.Float64() < c.Lose, slow: c.Slow}
+	if rand.Float64() < c.Hang {
+		f.hangs = c.Until - at
+	}
+	return f
+}
+
+// takes is how long a request of a plain service is worked on.
+func (r *receiver) takes() time.Duration {
+	least, most := r.shape.WorkMs[0], r.shape.WorkMs[1]
+	return time.Duration((least + rand.Float64()*(most-least)) * float64(time.Millisecond))
+}
+
+// breakOff cuts the connection in place of an answer, or of the rest of one. It does not return.
+func (r *receiver) breakOff(run *tierrules.Run) {
+	r.lab.record.see(func(now time.Duration, _ *tierrules.History) { run.Ended, run.BrokeOff = now, true })
+	panic(http.ErrAbortHandler)
+}
+
+func (r *receiver) slotCount() int {
+	if r.model != nil {
+		return r.lab.shape.Receivers.Model.Slots
+	}
+	return r.shape.Slots
+}
+
 // plain serves a request of a plain service: it waits for a slot, works for some time and answers bytes that only this
 // run gives.
 func (r *receiver) plain(w http.ResponseWriter, q *http.Request, id string, body []byte) {
-	if r.waiting.Add(1) > plainSlots+plainQueue {
+	if r.waiting.Add(1) > int64(r.shape.Slots+r.shape.Queue) {
 		r.waiting.Add(-1)
 		r.turnAway(w, id, http.StatusServiceUnavailable)
 		return
@@ -177,19 +232,21 @@
 	}
 	defer func() { <-r.slots }()
 	run := r.begin(q, id, body)
+	fate := r.draw()
 	status := http.StatusOK
-	if rand.Float64() < ownFailures {
+	if fate.fails || rand.Float64() < r.shape.Errors {
 		status = http.StatusInternalServerError
 	}
 	answer := fmt.Appendf(nil, "%s %s %d %x", run.Stamp, id, len(body), make([]byte, rand.IntN(600)))
 	r.lab.record.see(func(time.Duration, *tierrules.History) { run.Status, run.Answer = status, answer })
-	work := time.Duration(3+rand.IntN(20)) * time.Millisecond
-	select {
-	case <-time.After(work):
-	case <-q.Context().Done():
+	sleep(q.Context(), fate.hangs+time.Duration(fate.slow*float64(r.takes())))
+	if q.Context().Err() != nil {
 		r.ended(run, false)
 		return
 	}
+	if fate.loses {
+		r.breakOff(run)
+	}
 	w.Header().Set("Emberquay-Server-Stamp", run.Stamp)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	w.WriteHeader(status)
--- /dev/null
+++ b/internal/tierlab/recording.go
@@ -0,0 +1,112 @@
+package tierlab
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"emberquay/internal/referee/tierrules"
+	"emberquay/internal/tierworld"
+)
+
+// loadLook is the interval at which the receivers' load is looked at.
+const loadLook = 100 * time.Millisecond
+
+// Recording is what a day's report is drawn from. Its instants are on one clock, which began with the day.
+type Recording struct {
+	From, To time.Duration // of the traffic
+	Requests []*tierrules.Request
+	Runs     []*tierrules.Run
+	Marks    []Mark
+	Loads    []Load
+	Programs []ProgramRun
+}
+
+// Mark is a trouble that struck.
+type Mark struct {
+	Strike   string // as tierworld.Strike names it
+	From, To time.Duration
+}
+
+// Load is what one receiver had in hand at an instant.
+type Load struct {
+	At       time.Duration
+	Instance string
+	Service  string
+	Slots    int
+	Running  int
+	Queued   int
+}
+
+// ProgramRun is one program from its first turn to its end.
+type ProgramRun struct {
+	Began, Ended time.Duration
+	Outcome      Outcome
+}
+
+// mark notes a strike that begins now; its end is told by what it gives.
+func (l *lab) mark(s tierworld.Strike) (over func()) {
+	now := l.record.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := len(l.seen.Marks)
+	l.seen.Marks = append(l.seen.Marks, Mark{Strike: s.String(), From: now, To: now})
+	return func() {
+		end := l.record.now()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.seen.Marks[at].To = end
+	}
+}
+
+// programEnded notes a program's run.
+func (l *lab) programEnded(run ProgramRun) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen.Programs = append(l.seen.Programs, run)
+}
+
+// note keeps what the reader of the result has to know beside the rules.
+func (l *lab) note(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notes = append(l.notes, fmt.Sprintf(format, args...))
+}
+
+// watchLoad looks at the receivers' load until ctx ends.
+func (l *lab) watchLoad(ctx context.Context) {
+	tick := time.NewTicker(loadLook)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			l.lookAtLoad()
+		}
+	}
+}
+
+func (l *lab) lookAtLoad() {
+	now := l.record.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.receivers {
+		if r.over.Load() {
+			continue
+		}
+		load := r.load()
+		load.At, load.Instance, load.Service = now, r.id, r.service
+		l.seen.Loads = append(l.seen.Loads, load)
+	}
+}
+
+// load is what the receiver has in hand.
+func (r *receiver) load() Load {
+	if r.model != nil {
+		report := r.model.now()
+		return Load{Slots: r.slotCount(), Running: report.Running, Queued: report.Queued}
+	}
+	running := len(r.slots)
+	return Load{Slots: r.slotCount(), Running: running, Queued: max(0, int(r.waiting.Load())-running)}
+}
--- a/internal/tierlab/result.go
+++ b/internal/tierlab/result.go
@@ -31,9 +31,13 @@
 func (l *lab) result(took time.Duration) *Result {
 	l.record.mu.Lock()
 	defer l.record.mu.Unlock()
-	r := &Result{Verdict: tierrules.Judge(&l.record.history), Programs: l.count.outcomes, Crashes: l.record.crashes, Took: took}
-	r.Served = byClass(l.record.history.Requests)
-	return r
+	h := &l.record.history
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen := l.seen
+	seen.From, seen.To, seen.Requests, seen.Runs = time.Duration(l.trafficFrom.Load()), h.Length, h.Requests, h.Runs
+	return &Result{Verdict: tierrules.Judge(h), Served: byClass(h.Requests), Programs: l.count.outcomes,
+		Crashes: l.record.crashes, Notes: l.notes, Took: took, Recording: &seen}
 }
 
 // byClass counts what became of requests.
--- /dev/null
+++ b/internal/tierworld/read.go
@@ -0,0 +1,72 @@
+package tierworld
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"emberquay/internal/tomlfile"
+)
+
+// Read reads a world strictly: an unknown key, a value of the wrong type or out of range, and what does not fit together
+// are errors that name the key. What the file does not name is as in the default world, which has troubles that a file
+// does not inherit.
+func Read(raw []byte) (*World, error) {
+	w := Default()
+	w.Trouble = nil
+	if err := tomlfile.Decode(raw, w); err != nil {
+		return nil, err
+	}
+	if err := w.Check(); err != nil {
+		return nil, err
+	}
+	return w, nil
+}
+
+// Print writes a world as a file that Read takes, with what each key and each trouble means.
+func Print(w *World) ([]byte, error) {
+	body, err := tomlfile.Encode(w)
+	if err != nil {
+		return nil, eris.Wrap(err, "world")
+	}
+	var out bytes.Buffer
+	out.WriteString("# A day of the serving tier on loopback. Play it with: quaylab tier run FILE\n")
+	out.WriteString("# What a file leaves out is as here, but for the troubles.\n#\n")
+	out.WriteString("# [[trouble]] takes: what, at_s (since traffic began), and as the sort asks for it for_s, on and no (which\n")
+	out.WriteString("# role's process or service's receiver, from 0), share or factor (strength), next. The sorts:\n#\n")
+	for _, k := range kinds {
+		fmt.Fprintf(&out, "# %-13s%s\n#              takes: %s\n", k.what, k.help, strings.Join(k.takes(), ", "))
+	}
+	out.WriteString("\n")
+	out.Write(body)
+	return out.Bytes(), nil
+}
+
+// takes lists the keys of a sort of trouble beside what and at_s.
+func (k kind) takes() []string {
+	var keys []string
+	if k.lasts {
+		keys = append(keys, "for_s")
+	}
+	if len(k.on) > 0 {
+		keys = append(keys, "on = "+strings.Join(k.on, " | "))
+	}
+	if len(k.on) > 0 && !k.all {
+		keys = append(keys, "no")
+	}
+	switch k.strength {
+	case byShare:
+		keys = append(keys, "share")
+	case byFactor:
+		keys = append(keys, "factor")
+	}
+	if k.next {
+		keys = append(keys, "next")
+	}
+	if len(keys) == 0 {
+		return []string{"nothing more"}
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/tierworld/world.go
@@ -0,0 +1,144 @@
+package tierworld
+
+import "time"
+
+// The services that receivers belong to. The routes of the day's configuration name them.
+const (
+	Alfa  = "alfa"  // plain requests: reads, orders, tools
+	Beta  = "beta"  // plain requests: of routes that are added or moved
+	Model = "model" // streams and turns
+)
+
+// The kinds of arrivals that a burst can be of.
+const (
+	PlainCalls = "plain"
+	TextCalls  = "texts"
+	AgentRuns  = "programs"
+)
+
+// World is a described day. Lists of two are the least and the most of what is drawn evenly between them.
+type World struct {
+	Seconds   float64   `toml:"seconds" range:"1 600" comment:"traffic arrives for so long; every trouble ends by then"`
+	Tier      Tier      `toml:"tier" comment:"how many processes of each role; the tier bears the loss of one disk"`
+	Receivers Receivers `toml:"receivers"`
+	Traffic   Traffic   `toml:"traffic"`
+	Programs  Programs  `toml:"programs"`
+	Trouble   []Trouble `toml:"trouble"`
+}
+
+// Tier is the number of processes of each role. Three control planes and three stores are the least that bear the loss
+// of one while orders are taken and budgets granted.
+type Tier struct {
+	ControlPlanes int `toml:"control_planes" range:"3 5"`
+	Stores        int `toml:"stores" range:"3 6"`
+	Proxies       int `toml:"proxies" range:"1 6"`
+}
+
+// Receivers are those of each service.
+type Receivers struct {
+	Alfa  PlainReceivers `toml:"alfa" comment:"answer reads, orders and tools"`
+	Beta  PlainReceivers `toml:"beta" comment:"answer routes that are added or moved later"`
+	Model ModelReceivers `toml:"model" comment:"stream answers"`
+}
+
+// PlainReceivers are the receivers of a plain service.
+type PlainReceivers struct {
+	Count  int       `toml:"count" range:"1 12"`
+	Slots  int       `toml:"slots" range:"1 64" comment:"requests that are worked on at once"`
+	Queue  int       `toml:"queue" range:"0 256" comment:"requests that may wait; further ones are turned away"`
+	WorkMs []float64 `toml:"work_ms" range:"0.1 10000" comment:"for one request: least, most"`
+	Errors float64   `toml:"errors" range:"0 1" comment:"share of requests that are answered with a 500 of its own"`
+}
+
+// ModelReceivers are the receivers that run language models.
+type ModelReceivers struct {
+	Count        int     `toml:"count" range:"1 12"`
+	Slots        int     `toml:"slots" range:"1 64" comment:"requests in the batch"`
+	Queue        int     `toml:"queue" range:"0 256" comment:"requests that may wait; further ones are turned away"`
+	MemoryTokens int     `toml:"memory_tokens" range:"1000 1000000" comment:"of running requests and cached prompt parts"`
+	PassMs       float64 `toml:"pass_ms" range:"0.1 1000" comment:"a pass over a batch of one: a token for each request"`
+	EachMs       float64 `toml:"each_ms" range:"0 100" comment:"more for each further request in the batch"`
+	PrefillMs    float64 `toml:"prefill_ms" range:"0 100" comment:"more for each hundred prompt tokens read"`
+	PrefillPiece int     `toml:"prefill_piece" range:"16 8192" comment:"prompt tokens that one pass reads"`
+}
+
+// Traffic is what arrives beside programs, each kind at drawn instants.
+type Traffic struct {
+	PlainPerS    float64 `toml:"plain_per_s" range:"0 300" comment:"plain calls a second"`
+	Unsafe       float64 `toml:"unsafe" range:"0 1" comment:"share of plain calls that may not be repeated"`
+	TextsPerS    float64 `toml:"texts_per_s" range:"0 50" comment:"streams a second that are no turns"`
+	PromptTokens []int   `toml:"prompt_tokens" range:"101 100000" comment:"of a stream's prompt: least, most"`
+	OutTokens    []int   `toml:"out_tokens" range:"1 4000" comment:"of a stream's answer: least, most"`
+	Clients      int     `toml:"clients" range:"1 200" comment:"of a kind; each keeps connections and has one call at a time"`
+}
+
+// Programs are runs of agents: a turn, tools side by side, further turns, sub-agents side by side, the last turn.
+type Programs struct {
+	PerS          float64 `toml:"per_s" range:"0 20" comment:"programs that begin in a second"`
+	Turns         int     `toml:"turns" range:"1 20" comment:"of the agent itself"`
+	Tools         int     `toml:"tools" range:"0 8" comment:"calls side by side after the first turn"`
+	SubAgents     int     `toml:"sub_agents" range:"0 8" comment:"side by side before the last turn"`
+	SubTurns      int     `toml:"sub_turns" range:"1 10" comment:"of each sub-agent"`
+	OutTokens     []int   `toml:"out_tokens" range:"3 4000" comment:"of a turn's answer: least, most"`
+	Budget        []int   `toml:"budget" range:"1 1000000" comment:"tokens that a program may have generated: least, most"`
+	Retained      bool    `toml:"retained" comment:"the tier keeps the turns; else each carries its whole history"`
+	Looping       float64 `toml:"looping" range:"0 1" comment:"share of programs that go on until their budget ends them"`
+	LoopingBudget int     `toml:"looping_budget" range:"1 1000000" comment:"tokens, of these"`
+	FinishS       float64 `toml:"finish_s" range:"0.1 600" comment:"what a program may take, as it tells the tier"`
+}
+
+// Trouble is one thing that happens. Which keys it takes depends on what it is.
+type Trouble struct {
+	What   What    `toml:"what" oneof:"kill wipe freeze restart reload kill_all retire drain crash lose_answers errors hang slow burst add_route move_route remove_route race invalid repeat"`
+	AtS    float64 `toml:"at_s" range:"0 600"`
+	ForS   float64 `toml:"for_s,omitempty" range:"0 600"`
+	On     string  `toml:"on,omitempty"`
+	No     int     `toml:"no,omitempty" range:"0 11"`
+	Share  float64 `toml:"share,omitempty" range:"0 1"`
+	Factor float64 `toml:"factor,omitempty" range:"0 50"`
+	Next   string  `toml:"next,omitempty"`
+}
+
+// Length is that of the traffic.
+func (w *World) Length() time.Duration { return span(w.Seconds) }
+
+// span turns seconds into a duration.
+func span(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+// count is the number of receivers of a service.
+func (r *Receivers) count(service string) int {
+	switch service {
+	case Alfa:
+		return r.Alfa.Count
+	case Beta:
+		return r.Beta.Count
+	case Model:
+		return r.Model.Count
+	}
+	return 0
+}
+
+// Places are the services of all receivers, those of a service next to each other.
+func (r *Receivers) Places() []string {
+	var places []string
+	for _, service := range services {
+		for range r.count(service) {
+			places = append(places, service)
+		}
+	}
+	return places
+}
+
+// Place is the index in Places of a service's receiver of a number.
+func (r *Receivers) Place(service string, no int) int {
+	first := 0
+	for _, s := range services {
+		if s == service {
+			break
+		}
+		first += r.count(s)
+	}
+	return first + no
+}
+
+var services = []string{Alfa, Beta, Model}
