--- a/cmd/quaylab/tier.go
+++ b/cmd/quaylab/tier.go
@@ -5,20 +5,22 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"text/tabwriter"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"emberquay/internal/tierlab"
+	"emberquay/internal/tierreport"
 	"emberquay/internal/tierworld"
 )
 
 type tierCmd struct {
-	Try   tierTryCmd   `cmd:"" help:"Play a day of half a minute round the tier's processes on loopback and say whether each rule was kept."`
+	Try   tierTryCmd   `cmd:"" help:"Play half a minute round the tier's processes on loopback and judge it by the rules."`
 	Run   tierRunCmd   `cmd:"" help:"Play a described day, as try does its own."`
 	World tierWorldCmd `cmd:"" help:"Print the world that try plays, as a file with comments."`
-	Sim   tierSimCmd   `cmd:"" help:"Run seeded clusters in virtual time under faults and say which seeds broke a rule."`
+	Sim   tierSimCmd   `cmd:"" help:"Run seeded clusters in virtual time under faults; say which broke a rule."`
 }
 
 // tierDay are the flags of the commands that play a day of the tier.
@@ -27,12 +29,15 @@
 	Logs    string `help:"Keep the processes' folders (settings, disks, logs) here." type:"path" placeholder:"DIR"`
 	Show    int    `help:"So many breaches are printed." default:"10"`
 	Quiet   bool   `help:"Do not print what happens."`
+	Report  string `help:"Write tables and charts of the day here." type:"path" placeholder:"DIR"`
 }
 
 type tierTryCmd struct{ tierDay }
 
 // Run plays the default world.
-func (c *tierTryCmd) Run(ctx context.Context) error { return c.play(ctx, tierworld.Default()) }
+func (c *tierTryCmd) Run(ctx context.Context) error {
+	return c.play(ctx, "quaylab tier try", tierworld.Default())
+}
 
 type tierRunCmd struct {
 	tierDay
@@ -54,7 +59,7 @@
 		describeTierWorld(os.Stdout, world)
 		return nil
 	}
-	return c.play(ctx, world)
+	return c.play(ctx, filepath.Base(c.File), world)
 }
 
 // describeTierWorld prints what a world comes to.
@@ -78,8 +83,8 @@
 	return eris.Wrap(err, "world")
 }
 
-// play plays a day and says what it came to.
-func (c *tierDay) play(ctx context.Context, world *tierworld.World) error {
+// play plays a day and says what it came to. The report is written of a day that broke a rule, too.
+func (c *tierDay) play(ctx context.Context, title string, world *tierworld.World) error {
 	program, err := how{Sender: c.Program}.program()
 	if err != nil {
 		return err
@@ -93,6 +98,11 @@
 		return err
 	}
 	printTier(os.Stdout, result, c.Show)
+	if c.Report != "" {
+		if err := tierreport.Write(c.Report, title, result); err != nil {
+			return err
+		}
+	}
 	if !result.Kept() {
 		return errBroken
 	}
