--- a/internal/referee/tierrules/history.go
+++ b/internal/referee/tierrules/history.go
@@ -190,8 +190,9 @@
 const (
 	Killed     What = "kill"
 	Wiped      What = "wipe"
-	Terminated What = "term" // planned
-	Reloaded   What = "hup"  // planned; no trouble
+	Frozen     What = "freeze" // it does not run, and goes on where it was
+	Terminated What = "term"   // planned
+	Reloaded   What = "hup"    // planned; no trouble
 	Final      What = "final"
 )
 
