--- a/internal/journal/inspect_test.go
+++ b/internal/journal/inspect_test.go
@@ -225,6 +225,40 @@
 		}
 	})
 
+	It("gives what Open gives, whatever the files hold", func() {
+		chance := rand.New(rand.NewPCG(7, 8))
+		for seed := range 300 {
+			files := ringOf(1 + chance.Uint64N(22))
+			names := files.Names()
+			for range 1 + chance.IntN(4) {
+				data := files.Data(names[chance.IntN(len(names))])
+				at := chance.IntN(len(data))
+				for n := range min(1+chance.IntN(30), len(data)-at) {
+					data[at+n] = byte(chance.IntN(256))
+				}
+			}
+			i, found := inspect(files)
+			j, opened := mustOpen(files)
+			Expect(found).To(Equal(opened), "seed %d", seed)
+			Expect(i.Lost).To(Equal(j.Damaged()), "seed %d", seed)
+			if i.Lost {
+				Expect(i.Findings.Count).NotTo(BeZero(), "seed %d", seed)
+			}
+		}
+	})
+
+	It("takes nothing from before a restart of the ring for damage", func() {
+		files := ringOf(20)
+		j, _ := mustOpen(files)
+		Expect(j.Restart()).To(Succeed())
+		mustAppend(j, 20, 8)
+		Expect(j.Sync()).To(Succeed())
+		Expect(j.Close()).To(Succeed())
+		i, found := inspect(files)
+		Expect(found).To(Equal(upTo(20, 20)))
+		Expect(i.Findings.Count).To(BeZero(), "%+v", i.Findings)
+	})
+
 	It("counts all findings and lists the first ones", func() {
 		var f journal.Findings
 		for n := range journal.MostListed + 7 {
