sim: disks slow, stalled and full, stepped clocks, races over uneven links

Disks that are slow, stalled or full at a share of the machines, also with a loss of power; one control node's disk stuck while the others have to go on; the time of day stepped; turns that expire within a run. Eight further deliberate faults.

--- a/internal/sim/commit.go
+++ b/internal/sim/commit.go
@@ -14,8 +14,12 @@
 	commitHedge = 150 * time.Millisecond
 	// lookupLimit bounds a look-up.
 	lookupLimit = time.Second
-	// retention is for how long turns are kept: longer than a run, so that none may go.
-	retention = time.Hour
+	// retention is for how long most turns are kept: longer than a run, so that none may go. One in shortOnes is kept between
+	// leastRetention and mostRetention.
+	retention      = time.Hour
+	shortOnes      = 5
+	leastRetention = 3 * time.Second
+	mostRetention  = 15 * time.Second
 )
 
 // keptTurn is a turn whose client got the end of its answer.
@@ -24,6 +28,10 @@
 	at     time.Duration
 }
 
+func (t *keptTurn) retention() time.Duration {
+	return time.Duration(t.record.RetentionMillis) * time.Millisecond
+}
+
 func placesOf(view storewire.View) *placement.Table {
 	members := make([]placement.Member, 0, len(view.Members))
 	for _, m := range view.Members {
@@ -35,7 +43,11 @@
 // commit keeps a turn, as storeclient.Client.Commit does: its client gets the end of its answer once it is done.
 func (e *edge) commit(turn string) {
 	w := e.life.host.world
-	record := storewire.Turn{ID: turn, Root: turn, Home: e.life.host.zone, RetentionMillis: retention.Milliseconds(), Input: []byte(turn)}
+	kept := retention
+	if w.one(shortOnes) {
+		kept = w.between(leastRetention, mostRetention)
+	}
+	record := storewire.Turn{ID: turn, Root: turn, Home: e.life.host.zone, RetentionMillis: kept.Milliseconds(), Input: []byte(turn)}
 	confirmed := map[string]bool{}
 	until := w.now + commitLimit
 	done := false
@@ -154,7 +166,7 @@
 				if found {
 					w.counts.Lookups++
 				}
-				if missing {
+				if missing && w.now < t.at+t.retention() {
 					w.judge.breach(LostRule, "turn %s, answered whole at %.3fs, is said to be missing by %s", t.record.ID, t.at.Seconds(), fmt.Sprint(l.host.name))
 				}
 			})
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -60,6 +60,9 @@
 	compactAt = 60
 	// orderTimeout bounds an order at a control node, as in internal/controlplane.
 	orderTimeout = 3 * time.Second
+	// diskPause and commandBound are as in internal/replica: the rest after a write that failed, and how many messages wait.
+	diskPause    = 100 * time.Millisecond
+	commandBound = 256
 )
 
 // replica is a control node's member of the chain, as internal/replica runs it: nothing leaves before the disk has it, and
@@ -75,6 +78,7 @@
 	newest  int64  // sequence told
 	last    []byte // newest committed snapshot
 
+	beating   bool                           // for stalledStays
 	proposers map[chain.CommandID]chain.Peer // for headAcknowledges
 }
 
@@ -124,9 +128,22 @@
 	}
 	h.control.pending = append(h.control.pending, out.Persist...)
 	r.busy = true
-	r.life.later(w.syncTime(), func() {
-		h.control.synced = append(h.control.synced, h.control.pending...)
-		h.control.pending = nil
+	r.persist(out)
+	r.beatWhileBusy()
+}
+
+// persist tries until the disk takes what was written.
+func (r *replica) persist(out chain.Output) {
+	h := r.life.host
+	r.life.sync(func(o syncOutcome) {
+		switch o {
+		case refused:
+			r.life.later(diskPause, func() { r.persist(out) })
+			return
+		case onDisk:
+			h.control.synced = append(h.control.synced, h.control.pending...)
+			h.control.pending = nil
+		}
 		r.busy = false
 		r.finish(out)
 		r.drain()
@@ -178,6 +195,9 @@
 				return
 			}
 			to := l.replica
+			if to.busy && len(to.queue) >= commandBound {
+				return
+			}
 			to.do(func() chain.Output {
 				if w.forge(to, e) {
 					return chain.Output{}
--- a/internal/sim/fault.go
+++ b/internal/sim/fault.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"emberquay/coordination/chain"
 	"emberquay/coordination/gossip"
@@ -41,13 +42,25 @@
 	missingTooSoon    Fault = "one store that lacks a turn makes it missing"
 	retireForgets     Fault = "a store that is emptied forgets a turn"
 	brokenNotCounted  Fault = "a turn that broke off is settled with nothing"
+	repeatOfNewest    Fault = "a repeat is known only while nothing newer is in force"
+	fullAcknowledges  Fault = "a full disk counts as synced"
+	fullForgets       Fault = "a store drops what a full disk refused, and knows it all the same"
+	longSyncCounts    Fault = "a sync that takes long counts as done"
+	stalledStays      Fault = "a member whose disk stalls goes on sending heartbeats"
+	commitUnsynced    Fault = "a store answers for a turn before its disk has synced"
+	retireUnsynced    Fault = "an emptied store counts what others have not synced"
+	expiryByTimeOfDay Fault = "a store expires turns by its time of day"
 )
 
+// falseBeatEvery is how often stalledStays sends heartbeats.
+const falseBeatEvery = 100 * time.Millisecond
+
 // Faults are all of them.
 var Faults = []Fault{
 	answerBeforeSync, voteAfterWipe, forgetsVotes, headAcknowledges, sealIgnored, staleRead, repeatByVersion, repeatForgotten,
 	baseIgnored, invalidTaken, versionMayFall, digestMissesEntry, drainUnconfirmed, silenceIgnored, reserveUnsynced,
 	reserveForgotten, oneRound, smallQuorum, incompleteCounts, tooFewCopies, missingTooSoon, retireForgets, brokenNotCounted,
+	repeatOfNewest, fullAcknowledges, fullForgets, longSyncCounts, stalledStays, commitUnsynced, retireUnsynced, expiryByTimeOfDay,
 }
 
 // voteless is what is left where a wiped disk keeps its name: the view, without votes and entries.
@@ -121,6 +134,33 @@
 	return false
 }
 
+// beatWhileBusy is where stalledStays bites: heartbeats leave while the disk holds up everything else.
+func (r *replica) beatWhileBusy() {
+	if !r.life.host.world.has(stalledStays) || r.beating || !r.node.Member() {
+		return
+	}
+	r.beating = true
+	r.life.later(falseBeatEvery, func() {
+		r.beating = false
+		if !r.busy {
+			return
+		}
+		self, v := r.node.Self(), r.node.View()
+		beat := chain.Heartbeat{Epoch: v.Epoch}
+		for _, m := range v.Members {
+			if m.ID != self.ID {
+				beat.Heard = append(beat.Heard, m.ID)
+			}
+		}
+		for _, m := range v.Members {
+			if m.ID != self.ID {
+				r.post(chain.Envelope{From: chain.Peer{ID: self.ID, Address: self.Address}, To: chain.Peer{ID: m.ID, Address: m.Address}, Body: beat})
+			}
+		}
+		r.beatWhileBusy()
+	})
+}
+
 // readsAlone is where staleRead bites.
 func (w *world) readsAlone(r *replica) (*controlstate.State, bool) {
 	if !w.has(staleRead) || r.last == nil {
@@ -134,7 +174,7 @@
 func (w *world) machine() chain.StateMachine {
 	state := controlstate.New()
 	switch w.options.fault {
-	case repeatByVersion, repeatForgotten, baseIgnored, invalidTaken:
+	case repeatByVersion, repeatForgotten, repeatOfNewest, baseIgnored, invalidTaken:
 		return &spoiltMachine{State: state, fault: w.options.fault}
 	}
 	return state
@@ -151,7 +191,7 @@
 	if err != nil || c.Kind != controlstate.ReplaceConfiguration {
 		return m.State.Apply(command)
 	}
-	version, _ := m.State.Configuration()
+	version, body := m.State.Configuration()
 	switch m.fault {
 	case repeatByVersion:
 		if strings.Contains(string(c.Body), versionText(version)) && version > 0 {
@@ -161,6 +201,10 @@
 		if c.Base != version {
 			return refusedResult(), false
 		}
+	case repeatOfNewest:
+		if c.Base != version && !slices.Equal(c.Body, body) {
+			return refusedResult(), false
+		}
 	case baseIgnored:
 		c.Base = version
 	case invalidTaken:
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -27,7 +27,9 @@
 	bootstrap bool // its first start is the first of the whole system
 	gone      bool // for good
 	wipes     int
+	clockStep time.Duration // by which the time of day is off
 
+	disk    disk
 	control controlDisk
 	store   storeDisk
 	life    *life // nil: it does not run
@@ -64,7 +66,7 @@
 	l := &life{host: h}
 	h.life = l
 	self := membership.Node{Name: h.name, Role: h.role, Zone: h.zone, Region: "r", Address: h.address,
-		Incarnation: uint64(w.clock().Add(w.between(-time.Second, time.Second)).UnixNano())}
+		Incarnation: uint64(h.timeOfDay().Add(w.between(-time.Second, time.Second)).UnixNano())}
 	made, err := core.New(w.clock(), core.Options{Self: self, Seeds: w.seedsFor(h), Seed: w.random.Uint64()})
 	if err != nil {
 		panic(err) // the simulation's own fault
--- /dev/null
+++ b/internal/sim/kinds.go
@@ -0,0 +1,42 @@
+package sim
+
+// Kind is a kind of trouble.
+type Kind int
+
+// The kinds.
+const (
+	Kills Kind = iota
+	Blinks
+	PowerAtAck
+	PowerAtGrant
+	Freezes
+	Cuts
+	BadNetwork
+	Storms
+	Races
+	LostDisks
+	Replacements
+	SlowDisks
+	StalledDisks
+	FullDisks
+	StuckMembers
+	ClockSteps
+	kindCount
+)
+
+var kindNames = [kindCount]string{
+	"machines killed", "process blinks", "power lost at an acknowledgement", "power lost at a grant", "process frozen", "network cut",
+	"network loses, repeats, delays", "storm round one control node", "race over uneven links", "disk lost", "control node replaced",
+	"disks slow", "disks stalled", "disks full", "control disk stuck", "time of day stepped",
+}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// Kinds lists all of them.
+func Kinds() []Kind {
+	var all []Kind
+	for k := range kindCount {
+		all = append(all, k)
+	}
+	return all
+}
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -14,7 +14,8 @@
 	cuts   map[link]int // how many troubles cut it
 	loss   float64
 	repeat float64
-	slow   float64 // chance that a message takes long
+	slow   float64                // chance that a message takes long
+	lag    map[link]time.Duration // further delay of some directions
 }
 
 // Delays of messages.
@@ -39,6 +40,9 @@
 		if w.random.Float64() < n.slow {
 			delay += w.between(0, slowDelay)
 		}
+		if len(n.lag) > 0 {
+			delay += n.lag[link{from, to}]
+		}
 		w.after(delay, func() {
 			if n.cuts[link{from, to}] == 0 {
 				deliver()
--- a/internal/sim/operator.go
+++ b/internal/sim/operator.go
@@ -30,6 +30,7 @@
 	ended   time.Duration
 	status  int // the clear answer; 0: none yet
 	pause   time.Duration
+	pinned  string // the only node that is asked, and no answer is lost; "": any
 	done    func()
 }
 
@@ -73,6 +74,15 @@
 	return c
 }
 
+// changeAt begins a valid change that is sent to one node alone.
+func (o *operators) changeAt(address string) *order {
+	c := &order{no: len(o.orders), base: o.version, version: o.version + 1, sent: o.world.now, pause: operatorPause, pinned: address}
+	c.body = bodyOf(c.version, c.no)
+	o.orders = append(o.orders, c)
+	o.send(c, address)
+	return c
+}
+
 // send sends an order to a node, and to others until there is a clear answer.
 func (o *operators) send(c *order, address string) {
 	w := o.world
@@ -82,7 +92,7 @@
 	c.tries++
 	command := controlstate.Command{Kind: controlstate.ReplaceConfiguration, Base: c.base, HasBase: true, Body: c.body}
 	heard := false
-	lost := !o.calm && w.one(lostAnswers)
+	lost := !o.calm && c.pinned == "" && w.one(lostAnswers)
 	callFromOutside(w, address, func(l *life, reply func(int)) {
 		if l.replica == nil {
 			return
@@ -119,7 +129,13 @@
 	if c.status != 0 {
 		return
 	}
-	w.after(c.pause, func() { o.send(c, pick(w, w.of(controlRole)).address) })
+	w.after(c.pause, func() {
+		address := c.pinned
+		if address == "" {
+			address = pick(w, w.of(controlRole)).address
+		}
+		o.send(c, address)
+	})
 	c.pause = min(2*c.pause, operatorMost)
 }
 
--- a/internal/sim/reserve.go
+++ b/internal/sim/reserve.go
@@ -15,6 +15,8 @@
 	retryPause   = 40 * time.Millisecond
 	settleLimit  = 10 * time.Second
 	settleRetry  = 300 * time.Millisecond
+	// raceSpread is how far apart the turns of a race begin.
+	raceSpread = 3 * time.Millisecond
 )
 
 // program is an agent's, with what its clients received.
@@ -24,6 +26,7 @@
 	most     int64
 	received int64
 	turns    int
+	greedy   bool // every turn uses its most
 }
 
 // reserving is a reservation at the stores of a view.
@@ -236,7 +239,26 @@
 	if len(proxies) == 0 {
 		return
 	}
-	l := pick(w, proxies).life
+	w.runTurnAt(pick(w, proxies), p)
+}
+
+// runRace has one turn of a new program at each of some proxies race for a budget with room for more than one turn and less
+// than two. Three that see only one another's next would pass it.
+func (w *world) runRace(at []*host) {
+	w.programs++
+	p := &program{name: fmt.Sprintf("p%d", w.programs), most: int64(20 + w.random.IntN(30)), greedy: true}
+	p.budget = p.most * int64(105+w.random.IntN(90)) / 100
+	for _, h := range at {
+		w.after(w.between(0, raceSpread), func() {
+			if h.life != nil {
+				w.runTurnAt(h, p)
+			}
+		})
+	}
+}
+
+func (w *world) runTurnAt(at *host, p *program) {
+	l := at.life
 	p.turns++
 	turn := fmt.Sprintf("%s/%d", p.name, p.turns)
 	l.step(func() {
@@ -260,10 +282,10 @@
 func (e *edge) stream(p *program, turn string) {
 	w := e.life.host.world
 	uses := p.most
-	if w.one(3) {
+	if w.one(3) && !p.greedy {
 		uses = int64(w.random.IntN(int(p.most + 1)))
 	}
-	broken := w.one(6)
+	broken := w.one(6) && !p.greedy
 	var sent int64
 	var piece func(n int)
 	piece = func(n int) {
--- /dev/null
+++ b/internal/sim/trouble_disk.go
@@ -0,0 +1,154 @@
+package sim
+
+import "time"
+
+const (
+	// leastDiskTrouble and mostDiskTrouble are for how long disks are slow, stalled or full.
+	leastDiskTrouble = 200 * time.Millisecond
+	mostDiskTrouble  = 4 * time.Second
+	// stuckFor is how long one control node's disk is stuck while nothing else happens, and leaveOutBound after how much of it
+	// the others must take changes: the chain leaves a silent member out after 0.7 s.
+	stuckFor      = 6 * time.Second
+	leaveOutBound = 2 * time.Second
+	// The time of day is stepped by up to smallStep, or by up to greatStep: beyond any retention.
+	smallStep = 10 * time.Second
+	greatStep = 30 * 24 * time.Hour
+	// Races: how many in one trouble, within which span, and by how much links differ: more than a sync takes.
+	mostRaces = 4
+	raceSpan  = 300 * time.Millisecond
+	raceLag   = 15 * time.Millisecond
+	raceOver  = time.Second
+)
+
+// disks has some disks be slow, stalled or full. Some of the machines may lose power before it is over.
+func (t *trouble) disks() {
+	w := t.world
+	hosts := t.someDisks()
+	d := w.between(leastDiskTrouble, mostDiskTrouble)
+	recover := func() {}
+	switch w.random.IntN(3) {
+	case 0:
+		w.begins(SlowDisks, "%d disks are slow for %s", len(hosts), d)
+		for _, h := range hosts {
+			h.disk.slow++
+		}
+		recover = func() {
+			for _, h := range hosts {
+				h.disk.slow--
+			}
+		}
+	case 1:
+		w.begins(StalledDisks, "%d disks stall for %s", len(hosts), d)
+		for _, h := range hosts {
+			h.stall(d)
+		}
+	case 2:
+		w.begins(FullDisks, "%d disks are full for %s", len(hosts), d)
+		for _, h := range hosts {
+			h.disk.full++
+		}
+		recover = func() {
+			for _, h := range hosts {
+				h.disk.full--
+			}
+		}
+	}
+	if w.one(2) {
+		w.runProgram()
+	}
+	if w.one(2) {
+		w.after(w.between(0, d), func() { t.kill(hosts, time.Second) })
+	}
+	w.after(d, func() {
+		recover()
+		w.ends()
+	})
+}
+
+// someDisks draws a machine, a share of all, all of a role, or all.
+func (t *trouble) someDisks() []*host {
+	w := t.world
+	switch w.random.IntN(5) {
+	case 0:
+		return []*host{pick(w, w.hosts)}
+	case 1:
+		var some []*host
+		for _, h := range w.hosts {
+			if w.one(3) {
+				some = append(some, h)
+			}
+		}
+		return some
+	case 2:
+		return w.of(controlRole)
+	case 3:
+		return w.of(storeRole)
+	}
+	return append(w.of(controlRole), w.of(storeRole)...)
+}
+
+// stuck has one control node's disk hang where nothing else happens: the others have to go on without it.
+func (t *trouble) stuck() {
+	w := t.world
+	all := w.of(controlRole)
+	if t.lost || w.now+stuckFor > t.end || !w.calmSince(w.now-settleTime) || !w.whole() {
+		return
+	}
+	at := w.random.IntN(len(all))
+	h, other := all[at], all[(at+1)%len(all)]
+	w.begins(StuckMembers, "the disk of %s is stuck", h.name)
+	t.lost = true
+	h.stall(stuckFor)
+	w.after(leaveOutBound, func() {
+		c := w.operators.changeAt(other.address)
+		w.after(progressBound, func() { w.judge.goesOnWithout(h, c) })
+	})
+	w.after(stuckFor, w.ends)
+	w.after(stuckFor+catchUp, func() { t.lost = false })
+}
+
+// stepClocks sets the time of day of a share of the machines forward or back, for the rest of the run or until the next step.
+func (t *trouble) stepClocks() {
+	w := t.world
+	most := smallStep
+	if w.one(2) {
+		most = greatStep
+	}
+	w.begins(ClockSteps, "time of day is stepped by up to %s", most)
+	for _, h := range w.hosts {
+		if w.one(3) {
+			h.clockStep = w.between(-most, most)
+		}
+	}
+	w.ends()
+}
+
+// race has turns of one program race at three proxies whose links to each store are of very different lengths, in an order
+// that is drawn for each store.
+func (t *trouble) race() {
+	w := t.world
+	all := w.up(proxyRole)
+	if len(all) < 3 {
+		return
+	}
+	w.random.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
+	racers := all[:3]
+	w.begins(Races, "races at %s, %s and %s", racers[0].name, racers[1].name, racers[2].name)
+	var slowed []link
+	for _, store := range w.of(storeRole) {
+		for at, place := range w.random.Perm(len(racers)) {
+			l := link{racers[at].address, store.address}
+			w.network.lag[l] = time.Duration(place) * raceLag
+			slowed = append(slowed, l)
+		}
+	}
+	for range 1 + w.random.IntN(mostRaces) {
+		w.after(w.between(0, raceSpan), func() { w.runRace(racers) })
+	}
+	w.after(raceOver, func() {
+		for _, l := range slowed {
+			delete(w.network.lag, l)
+		}
+		w.ends()
+	})
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -32,6 +32,7 @@
 	Turns, Lookups              int // committed, and found again
 	Granted, Spent              int // reservations
 	Troubles                    int
+	Kinds                       [kindCount]int // troubles by Kind
 }
 
 // add sums counts up.
@@ -46,6 +47,9 @@
 	c.Granted += o.Granted
 	c.Spent += o.Spent
 	c.Troubles += o.Troubles
+	for k, n := range o.Kinds {
+		c.Kinds[k] += n
+	}
 }
 
 // world is a cluster and what befalls it.
@@ -71,7 +75,7 @@
 
 func newWorld(o Options) *world {
 	w := &world{options: o, random: rand.New(rand.NewPCG(o.Seed, 4711))}
-	w.network = network{world: w, cuts: map[link]int{}}
+	w.network = network{world: w, cuts: map[link]int{}, lag: map[link]time.Duration{}}
 	w.judge = newJudge(w)
 	return w
 }
@@ -122,9 +126,10 @@
 }
 
 // begins and ends bracket a trouble.
-func (w *world) begins(what string, args ...any) {
+func (w *world) begins(kind Kind, what string, args ...any) {
 	w.active++
 	w.counts.Troubles++
+	w.counts.Kinds[kind]++
 	w.trace("TROUBLE "+what, args...)
 }
 
