memfs: a sync that stalls holds up no other call

A hook that blocks did so under the file system's lock, so that a stalled disk could not be told from one that takes no call at all. Verdict.Stall has one sync wait; only what was written before it began is on the disk once it returns. Tests for it and for a disk that is full until room is made.

--- a/internal/vfs/memfs/memfs.go
+++ b/internal/vfs/memfs/memfs.go
@@ -1,6 +1,6 @@
 // Package memfs is a file system in memory that fails as disks do, for tests: it can end at any call and at any byte of
-// a write, lose what was not synced, keep what was written out of order, tear writes, flip bits, run full, and give
-// errors. How to use it:
+// a write, lose what was not synced, keep what was written out of order, tear writes, flip bits, run full, stall, and
+// give errors. How to use it:
 //
 //	m := memfs.New()
 //	m.Hook = func(c memfs.Call) memfs.Verdict { return memfs.Verdict{Crash: c.No == 7, Partly: c.Bytes / 2} }
@@ -42,6 +42,9 @@
 	Crash  bool  // the process ends within it
 	Partly int   // of a write that crashes or fails: so many bytes are written
 	Err    error // it fails with this
+	// Stall, of a sync: it returns only once this is closed; other calls go on meanwhile. What was written after the sync
+	// began is not covered by it.
+	Stall <-chan struct{}
 }
 
 // Mode is how much a crash loses.
@@ -71,6 +74,7 @@
 	data   []byte
 	synced []byte
 	dirty  []write // since the last sync, in order
+	writes uint64  // ever, dirty ones last
 }
 
 type write struct {
@@ -395,6 +399,7 @@
 	if n > 0 {
 		f.n.data = overlay(f.n.data, at, p[:n])
 		f.n.dirty = append(f.n.dirty, write{at, slices.Clone(p[:n])})
+		f.n.writes++
 	}
 	return n, err
 }
@@ -402,13 +407,33 @@
 func (f *file) Sync() error {
 	f.m.mu.Lock()
 	defer f.m.mu.Unlock()
-	if _, err := f.m.call("sync", f.name, 0); err != nil {
+	v, err := f.m.call("sync", f.name, 0)
+	if err != nil {
 		return err
 	}
-	f.n.synced, f.n.dirty = slices.Clone(f.n.data), nil
+	data, through := slices.Clone(f.n.data), f.n.writes
+	if v.Stall != nil {
+		f.m.mu.Unlock()
+		<-v.Stall
+		f.m.mu.Lock()
+		if f.m.dead {
+			return ErrCrashed
+		}
+	}
+	f.n.synchronize(data, through)
 	return nil
 }
 
+// synchronize has on the disk what was written up to a count of writes, unless a later sync ended before.
+func (n *inode) synchronize(data []byte, through uint64) {
+	unsynced := n.writes - through
+	if unsynced > uint64(len(n.dirty)) {
+		return
+	}
+	n.synced = data
+	n.dirty = n.dirty[uint64(len(n.dirty))-unsynced:]
+}
+
 func (f *file) Size() (int64, error) {
 	f.m.mu.Lock()
 	defer f.m.mu.Unlock()
--- /dev/null
+++ b/internal/vfs/memfs/memfs_test.go
@@ -0,0 +1,101 @@
+package memfs_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"syscall"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/internal/vfs"
+	"emberquay/internal/vfs/memfs"
+)
+
+func TestMemfs(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "memfs")
+}
+
+const name = "dir/file"
+
+// written is a file system with a file whose name is on the disk.
+func written(bytes string) (*memfs.Mem, vfs.File) {
+	m := memfs.New()
+	f, err := m.Create(name)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(m.SyncDir("dir")).To(Succeed())
+	write(f, bytes, 0)
+	return m, f
+}
+
+func write(f vfs.File, bytes string, at int64) {
+	_, err := f.WriteAt([]byte(bytes), at)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// worst is what is certain to be there after power was lost: the shortest of many draws.
+func worst(m *memfs.Mem) string {
+	shortest := "more than was written"
+	for seed := range uint64(200) {
+		left := string(m.After(memfs.Power, rand.New(rand.NewPCG(seed, 1))).Data(name))
+		if len(left) < len(shortest) {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
+var _ = Describe("a sync that stalls", func() {
+	var m *memfs.Mem
+	var f vfs.File
+	var release chan struct{}
+	var ended chan error
+
+	BeforeEach(func() {
+		m, f = written("one")
+		release, ended = make(chan struct{}), make(chan error, 1)
+		asked := make(chan struct{})
+		m.Hook = func(c memfs.Call) memfs.Verdict {
+			if c.Op != "sync" {
+				return memfs.Verdict{}
+			}
+			close(asked)
+			return memfs.Verdict{Stall: release}
+		}
+		go func() { ended <- f.Sync() }()
+		<-asked
+	})
+
+	It("holds up no other call, and has nothing on the disk before it returns", func() {
+		write(f, "two", 3)
+		Expect(f.Size()).To(BeEquivalentTo(6))
+		Expect(ended).NotTo(Receive())
+		Expect(worst(m)).To(BeEmpty())
+		close(release)
+		Expect(<-ended).To(MatchError(memfs.ErrCrashed))
+	})
+
+	It("covers what was written before it began, and no more", func() {
+		write(f, "two", 3)
+		close(release)
+		Expect(<-ended).To(Succeed())
+		Expect(worst(m)).To(Equal("one"))
+	})
+})
+
+var _ = Describe("a full disk", func() {
+	It("takes a part, says so, and takes the rest once there is room", func() {
+		m, f := written("one")
+		m.Room = 4
+		n, err := f.WriteAt([]byte("two"), 3)
+		Expect(n).To(Equal(1))
+		Expect(vfs.IsFull(err)).To(BeTrue())
+		Expect(errors.Is(err, syscall.ENOSPC)).To(BeTrue())
+		m.Room = 6
+		write(f, "two", 3)
+		Expect(f.Sync()).To(Succeed())
+		Expect(worst(m)).To(Equal("onetwo"))
+	})
+})
