sim: a stuck store, hedged commits, three more deliberate faults

The model's commit asked a further store only by chance; it does after 150 ms, 450 ms and so on now, as internal/storeclient does. With one disk stuck and nothing else, turns have to begin and be kept at each proxy.

--- a/internal/sim/commit.go
+++ b/internal/sim/commit.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// commitLimit bounds a commit, as the deadline of a request does; commitHedge is when the next store is asked.
+	// commitLimit bounds a commit, as the deadline of a request does; commitRetry is when stores that have not confirmed are
+	// asked again, and firstHedge when one more is asked than are missing, which doubles from one to the next.
 	commitLimit = 2 * time.Second
-	commitHedge = 150 * time.Millisecond
+	commitRetry = 150 * time.Millisecond
+	firstHedge  = 150 * time.Millisecond
 	// lookupLimit bounds a look-up.
 	lookupLimit = time.Second
 	// retention is for how long most turns are kept: longer than a run, so that none may go. One in shortOnes is kept between
@@ -40,16 +42,25 @@
 	return placement.NewTable(members)
 }
 
+// hedges is how many more stores are asked than are missing, so long after a commit began.
+func hedges(since time.Duration) int {
+	more := 0
+	for wait := firstHedge; since >= wait; wait = 2*wait + firstHedge {
+		more++
+	}
+	return more
+}
+
 // commit keeps a turn, as storeclient.Client.Commit does: its client gets the end of its answer once it is done.
-func (e *edge) commit(turn string) {
+func (e *edge) commit(turn string, kept func()) {
 	w := e.life.host.world
-	kept := retention
+	life := retention
 	if w.one(shortOnes) {
-		kept = w.between(leastRetention, mostRetention)
+		life = w.between(leastRetention, mostRetention)
 	}
-	record := storewire.Turn{ID: turn, Root: turn, Home: e.life.host.zone, RetentionMillis: kept.Milliseconds(), Input: []byte(turn)}
+	record := storewire.Turn{ID: turn, Root: turn, Home: e.life.host.zone, RetentionMillis: life.Milliseconds(), Input: []byte(turn)}
 	confirmed := map[string]bool{}
-	until := w.now + commitLimit
+	began, until := w.now, w.now+commitLimit
 	done := false
 	var round func()
 	round = func() {
@@ -59,12 +70,15 @@
 		view := e.view
 		if e.usable() {
 			want := e.missing(confirmed)
+			if want > 0 && !w.has(commitHoldsOn) {
+				want += hedges(w.now - began)
+			}
 			for _, at := range placesOf(view).Order(placement.Key(record.Root), record.Home, nil) {
 				m := view.Members[at]
 				if want <= 0 || confirmed[m.ID] {
 					continue
 				}
-				if !w.one(10) { // now and then one is left out, as one that did not answer lately is
+				if w.has(commitHoldsOn) || !w.one(10) { // now and then one is left out, as one that did not answer lately is
 					want--
 				}
 				e.commitAt(m, record, func() {
@@ -73,11 +87,12 @@
 						done = true
 						w.turns = append(w.turns, &keptTurn{record: record, at: w.now})
 						w.counts.Turns++
+						kept()
 					}
 				})
 			}
 		}
-		e.life.later(commitHedge, round)
+		e.life.later(commitRetry, round)
 	}
 	round()
 }
--- a/internal/sim/fault.go
+++ b/internal/sim/fault.go
@@ -51,6 +51,9 @@
 	retireUnsynced    Fault = "an emptied store counts what others have not synced"
 	expiryByTimeOfDay Fault = "a store expires turns by its time of day"
 	storesMissTurns   Fault = "the comparison of stores misses some turns"
+	olderIgnored      Fault = "a process that starts again at an earlier time of day is not answered"
+	commitHoldsOn     Fault = "a turn waits for the stores where it belongs"
+	reserveWaits      Fault = "a reservation waits for all stores"
 )
 
 // falseBeatEvery is how often stalledStays sends heartbeats.
@@ -62,7 +65,7 @@
 	baseIgnored, invalidTaken, versionMayFall, digestMissesEntry, drainUnconfirmed, silenceIgnored, reserveUnsynced,
 	reserveForgotten, oneRound, smallQuorum, incompleteCounts, tooFewCopies, missingTooSoon, retireForgets, brokenNotCounted,
 	repeatOfNewest, fullAcknowledges, fullForgets, longSyncCounts, stalledStays, commitUnsynced, retireUnsynced, expiryByTimeOfDay,
-	storesMissTurns,
+	storesMissTurns, olderIgnored, commitHoldsOn, reserveWaits,
 }
 
 // voteless is what is left where a wiped disk keeps its name: the view, without votes and entries.
@@ -163,6 +166,16 @@
 	})
 }
 
+// knowsLater is where olderIgnored bites.
+func (l *life) knowsLater(e core.Envelope) bool {
+	for _, n := range l.core.Nodes() {
+		if n.ID() == e.From {
+			return n.Incarnation > e.Incarnation
+		}
+	}
+	return false
+}
+
 // readsAlone is where staleRead bites.
 func (w *world) readsAlone(r *replica) (*controlstate.State, bool) {
 	if !w.has(staleRead) || r.last == nil {
--- a/internal/sim/judge.go
+++ b/internal/sim/judge.go
@@ -203,13 +203,6 @@
 	j.force(name, e.version, e.body)
 }
 
-// goesOnWithout looks whether a change has its answer while one control node's disk is stuck.
-func (j *judge) goesOnWithout(h *host, c *order) {
-	if c.status == 0 {
-		j.breach(ProgressRule, "order %d has no answer %s after it was sent to %s, only the disk of %s is stuck", c.no, progressBound, c.pinned, h.name)
-	}
-}
-
 // drainAcked looks, after the bound, whether the proxies in touch know.
 func (j *judge) drainAcked(r *receiver) {
 	w := j.world
--- a/internal/sim/kinds.go
+++ b/internal/sim/kinds.go
@@ -27,7 +27,7 @@
 var kindNames = [kindCount]string{
 	"machines killed", "process blinks", "power lost at an acknowledgement", "power lost at a grant", "process frozen", "network cut",
 	"network loses, repeats, delays", "storm round one control node", "race over uneven links", "disk lost", "control node replaced",
-	"disks slow", "disks stalled", "disks full", "control disk stuck", "time of day stepped",
+	"disks slow", "disks stalled", "disks full", "one disk stuck, nothing else", "time of day stepped",
 }
 
 func (k Kind) String() string { return kindNames[k] }
--- a/internal/sim/reserve.go
+++ b/internal/sim/reserve.go
@@ -155,7 +155,7 @@
 	switch {
 	case r.attempt.NeedsWhole():
 		r.recheck()
-	case r.round == 0 && !wasQuorate && r.attempt.Quorate():
+	case r.round == 0 && !wasQuorate && r.attempt.Quorate() && !w.has(reserveWaits):
 		epoch := r.view.Epoch
 		r.edge.life.later(grace, func() {
 			if !r.over && r.round == 0 && r.view.Epoch == epoch {
@@ -275,6 +275,20 @@
 	})
 }
 
+// probe has a proxy take a whole turn of a program of its own, and says once it is kept.
+func (e *edge) probe(kept func()) {
+	w := e.life.host.world
+	w.programs++
+	p := &program{name: fmt.Sprintf("p%d", w.programs), most: 1, budget: 1}
+	turn := p.name + "/1"
+	e.reserve(p, turn, func(a budget.Action) {
+		if a == budget.Granted {
+			e.commit(turn, kept)
+			e.settle(p.name, turn, p.most)
+		}
+	})
+}
+
 // pieces is how many events a turn has.
 const pieces = 4
 
@@ -305,7 +319,7 @@
 			e.settle(p.name, turn, sent)
 		case n == pieces-1:
 			e.settle(p.name, turn, sent)
-			e.commit(turn)
+			e.commit(turn, func() {})
 		default:
 			e.life.later(w.between(10*time.Millisecond, 120*time.Millisecond), func() { piece(n + 1) })
 		}
--- a/internal/sim/trouble_disk.go
+++ b/internal/sim/trouble_disk.go
@@ -6,8 +6,8 @@
 	// leastDiskTrouble and mostDiskTrouble are for how long disks are slow, stalled or full.
 	leastDiskTrouble = 200 * time.Millisecond
 	mostDiskTrouble  = 4 * time.Second
-	// stuckFor is how long one control node's disk is stuck while nothing else happens, and leaveOutBound after how much of it
-	// the others must take changes: the chain leaves a silent member out after 0.7 s.
+	// stuckFor is how long one disk is stuck while nothing else happens, and leaveOutBound after how much of it the others must
+	// go on: the chain leaves a silent member out after 0.7 s.
 	stuckFor      = 6 * time.Second
 	leaveOutBound = 2 * time.Second
 	// The time of day is stepped by up to smallStep, or by up to greatStep: beyond any retention.
@@ -87,26 +87,56 @@
 	return append(w.of(controlRole), w.of(storeRole)...)
 }
 
-// stuck has one control node's disk hang where nothing else happens: the others have to go on without it.
+// stuck has one disk hang where nothing else happens: the others have to go on without it.
 func (t *trouble) stuck() {
 	w := t.world
-	all := w.of(controlRole)
 	if t.lost || w.now+stuckFor > t.end || !w.calmSince(w.now-settleTime) || !w.whole() {
 		return
 	}
-	at := w.random.IntN(len(all))
-	h, other := all[at], all[(at+1)%len(all)]
+	h := pick(w, append(w.of(controlRole), w.of(storeRole)...))
 	w.begins(StuckMembers, "the disk of %s is stuck", h.name)
 	t.lost = true
 	h.stall(stuckFor)
 	w.after(leaveOutBound, func() {
-		c := w.operators.changeAt(other.address)
-		w.after(progressBound, func() { w.judge.goesOnWithout(h, c) })
+		if h.role == controlRole {
+			w.changesWithout(h)
+		} else {
+			w.turnsWithout(h)
+		}
 	})
 	w.after(stuckFor, w.ends)
 	w.after(stuckFor+catchUp, func() { t.lost = false })
 }
 
+// changesWithout checks that the other control nodes take a change.
+func (w *world) changesWithout(stuck *host) {
+	for _, h := range w.of(controlRole) {
+		if h == stuck {
+			continue
+		}
+		c := w.operators.changeAt(h.address)
+		w.after(progressBound, func() {
+			if c.status == 0 {
+				w.judge.breach(ProgressRule, "order %d has no answer %s after it was sent to %s, only the disk of %s is stuck",
+					c.no, progressBound, h.name, stuck.name)
+			}
+		})
+	}
+}
+
+// turnsWithout checks that a turn can begin and is kept at each proxy.
+func (w *world) turnsWithout(stuck *host) {
+	for _, h := range w.up(proxyRole) {
+		kept := false
+		h.life.edge.probe(func() { kept = true })
+		w.after(progressBound, func() {
+			if !kept {
+				w.judge.breach(ProgressRule, "a turn at %s is not kept after %s, only the disk of %s is stuck", h.name, progressBound, stuck.name)
+			}
+		})
+	}
+}
+
 // stepClocks sets the time of day of a share of the machines forward or back, for the rest of the run or until the next step.
 func (t *trouble) stepClocks() {
 	w := t.world
