--- a/internal/sim/kinds.go
+++ b/internal/sim/kinds.go
@@ -27,8 +27,9 @@
 )
 
 var kindNames = [kindCount]string{
-	"machines killed", "process blinks", "power lost at an acknowledgement", "power lost at a grant", "power lost at a removal", "process frozen", "network cut",
-	"network loses, repeats, delays", "storm round one control node", "races over uneven links", "machine slow", "disk lost", "control node replaced",
+	"machines killed", "process blinks", "power lost at an acknowledgement", "power lost at a grant",
+	"power lost at a removal", "process frozen", "network cut", "network loses, repeats, delays",
+	"storm round one control node", "races over uneven links", "machine slow", "disk lost", "control node replaced",
 	"disks slow", "disks stalled", "disks full", "one disk stuck, nothing else", "time of day stepped",
 }
 
--- a/internal/sim/range.go
+++ b/internal/sim/range.go
@@ -65,9 +65,9 @@
 	return 0
 }
 
-// RunRange plays seeds from first on, several at once. Each is a world of its own, so their order decides nothing. stop, if
-// not nil, is asked before each seed; progress, if not nil, is told what all came to so far after each that is over, one at
-// a time; it must not keep it.
+// RunRange plays seeds from first on, several at once. Each is a world of its own, so their order decides
+// nothing. stop, if not nil, is asked before each seed; progress, if not nil, is told what all came to so far
+// after each that is over, one at a time; it must not keep it.
 func RunRange(first uint64, seeds, atOnce int, stop func() bool, progress func(*Total)) Total {
 	return runRange(first, seeds, atOnce, none, stop, progress)
 }
--- a/internal/sim/teeth_test.go
+++ b/internal/sim/teeth_test.go
@@ -23,11 +23,12 @@
 	return nil
 }
 
-// quickFaults were found within some 13 seeds, so the usual tests look for them; quickSeeds leaves room for the state machines'
+// quickFaults were found within some 25 seeds, so the usual tests look for them; quickSeeds leaves room for the state machines'
 // own draws to change. docs/notes/simulation.md lists all.
 var quickFaults = []Fault{
 	sealIgnored, voteAfterWipe, headAcknowledges, staleRead, repeatByVersion, repeatForgotten, baseIgnored, invalidTaken, versionMayFall,
 	drainUnconfirmed, silenceIgnored, smallQuorum, tooFewCopies, missingTooSoon, brokenNotCounted,
+	oneRound, repeatOfNewest, stalledStays, commitHoldsOn, reserveWaits,
 }
 
 const quickSeeds = 100
--- a/internal/sim/trouble_disk.go
+++ b/internal/sim/trouble_disk.go
@@ -6,8 +6,8 @@
 	// leastDiskTrouble and mostDiskTrouble are for how long disks are slow, stalled or full.
 	leastDiskTrouble = 200 * time.Millisecond
 	mostDiskTrouble  = 4 * time.Second
-	// stuckFor is how long one disk is stuck while nothing else happens, and leaveOutBound after how much of it the others must
-	// go on: the chain leaves a silent member out after 0.7 s.
+	// stuckFor is how long one disk is stuck while nothing else happens, and leaveOutBound after how much of
+	// it the others must go on: the chain leaves a silent member out after 0.7 s.
 	stuckFor      = 6 * time.Second
 	leaveOutBound = 2 * time.Second
 	// The time of day is stepped by up to smallStep, or by up to greatStep: beyond any retention.
@@ -112,7 +112,7 @@
 		c := w.operators.changeAt(h.address)
 		w.after(progressBound, func() {
 			if c.status == 0 {
-				w.judge.breach(ProgressRule, "order %d has no answer %s after it was sent to %s, only the disk of %s is stuck",
+				w.judge.breach(ProgressRule, "order %d has no answer %s after it was sent to %s, only %s's disk is stuck",
 					c.no, progressBound, h.name, stuck.name)
 			}
 		})
@@ -126,13 +126,15 @@
 		h.life.edge.probe(func() { kept = true })
 		w.after(progressBound, func() {
 			if !kept {
-				w.judge.breach(ProgressRule, "a turn at %s is not kept after %s, only the disk of %s is stuck", h.name, progressBound, stuck.name)
+				w.judge.breach(ProgressRule, "a turn at %s is not kept after %s, only %s's disk is stuck",
+					h.name, progressBound, stuck.name)
 			}
 		})
 	}
 }
 
-// stepClocks sets the time of day of a share of the machines forward or back, for the rest of the run or until the next step.
+// stepClocks sets the time of day of a share of the machines forward or back, for the rest of the run or
+// until the next step.
 func (t *trouble) stepClocks() {
 	w := t.world
 	most := smallStep
@@ -148,7 +150,8 @@
 	w.ends()
 }
 
-// powerAtRemoval has the other stores' disks be full while one is emptied, and these stores lose power once it is taken away.
+// powerAtRemoval has the other stores' disks be full while one is emptied, and these stores lose power once
+// it is taken away.
 func (t *trouble) powerAtRemoval(emptied *host) {
 	w := t.world
 	var others []*host
--- a/internal/sim/trouble_race.go
+++ b/internal/sim/trouble_race.go
@@ -3,7 +3,8 @@
 import "time"
 
 const (
-	// Races of one trouble, one after the other; each redraws the lengths of the links, which differ by more than a sync takes.
+	// Races of one trouble, one after the other; each redraws the lengths of the links, which differ by more
+	// than a sync takes.
 	leastRaces = 3
 	mostRaces  = 6
 	raceEvery  = 200 * time.Millisecond
@@ -13,8 +14,8 @@
 	mostHostLag  = 60 * time.Millisecond
 )
 
-// races has turns of one program race at three proxies whose links to each store are of very different lengths, in an order
-// that is drawn for each store; several times.
+// races has turns of one program race at three proxies whose links to each store are of very different
+// lengths, in an order that is drawn for each store; several times.
 func (t *trouble) races() {
 	w := t.world
 	all := w.up(proxyRole)
