--- a/internal/vfs/memfs/memfs.go
+++ b/internal/vfs/memfs/memfs.go
@@ -1,6 +1,6 @@
-// Package memfs is a file system in memory that fails as disks do, for tests: it can end at any call and at any byte of
-// a write, lose what was not synced, keep what was written out of order, tear writes, flip bits, run full, stall, and
-// give errors. How to use it:
+// Package memfs is a file system in memory that fails as disks do, for tests: it can end at any call and at
+// any byte of a write, lose what was not synced, keep what was written out of order, tear writes, flip bits,
+// run full, stall, and give errors. How to use it:
 //
 //	m := memfs.New()
 //	m.Hook = func(c memfs.Call) memfs.Verdict { return memfs.Verdict{Crash: c.No == 7, Partly: c.Bytes / 2} }
@@ -42,8 +42,8 @@
 	Crash  bool  // the process ends within it
 	Partly int   // of a write that crashes or fails: so many bytes are written
 	Err    error // it fails with this
-	// Stall, of a sync: it returns only once this is closed; other calls go on meanwhile. What was written after the sync
-	// began is not covered by it.
+	// Stall, of a sync: it returns only once this is closed; other calls go on meanwhile. What was written
+	// after the sync began is not covered by it.
 	Stall <-chan struct{}
 }
 
