--- a/internal/sim/commit.go
+++ b/internal/sim/commit.go
@@ -9,13 +9,19 @@
 )
 
 const (
-	// commitLimit bounds a commit, as the deadline of a request does; commitHedge is when the next store is asked.
+	// commitLimit bounds a commit, as the deadline of a request does; commitRetry is when stores that have not confirmed are
+	// asked again, and firstHedge when one more is asked than are missing, which doubles from one to the next.
 	commitLimit = 2 * time.Second
-	commitHedge = 150 * time.Millisecond
+	commitRetry = 150 * time.Millisecond
+	firstHedge  = 150 * time.Millisecond
 	// lookupLimit bounds a look-up.
 	lookupLimit = time.Second
-	// retention is for how long turns are kept: longer than a run, so that none may go.
-	retention = time.Hour
+	// retention is for how long most turns are kept: longer than a run, so that none may go. One in shortOnes is kept between
+	// leastRetention and mostRetention.
+	retention      = time.Hour
+	shortOnes      = 5
+	leastRetention = 3 * time.Second
+	mostRetention  = 15 * time.Second
 )
 
 // keptTurn is a turn whose client got the end of its answer.
@@ -24,6 +30,10 @@
 	at     time.Duration
 }
 
+func (t *keptTurn) retention() time.Duration {
+	return time.Duration(t.record.RetentionMillis) * time.Millisecond
+}
+
 func placesOf(view storewire.View) *placement.Table {
 	members := make([]placement.Member, 0, len(view.Members))
 	for _, m := range view.Members {
@@ -32,12 +42,25 @@
 	return placement.NewTable(members)
 }
 
+// hedges is how many more stores are asked than are missing, so long after a commit began.
+func hedges(since time.Duration) int {
+	more := 0
+	for wait := firstHedge; since >= wait; wait = 2*wait + firstHedge {
+		more++
+	}
+	return more
+}
+
 // commit keeps a turn, as storeclient.Client.Commit does: its client gets the end of its answer once it is done.
-func (e *edge) commit(turn string) {
+func (e *edge) commit(turn string, kept func()) {
 	w := e.life.host.world
-	record := storewire.Turn{ID: turn, Root: turn, Home: e.life.host.zone, RetentionMillis: retention.Milliseconds(), Input: []byte(turn)}
+	life := retention
+	if w.one(shortOnes) {
+		life = w.between(leastRetention, mostRetention)
+	}
+	record := storewire.Turn{ID: turn, Root: turn, Home: e.life.host.zone, RetentionMillis: life.Milliseconds(), Input: []byte(turn)}
 	confirmed := map[string]bool{}
-	until := w.now + commitLimit
+	began, until := w.now, w.now+commitLimit
 	done := false
 	var round func()
 	round = func() {
@@ -47,12 +70,15 @@
 		view := e.view
 		if e.usable() {
 			want := e.missing(confirmed)
+			if want > 0 && !w.has(commitHoldsOn) {
+				want += hedges(w.now - began)
+			}
 			for _, at := range placesOf(view).Order(placement.Key(record.Root), record.Home, nil) {
 				m := view.Members[at]
 				if want <= 0 || confirmed[m.ID] {
 					continue
 				}
-				if !w.one(10) { // now and then one is left out, as one that did not answer lately is
+				if w.has(commitHoldsOn) || !w.one(10) { // now and then one is left out, as one that did not answer lately is
 					want--
 				}
 				e.commitAt(m, record, func() {
@@ -61,11 +87,12 @@
 						done = true
 						w.turns = append(w.turns, &keptTurn{record: record, at: w.now})
 						w.counts.Turns++
+						kept()
 					}
 				})
 			}
 		}
-		e.life.later(commitHedge, round)
+		e.life.later(commitRetry, round)
 	}
 	round()
 }
@@ -154,7 +181,7 @@
 				if found {
 					w.counts.Lookups++
 				}
-				if missing {
+				if missing && w.now < t.at+t.retention() {
 					w.judge.breach(LostRule, "turn %s, answered whole at %.3fs, is said to be missing by %s", t.record.ID, t.at.Seconds(), fmt.Sprint(l.host.name))
 				}
 			})
--- a/internal/sim/reserve.go
+++ b/internal/sim/reserve.go
@@ -15,6 +15,8 @@
 	retryPause   = 40 * time.Millisecond
 	settleLimit  = 10 * time.Second
 	settleRetry  = 300 * time.Millisecond
+	// raceSpread is how far apart the turns of a race begin.
+	raceSpread = 3 * time.Millisecond
 )
 
 // program is an agent's, with what its clients received.
@@ -24,6 +26,7 @@
 	most     int64
 	received int64
 	turns    int
+	greedy   bool // every turn uses its most
 }
 
 // reserving is a reservation at the stores of a view.
@@ -152,7 +155,7 @@
 	switch {
 	case r.attempt.NeedsWhole():
 		r.recheck()
-	case r.round == 0 && !wasQuorate && r.attempt.Quorate():
+	case r.round == 0 && !wasQuorate && r.attempt.Quorate() && !w.has(reserveWaits):
 		epoch := r.view.Epoch
 		r.edge.life.later(grace, func() {
 			if !r.over && r.round == 0 && r.view.Epoch == epoch {
@@ -236,7 +239,26 @@
 	if len(proxies) == 0 {
 		return
 	}
-	l := pick(w, proxies).life
+	w.runTurnAt(pick(w, proxies), p)
+}
+
+// runRace has one turn of a new program at each of some proxies race for a budget with room for more than one turn and less
+// than two. Three that see only one another's next would pass it.
+func (w *world) runRace(at []*host) {
+	w.programs++
+	p := &program{name: fmt.Sprintf("p%d", w.programs), most: int64(20 + w.random.IntN(30)), greedy: true}
+	p.budget = p.most * int64(105+w.random.IntN(90)) / 100
+	for _, h := range at {
+		w.after(w.between(0, raceSpread), func() {
+			if h.life != nil {
+				w.runTurnAt(h, p)
+			}
+		})
+	}
+}
+
+func (w *world) runTurnAt(at *host, p *program) {
+	l := at.life
 	p.turns++
 	turn := fmt.Sprintf("%s/%d", p.name, p.turns)
 	l.step(func() {
@@ -253,6 +275,20 @@
 	})
 }
 
+// probe has a proxy take a whole turn of a program of its own, and says once it is kept.
+func (e *edge) probe(kept func()) {
+	w := e.life.host.world
+	w.programs++
+	p := &program{name: fmt.Sprintf("p%d", w.programs), most: 1, budget: 1}
+	turn := p.name + "/1"
+	e.reserve(p, turn, func(a budget.Action) {
+		if a == budget.Granted {
+			e.commit(turn, kept)
+			e.settle(p.name, turn, p.most)
+		}
+	})
+}
+
 // pieces is how many events a turn has.
 const pieces = 4
 
@@ -260,10 +296,10 @@
 func (e *edge) stream(p *program, turn string) {
 	w := e.life.host.world
 	uses := p.most
-	if w.one(3) {
+	if w.one(3) && !p.greedy {
 		uses = int64(w.random.IntN(int(p.most + 1)))
 	}
-	broken := w.one(6)
+	broken := w.one(6) && !p.greedy
 	var sent int64
 	var piece func(n int)
 	piece = func(n int) {
@@ -283,7 +319,7 @@
 			e.settle(p.name, turn, sent)
 		case n == pieces-1:
 			e.settle(p.name, turn, sent)
-			e.commit(turn)
+			e.commit(turn, func() {})
 		default:
 			e.life.later(w.between(10*time.Millisecond, 120*time.Millisecond), func() { piece(n + 1) })
 		}
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"emberquay/internal/cluster/records"
@@ -12,8 +13,10 @@
 	// Sizes of a cluster.
 	controls  = 3
 	proxies   = 3
-	stores    = 4
 	receivers = 4
+	// Of three stores two are a quorum, so that three quorums may have no store in common; of four, three are one.
+	fewestStores = 3
+	mostStores   = 4
 
 	// troubleSpan is how long things happen, and calmSpan how long the cluster then has to become whole.
 	startSpan   = 4 * time.Second
@@ -23,6 +26,8 @@
 	restartAfter = 4 * time.Second
 	// progressBound is how long a change may take at any node once all is calm.
 	progressBound = 2 * time.Second
+	// repairSpan is how long a turn may be on its way to where it belongs once all is calm.
+	repairSpan = 12 * time.Second
 	// silenceBound is after how long a receiver that ended without a word is known to be silent: its owner may be down too.
 	silenceBound = 10 * time.Second
 )
@@ -55,6 +60,9 @@
 	if w.judge.first == nil {
 		w.goesOn()
 	}
+	if w.judge.first == nil {
+		w.repaired()
+	}
 	if w.judge.first == nil {
 		w.linear()
 	}
@@ -85,7 +93,7 @@
 	for range proxies {
 		w.add(proxyRole, true)
 	}
-	for range stores {
+	for range fewestStores + w.random.IntN(mostStores-fewestStores+1) {
 		w.add(storeRole, true)
 	}
 	for range receivers {
@@ -124,8 +132,8 @@
 
 // troubles strikes again and again, one thing at a time or several at once.
 func (w *world) troubles() {
-	t := &trouble{world: w}
 	end := w.now + troubleSpan
+	t := &trouble{world: w, end: end}
 	for w.now < end && !w.broken() {
 		if !t.lost {
 			t.strike()
@@ -223,6 +231,24 @@
 	}
 }
 
+// repaired checks that each turn is where it belongs, once the stores have had time to compare: else a further disk may take
+// the last copy.
+func (w *world) repaired() {
+	for _, h := range w.of(storeRole) {
+		t := h.life.table
+		self := t.view.Find(t.id)
+		for _, kept := range w.turns {
+			if w.now >= kept.at+kept.retention()-repairSpan || !slices.Contains(t.places(kept.record), self) {
+				continue
+			}
+			if _, here := t.turns[kept.record.ID]; !here {
+				w.judge.breach(ProgressRule, "turn %s belongs at %s and is not there when all is calm", kept.record.ID, h.name)
+				return
+			}
+		}
+	}
+}
+
 // state tells which hosts are not whole.
 func (w *world) state() string {
 	said := ""
