--- a/admission/dispatch/choice.go
+++ b/admission/dispatch/choice.go
@@ -44,7 +44,7 @@
 // engines, the time that it takes from those that run beside it.
 func (d *Dispatcher) cost(s *service, q *request, b *bucket, usual float64) float64 {
 	load := d.meanLoad + loadLasts*(b.load(d.now, d.usualLoad)-d.meanLoad)
-	cost := errorCost*b.illness(d.now) + b.suspicionCost(d.now)
+	cost := errorCost * b.illness(d.now)
 	if b.Engine != nil {
 		cost += d.engineCost(s, q, b, usual, load)
 	} else {
--- a/admission/dispatch/dispatch.go
+++ b/admission/dispatch/dispatch.go
@@ -44,7 +44,7 @@
 func (d *Dispatcher) begin(now Instant) {
 	d.now = max(d.now, now)
 	d.wake = math.MaxInt64
-	d.effects = Effects{Sends: d.effects.Sends[:0], Refusals: d.effects.Refusals[:0], Failing: d.effects.Failing[:0]}
+	d.effects = Effects{Sends: d.effects.Sends[:0], Refusals: d.effects.Refusals[:0]}
 }
 
 // done closes an event; a wake is asked for only if none is due by then. One that is due already is made
--- a/admission/dispatch/helper_test.go
+++ b/admission/dispatch/helper_test.go
@@ -19,7 +19,6 @@
 	now      Instant
 	sends    []Send
 	refusals []Refuse
-	failing  []InstanceID
 	wake     Instant
 }
 
@@ -33,7 +32,6 @@
 func (s *script) take(e Effects) {
 	s.sends = append(s.sends, e.Sends...)
 	s.refusals = append(s.refusals, e.Refusals...)
-	s.failing = append(s.failing, e.Failing...)
 	if e.Wake > 0 {
 		s.wake = e.Wake
 	}
--- a/admission/dispatch/messages.go
+++ b/admission/dispatch/messages.go
@@ -147,6 +147,5 @@
 type Effects struct {
 	Sends    []Send
 	Refusals []Refuse
-	Failing  []InstanceID // the other senders should know that calls there fail
-	Wake     Instant      // call Tick at this instant at the latest; 0: as asked before
+	Wake     Instant // call Tick at this instant at the latest; 0: as asked before
 }
--- a/admission/dispatch/outcome.go
+++ b/admission/dispatch/outcome.go
@@ -86,7 +86,6 @@
 	case Success:
 		b.lives(d.now)
 		b.fails = 0
-		b.suspicion.until = 0
 		b.ill.Seen(false)
 		b.window.Answered()
 		d.learnUsual(s, q, o)
@@ -103,12 +102,10 @@
 		b.elsewhere = true
 	case Cancelled:
 		if q.hangs(d.now) { // its client has given up what the receiver never began to answer
-			d.accuse(b)
 			b.sick(d.now)
 			b.failed(d.now, d.chance.Unit())
 		}
 	default:
-		d.accuse(b)
 		if o.Kind.MayHaveRun() {
 			b.sick(d.now)
 		}
--- a/admission/dispatch/queue.go
+++ b/admission/dispatch/queue.go
@@ -114,9 +114,6 @@
 		if b.good(d.now) {
 			good++
 		}
-		if b.hangs(d.now) {
-			d.accuse(b)
-		}
 		if b.usable() {
 			usable++
 		}
--- a/admission/dispatch/state.go
+++ b/admission/dispatch/state.go
@@ -89,7 +89,6 @@
 	answered  Instant         // last sign of life
 	ill       admission.Share // of late calls that failed, as of illAt
 	illAt     Instant
-	suspicion suspicion
 	slowness  float64 // how long its calls take against usual ones; 0: not known
 	out       []*request
 	unread    int // prompt tokens of calls out that have not begun to answer
--- a/internal/cluster/records/other.go
+++ b/internal/cluster/records/other.go
@@ -33,21 +33,6 @@
 	return c.first
 }
 
-// FailingRecord is a proxy's word that calls to a receiver fail.
-type FailingRecord struct {
-	Instance string `avro:"instance"`
-}
-
-// FailingSchema is the avro schema of a FailingRecord.
-const FailingSchema = `{"type":"record","name":"Failing","fields":[{"name":"instance","type":"string"}]}`
-
-// Check gives a FieldError for the first field that is out of bounds.
-func (r FailingRecord) Check() error {
-	c := checker{record: "failing"}
-	c.text("instance", r.Instance, true)
-	return c.first
-}
-
 // ConfigurationRecord is the value of configuration: the operator's document as it was sent.
 type ConfigurationRecord struct {
 	Version uint64
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -89,19 +89,17 @@
 	p.proxy, err = proxy.New(proxy.Options{
 		Front: node.Listen.Front, Readiness: node.Listen.Readiness,
 		Stores: p.stores, Logger: p.base.Log, Zone: node.Zone,
-		Seed:           maphash.Comparable(maphash.MakeSeed(), node.Name),
-		LiveProxies:    func() int { return max(1, p.assignment.live()) },
-		Assigned:       p.assignment.assigned,
-		PublishReport:  p.reports.spread,
-		PublishFailing: newFailingSpreader(p.base.Client, p.base.Cluster, p.stopped).spread,
-		BodyMemory:     int64(bodyShare * float64(node.Limits.MemoryMB<<20)),
-		MaxClients:     int(clientShare * float64(node.Limits.MaxFDs)),
-		MaxReceivers:   int(receiverShare * float64(node.Limits.MaxFDs)),
+		Seed:          maphash.Comparable(maphash.MakeSeed(), node.Name),
+		LiveProxies:   func() int { return max(1, p.assignment.live()) },
+		Assigned:      p.assignment.assigned,
+		PublishReport: p.reports.spread,
+		BodyMemory:    int64(bodyShare * float64(node.Limits.MemoryMB<<20)),
+		MaxClients:    int(clientShare * float64(node.Limits.MaxFDs)),
+		MaxReceivers:  int(receiverShare * float64(node.Limits.MaxFDs)),
 	})
 	if err != nil {
 		return err
 	}
-	transport.Receive(p.base.Mux, failingMethod, failingCodec, func(_ context.Context, r records.FailingRecord) { p.takeFailing(r) })
 	transport.Receive(p.base.Mux, reportMethod, reportCodec, func(_ context.Context, r records.ReportRecord) { p.takeReport(r) })
 	return p.base.Serve(p.addStatus)
 }
--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -12,7 +12,6 @@
 // dispatcher is the decision library as this package uses it. It is pure and has one owner.
 type dispatcher interface {
 	SetReceivers(now dispatch.Instant, receivers []dispatch.Receiver) dispatch.Effects
-	Suspect(now dispatch.Instant, instance dispatch.InstanceID) dispatch.Effects
 	Report(now dispatch.Instant, instance dispatch.InstanceID, report dispatch.Report) dispatch.Effects
 	Arrive(now dispatch.Instant, request dispatch.Request) dispatch.Effects
 	Started(now dispatch.Instant, request dispatch.RequestID) dispatch.Effects
@@ -42,7 +41,6 @@
 	began      time.Time
 	commands   chan command
 	done       chan struct{}
-	failing    func(dispatch.InstanceID) // tells the other proxies; must not block
 	issued     atomic.Uint64
 
 	// Owned by the goroutine of run.
@@ -56,13 +54,12 @@
 	apply(a *admission, now dispatch.Instant) dispatch.Effects
 }
 
-func newAdmission(d dispatcher, failing func(dispatch.InstanceID)) *admission {
+func newAdmission(d dispatcher) *admission {
 	a := &admission{
 		dispatcher: d,
 		began:      time.Now(),
 		commands:   make(chan command, commandQueue),
 		done:       make(chan struct{}),
-		failing:    failing,
 		tickets:    make(map[dispatch.RequestID]*ticket),
 		timer:      time.NewTimer(time.Hour),
 	}
@@ -113,9 +110,6 @@
 			t.decisions <- decision{refuse: refuse}
 		}
 	}
-	for _, instance := range effects.Failing {
-		a.failing(instance)
-	}
 	if effects.Wake > 0 {
 		a.timer.Reset(max(0, effects.Wake.Sub(a.now())))
 	}
@@ -228,10 +222,3 @@
 	c.report.Age += now.Sub(a.instant(c.at))
 	return a.dispatcher.Report(now, c.instance, c.report)
 }
-
-// suspected is another proxy's word that calls to a receiver fail.
-type suspected struct{ instance dispatch.InstanceID }
-
-func (c suspected) apply(a *admission, now dispatch.Instant) dispatch.Effects {
-	return a.dispatcher.Suspect(now, c.instance)
-}
--- a/internal/proxy/admission_test.go
+++ b/internal/proxy/admission_test.go
@@ -25,10 +25,6 @@
 	return dispatch.Effects{}
 }
 
-func (s *scripted) Suspect(dispatch.Instant, dispatch.InstanceID) dispatch.Effects {
-	return dispatch.Effects{}
-}
-
 func (s *scripted) Report(dispatch.Instant, dispatch.InstanceID, dispatch.Report) dispatch.Effects {
 	return dispatch.Effects{}
 }
@@ -65,7 +61,7 @@
 
 	It("ends a send that crosses its withdrawal as one that was not made", func() {
 		s := &scripted{}
-		a := newAdmission(s, nil)
+		a := newAdmission(s)
 		t := a.arrive(dispatch.Request{})
 		gone, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -80,7 +76,7 @@
 
 	It("hands the decision on and forgets the request with its end", func() {
 		s := &scripted{}
-		a := newAdmission(s, nil)
+		a := newAdmission(s)
 		t := a.arrive(dispatch.Request{})
 		step(a)
 		d, ok := a.await(context.Background(), t, time.Now().Add(time.Minute))
--- a/internal/proxy/options.go
+++ b/internal/proxy/options.go
@@ -25,9 +25,6 @@
 	// PublishReport spreads a report that this proxy took; nil: nobody else wants it. It must not block.
 	PublishReport func(dispatch.InstanceID, dispatch.Report)
 
-	// PublishFailing tells the other proxies that calls to a receiver fail; nil: there are none. It must not block.
-	PublishFailing func(dispatch.InstanceID)
-
 	ReportInterval time.Duration   // between two reports of a receiver; default 250 ms
 	Notice         time.Duration   // how long a stopping process goes on accepting; default 2.3 s
 	notice         <-chan struct{} // ends the notice early; for tests
@@ -61,9 +58,6 @@
 	if o.PublishReport == nil {
 		o.PublishReport = func(dispatch.InstanceID, dispatch.Report) {}
 	}
-	if o.PublishFailing == nil {
-		o.PublishFailing = func(dispatch.InstanceID) {}
-	}
 	if o.ReportInterval <= 0 {
 		o.ReportInterval = defaultReportInterval
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -59,7 +59,7 @@
 		configured: make(chan struct{}),
 		finished:   make(chan struct{}),
 	}
-	p.admission = newAdmission(dispatch.New(options.Seed, options.Zone), options.PublishFailing)
+	p.admission = newAdmission(dispatch.New(options.Seed, options.Zone))
 	p.reporter = newReporter(p)
 	listener, err := listenFront(options.Front)
 	if err != nil {
@@ -182,11 +182,6 @@
 	p.admission.tell(reportTaken{instance: instance, report: report, at: time.Now()})
 }
 
-// Suspect takes another proxy's word that calls to a receiver fail.
-func (p *Proxy) Suspect(instance dispatch.InstanceID) {
-	p.admission.tell(suspected{instance: instance})
-}
-
 // chance draws from [0, 1).
 func (p *Proxy) chance() float64 {
 	p.mu.Lock()
--- a/internal/proxy/status_test.go
+++ b/internal/proxy/status_test.go
@@ -49,7 +49,7 @@
 
 	It("counts each refusal once", func() {
 		d := &scripted{}
-		a := newAdmission(d, nil)
+		a := newAdmission(d)
 		go a.run()
 		DeferCleanup(a.stop)
 		for range 3 {
@@ -61,7 +61,7 @@
 	})
 
 	It("ends with its caller, and with the data plane", func() {
-		a := newAdmission(&scripted{}, nil)
+		a := newAdmission(&scripted{})
 		ended, end := context.WithCancel(context.Background())
 		end()
 		_, err := a.countRefused(ended)
