Tools for the tier's disks: what was found is told in one place

The four commands on a store's or a control plane's folder chose between one JSON object and text with the findings, in the same lines. Nothing of the services is touched.

--- a/cmd/emberquay/disk.go
+++ b/cmd/emberquay/disk.go
@@ -21,6 +21,16 @@
 	JSON bool   `help:"As one JSON object."`
 }
 
+// tell prints what was found as one JSON object, or as text with the findings last.
+func (f diskFlags) tell(object any, findings journal.Findings, text func()) error {
+	if f.JSON {
+		return printJSON(object)
+	}
+	text()
+	printFindings(findings)
+	return nil
+}
+
 // errDamaged ends a verification with a status that says so.
 var errDamaged = errors.New("not sound")
 
@@ -32,13 +42,10 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		return printJSON(found)
-	}
-	printStore(found)
-	printMissing(found)
-	printFindings(found.Findings)
-	return nil
+	return c.tell(found, found.Findings, func() {
+		printStore(found)
+		printMissing(found)
+	})
 }
 
 type storeVerifyCmd struct{ diskFlags }
@@ -49,17 +56,13 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		verdict := struct {
-			Sound    bool                `json:"sound"`
-			Findings journal.Findings    `json:"findings"`
-			Missing  []store.MissingTurn `json:"missing"`
-		}{found.Findings.Count == 0, found.Findings, found.Turns.Missing}
-		return errors.Join(printJSON(verdict), verdictOf(c.Dir, found.Findings))
-	}
-	printMissing(found)
-	printFindings(found.Findings)
-	if err := verdictOf(c.Dir, found.Findings); err != nil {
+	verdict := struct {
+		Sound    bool                `json:"sound"`
+		Findings journal.Findings    `json:"findings"`
+		Missing  []store.MissingTurn `json:"missing"`
+	}{found.Findings.Count == 0, found.Findings, found.Turns.Missing}
+	err = errors.Join(c.tell(verdict, found.Findings, func() { printMissing(found) }), verdictOf(c.Dir, found.Findings))
+	if err != nil || c.JSON {
 		return err
 	}
 	turns := found.Turns
@@ -76,12 +79,7 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		return printJSON(found)
-	}
-	printControl(found)
-	printFindings(found.Findings)
-	return nil
+	return c.tell(found, found.Findings, func() { printControl(found) })
 }
 
 type controlVerifyCmd struct{ diskFlags }
@@ -92,15 +90,12 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		verdict := struct {
-			Sound    bool             `json:"sound"`
-			Findings journal.Findings `json:"findings"`
-		}{found.Findings.Count == 0, found.Findings}
-		return errors.Join(printJSON(verdict), verdictOf(c.Dir, found.Findings))
-	}
-	printFindings(found.Findings)
-	if err := verdictOf(c.Dir, found.Findings); err != nil {
+	verdict := struct {
+		Sound    bool             `json:"sound"`
+		Findings journal.Findings `json:"findings"`
+	}{found.Findings.Count == 0, found.Findings}
+	err = errors.Join(c.tell(verdict, found.Findings, func() {}), verdictOf(c.Dir, found.Findings))
+	if err != nil || c.JSON {
 		return err
 	}
 	fmt.Printf("sound segments=%d records=%d epoch=%d sequence=%d configuration=%d\n", len(found.Ring.Segments),
