sim: second rounds, settlements and look-ups wait for the fence alone, as in the store

Two ordinary syncs of 450 ms then used up the 600 ms of a reservation; the client of the probe, refused undecided, did not come again, as clients do. Ruled out: the service's commit (storeclient/commit.go) was never reached; the reservation was undecided. Change: the model answers as the store does (a settlement is told before it is synced, which is less kind); the probe comes again after 300 ms within the bound of 2 s. New in internal/store: a stalled disk holds up neither a second round nor a settlement.

--- a/internal/sim/reserve.go
+++ b/internal/sim/reserve.go
@@ -15,6 +15,8 @@
 	retryPause   = 40 * time.Millisecond
 	settleLimit  = 10 * time.Second
 	settleRetry  = 300 * time.Millisecond
+	// refusedPause is when the client of a turn comes again that was refused undecided: the wait that a proxy tells.
+	refusedPause = 300 * time.Millisecond
 	// raceSpread is how far apart the turns of a race begin.
 	raceSpread = 3 * time.Millisecond
 )
@@ -275,16 +277,25 @@
 	})
 }
 
-// probe has a proxy take a whole turn of a program of its own, and says once it is kept.
+// probe has a proxy take a whole turn of a program of its own, and says once it is kept. A turn that is refused comes again,
+// as its client does, within progressBound.
 func (e *edge) probe(kept func()) {
 	w := e.life.host.world
 	w.programs++
 	p := &program{name: fmt.Sprintf("p%d", w.programs), most: 1, budget: 1}
-	turn := p.name + "/1"
+	e.probeTurn(p, 1, w.now+progressBound, kept)
+}
+
+func (e *edge) probeTurn(p *program, try int, until time.Duration, kept func()) {
+	w := e.life.host.world
+	turn := fmt.Sprintf("%s/%d", p.name, try)
 	e.reserve(p, turn, func(a budget.Action) {
-		if a == budget.Granted {
+		switch {
+		case a == budget.Granted:
 			e.commit(turn, kept)
 			e.settle(p.name, turn, p.most)
+		case a == budget.Undecided && w.now+refusedPause < until:
+			e.life.later(refusedPause, func() { e.probeTurn(p, try+1, until, kept) })
 		}
 	})
 }
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -36,6 +36,14 @@
 		Expect(total.Counts.Drains).To(BeNumerically(">", 0))
 	})
 
+	// Seed 1533 once broke PROGRESS: the model had the second round of a reservation wait for the disk, and its client did
+	// not come again.
+	It("keeps every rule at the seeds that once broke one", func() {
+		for _, seed := range []uint64{124, 658, 1533} {
+			Expect(Run(Options{Seed: seed}).Breach).To(BeNil())
+		}
+	})
+
 	It("is the same for the same seed", func() {
 		for seed := uint64(1); seed <= 3; seed++ {
 			one, two := Run(Options{Seed: seed}), Run(Options{Seed: seed})
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -50,6 +50,9 @@
 	pushed   map[string]map[string]bool // while retiring: by what, where it is
 	told     map[string]bool            // while retiring: ids of stores that know all programs
 	expires  map[string]time.Duration   // by turn, on the store's steady clock
+	written  int                      // records handed to the disk by this process
+	onDisk   int                      // those of them that are synced
+	fence    int                      // the record of the view, counted as in written
 	syncing  bool
 	began    time.Duration // of the sync that runs
 	waiting  []func()
@@ -127,6 +130,7 @@
 // write applies a record and hands it to the disk.
 func (t *storeTable) write(r storeRecord) {
 	t.take(r, false)
+	t.written++
 	h := t.life.host
 	h.store.pending = append(h.store.pending, r)
 }
@@ -142,6 +146,16 @@
 	t.flush()
 }
 
+// fenced runs something once the view by which it was decided is on the disk: after a crash the store must refuse what an
+// older view allowed. It waits for nothing else, as in internal/store.
+func (t *storeTable) fenced(then func()) {
+	if t.fence <= t.onDisk {
+		then()
+		return
+	}
+	t.sync(then)
+}
+
 // flush runs one sync at a time; what comes meanwhile waits for the next.
 func (t *storeTable) flush() {
 	if t.syncing || len(t.waiting) == 0 {
@@ -154,11 +168,13 @@
 	t.life.sync(func(o syncOutcome) {
 		switch {
 		case o == onDisk:
+			t.onDisk += count
 			h.store.synced = append(h.store.synced, h.store.pending[:count]...)
 			h.store.pending = slices.Clone(h.store.pending[count:])
 		case o == refused:
 			group = nil // whoever asked hears nothing and asks again; what was written waits for the next sync
 			if h.world.has(fullForgets) {
+				t.onDisk += count // or the fence would wait for records that are gone
 				h.store.pending = slices.Clone(h.store.pending[count:])
 			}
 		}
@@ -185,6 +201,7 @@
 		return
 	}
 	t.write(storeRecord{view: &v})
+	t.fence = t.written
 	t.pushed, t.told = map[string]map[string]bool{}, map[string]bool{}
 	t.sync(func() {})
 }
@@ -262,6 +279,10 @@
 		reply(storewire.ReserveAnswer{Reply: r, Kept: kept, Closed: report.Closed, Settled: report.Settled, Digest: int64(report.Digest),
 			Whole: report.Whole, Entries: budget.Pack(nil, report.Entries)})
 	}
+	if q.Recheck {
+		t.fenced(answer)
+		return
+	}
 	if t.life.host.world.has(reserveUnsynced) {
 		answer()
 		t.sync(func() {})
@@ -279,7 +300,9 @@
 	for _, s := range q.Settlements {
 		t.write(storeRecord{program: s.Program, entry: budget.Entry{Turn: budget.Key(s.Turn), Tokens: s.Used}})
 	}
-	t.sync(func() { reply(r) })
+	// As in internal/store the answer does not wait for the disk: what is lost counts at its most.
+	t.fenced(func() { reply(r) })
+	t.sync(func() {})
 }
 
 func (t *storeTable) commit(q storewire.CommitRequest, reply func(storewire.Reply)) {
@@ -311,7 +334,7 @@
 		return
 	}
 	_, known := t.turns[q.Turn]
-	t.sync(func() { reply(storewire.HistoryAnswer{Reply: r, Known: known}) })
+	t.fenced(func() { reply(storewire.HistoryAnswer{Reply: r, Known: known}) })
 }
 
 // stalled says that the disk is so far behind that a turn had better go elsewhere.
--- a/internal/store/turns_test.go
+++ b/internal/store/turns_test.go
@@ -283,6 +283,8 @@
 		answer, err := n.store.History(ctx, storewire.HistoryRequest{Header: header, Turn: ids[1]})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Known).To(BeTrue())
+		Expect(reserveAt(c, n, "t", true).Reply.Standing).To(Equal(storewire.Served)) // a second round
+		settleAt(c, n, "t", 1)
 		c.pass(time.Second)
 		refused, err := n.store.Commit(ctx, storewire.CommitRequest{Header: header, Turn: storewire.Turn{ID: "y", Root: "y"}})
 		Expect(err).NotTo(HaveOccurred())
