Draining is acknowledged once a majority of the control nodes has heard it

Cause, found by reading: a control plane acknowledged that a receiver ends once any one other node, be it a proxy, had confirmed the news; and it acknowledged the same word coming again, also where the first had found nobody (the record was known here, so it was no news). Cut off with one proxy it acknowledged what nobody else learns. Ruled out: a bound by time instead; it would say nothing of who is lost meanwhile. Change: registration.Change.Ends stays set until Table.Confirmed; the plane acknowledges once the voters that have the news, itself among them, are a majority of the view's members (registration.Majority). A proxy compares tables with a majority of the core before it serves, so it hears of it. cluster.PublishConfirmed gives who confirmed, not how many.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -88,9 +88,9 @@
 		for _, size := range []int{10, 100_000} {
 			seen := make(chan int, 64)
 			processes[3].cluster.Watch(cluster.ConfigurationKey, func(e cluster.Entry) { seen <- len(e.Value) })
-			count, err := processes[0].cluster.PublishConfirmed(ctx, cluster.Entry{Key: cluster.ConfigurationKey, Value: make([]byte, size)})
+			confirmed, err := processes[0].cluster.PublishConfirmed(ctx, cluster.Entry{Key: cluster.ConfigurationKey, Value: make([]byte, size)})
 			Expect(err).NotTo(HaveOccurred())
-			Expect(count).To(Equal(len(all) - 1))
+			Expect(confirmed).To(HaveLen(len(all) - 1))
 			for _, p := range processes {
 				entry, known := p.cluster.Get(cluster.ConfigurationKey)
 				Expect(known).To(BeTrue())
@@ -99,9 +99,9 @@
 			Eventually(seen).WithContext(ctx).Should(Receive(Equal(size)))
 		}
 
-		count, err := processes[3].cluster.PublishConfirmed(ctx, cluster.Entry{Key: "receiver/b", Value: []byte("y")}, cluster.Proxy)
+		confirmed, err := processes[3].cluster.PublishConfirmed(ctx, cluster.Entry{Key: "receiver/b", Value: []byte("y")}, cluster.Proxy)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(count).To(Equal(2))
+		Expect(confirmed).To(HaveLen(2))
 	}, SpecTimeout(bound))
 
 	It("tells that a node has left and that another is down", func(ctx SpecContext) {
@@ -143,8 +143,8 @@
 		Expect(second.server.Close()).To(Succeed())
 		brief, cancel := context.WithCancel(ctx)
 		cancel()
-		count, err := first.cluster.PublishConfirmed(brief, cluster.Entry{Key: "receiver/a", Value: []byte("x")})
+		confirmed, err := first.cluster.PublishConfirmed(brief, cluster.Entry{Key: "receiver/a", Value: []byte("x")})
 		Expect(err).To(MatchError(context.Canceled))
-		Expect(count).To(Equal(0))
+		Expect(confirmed).To(BeEmpty())
 	}, SpecTimeout(bound))
 })
--- a/internal/cluster/confirm.go
+++ b/internal/cluster/confirm.go
@@ -23,10 +23,10 @@
 )
 
 // PublishConfirmed publishes an entry and returns once all live nodes of the roles have said that they have it
-// or a newer one, or with ctx's error when ctx ends. The count is of those that have said so, this node not
-// among them. No roles are all roles. A node that goes down or leaves meanwhile is not waited for. Above
+// or a newer one, or with ctx's error when ctx ends. It gives those that have said so, this node not among
+// them. An entry that is known already is brought to the others all the same. No roles are all roles. A node that goes down or leaves meanwhile is not waited for. Above
 // confirmAll nodes only the control nodes are waited for. A zero stamp is replaced as by Publish.
-func (c *Cluster) PublishConfirmed(ctx context.Context, entry Entry, roles ...Role) (confirmed int, err error) {
+func (c *Cluster) PublishConfirmed(ctx context.Context, entry Entry, roles ...Role) (confirmed []Node, err error) {
 	if len(roles) == 0 {
 		roles = []Role{Proxy, Control, Store}
 	}
@@ -44,9 +44,9 @@
 	case stamped := <-published:
 		return c.confirm(ctx, stamped, !direct, roles...)
 	case <-ctx.Done():
-		return 0, ctx.Err()
+		return nil, ctx.Err()
 	case <-c.done:
-		return 0, errClosed
+		return nil, errClosed
 	}
 }
 
@@ -75,24 +75,29 @@
 	return len(c.targets(roles)) == len(c.live(func(Node) bool { return true }))
 }
 
+// confirmation says whether a node has an entry.
+type confirmation struct {
+	node Node
+	has  bool
+}
+
 // confirm brings an entry to the live nodes of the roles until all have it or ctx ends.
-func (c *Cluster) confirm(ctx context.Context, entry Entry, forward bool, roles ...Role) (int, error) {
+func (c *Cluster) confirm(ctx context.Context, entry Entry, forward bool, roles ...Role) ([]Node, error) {
 	d := delivery{cluster: c, entry: entry, forward: forward}
 	targets := c.targets(roles)
-	results := make(chan bool, len(targets))
+	results := make(chan confirmation, len(targets))
 	for _, group := range d.groups(targets) {
 		go d.bringToGroup(ctx, group, results)
 	}
-	confirmed, done := 0, 0
+	var confirmed []Node
 	for range targets {
 		select {
-		case has := <-results:
-			done++
-			if has {
-				confirmed++
+		case r := <-results:
+			if r.has {
+				confirmed = append(confirmed, r.node)
 			}
 		case <-ctx.Done():
-			return confirmed + countReady(results), ctx.Err()
+			return append(confirmed, ready(results)...), ctx.Err()
 		case <-c.done:
 			return confirmed, errClosed
 		}
@@ -100,17 +105,17 @@
 	return confirmed, nil
 }
 
-// countReady counts the confirmations that came together with the end of the time.
-func countReady(results <-chan bool) int {
-	count := 0
+// ready gives those whose confirmations came together with the end of the time.
+func ready(results <-chan confirmation) []Node {
+	var confirmed []Node
 	for {
 		select {
-		case has := <-results:
-			if has {
-				count++
+		case r := <-results:
+			if r.has {
+				confirmed = append(confirmed, r.node)
 			}
 		default:
-			return count
+			return confirmed
 		}
 	}
 }
@@ -148,21 +153,21 @@
 }
 
 // bringToGroup brings the entry to one node of a zone and lets the others fetch it there.
-func (d delivery) bringToGroup(ctx context.Context, group []Node, results chan<- bool) {
+func (d delivery) bringToGroup(ctx context.Context, group []Node, results chan<- confirmation) {
 	holder := ""
 	if len(group) > 1 {
 		relayCtx, cancel := context.WithTimeout(ctx, relayTime)
 		if d.once(relayCtx, group[0], "") {
 			holder = group[0].Address
-			results <- true
+			results <- confirmation{node: group[0], has: true}
 			group = group[1:]
 		}
 		cancel()
 	}
 	for _, n := range group[1:] {
-		go func() { results <- d.bring(ctx, n, holder) }()
+		go func() { results <- confirmation{node: n, has: d.bring(ctx, n, holder)} }()
 	}
-	results <- d.bring(ctx, group[0], holder)
+	results <- confirmation{node: group[0], has: d.bring(ctx, group[0], holder)}
 }
 
 // bring delivers the entry to a node, again and again until it has it, is not live any more, or ctx ends.
--- a/internal/controlplane/receivers.go
+++ b/internal/controlplane/receivers.go
@@ -48,8 +48,8 @@
 	Target string `json:"heartbeat_target,omitempty"`
 }
 
-// errUnconfirmed: nobody else has the news that a receiver ends.
-var errUnconfirmed = errors.New("no other node has confirmed the news")
+// errUnconfirmed: the news that a receiver ends may be lost with this node and few others.
+var errUnconfirmed = errors.New("no majority of the control nodes has confirmed the news")
 
 func (p *Plane) registerReceivers(mux *http.ServeMux) {
 	mux.HandleFunc("POST /api/Instances.Heartbeat/{id}", p.heartbeat)
@@ -89,8 +89,9 @@
 	p.spreadAndAnswer(w, r, change, struct{}{})
 }
 
-// spreadAndAnswer spreads a change and acknowledges it. That a receiver ends is acknowledged only once others
-// know it: from then on no request may reach it for longer than the drain bound, whatever becomes of this node.
+// spreadAndAnswer spreads a change and acknowledges it. That a receiver ends is acknowledged only once a majority of
+// the control nodes know it: from then on no request may reach it for longer than the drain bound, whatever becomes of
+// this node, and a proxy compares what it knows with a majority before it serves.
 func (p *Plane) spreadAndAnswer(w http.ResponseWriter, r *http.Request, change registration.Change, body any) {
 	if err := p.spread(r.Context(), change); err != nil {
 		refuse(w, http.StatusServiceUnavailable, err.Error())
@@ -100,35 +101,62 @@
 }
 
 func (p *Plane) spread(ctx context.Context, change registration.Change) error {
-	if !change.News {
+	if !change.News && !change.Ends {
 		return nil
 	}
-	value, err := records.Receivers.Encode(change.Record)
+	entry, err := p.entryOf(change)
 	if err != nil {
 		return err
 	}
-	entry := cluster.Entry{Key: cluster.ReceiverPrefix + change.Record.ID, Value: value, Stamp: change.Stamp}
 	if !change.Ends {
 		p.base.Cluster.Publish(entry)
 		return nil
 	}
+	return p.confirm(ctx, change.Record, entry)
+}
+
+// entryOf is what is to be spread of a change: news, or what the cluster has already.
+func (p *Plane) entryOf(change registration.Change) (cluster.Entry, error) {
+	key := cluster.ReceiverPrefix + change.Record.ID
+	if !change.News {
+		known, ok := p.base.Cluster.Get(key)
+		if !ok {
+			return cluster.Entry{}, errUnconfirmed
+		}
+		return known, nil
+	}
+	value, err := records.Receivers.Encode(change.Record)
+	return cluster.Entry{Key: key, Value: value, Stamp: change.Stamp}, err
+}
+
+// confirm brings the news that a receiver ends to the others, and says whether a majority of the voters have it.
+func (p *Plane) confirm(ctx context.Context, record records.ReceiverRecord, entry cluster.Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	confirmed, _ := p.base.Cluster.PublishConfirmed(ctx, entry, cluster.Control, cluster.Proxy)
-	if confirmed == 0 && p.hasPeers() {
+	holders := []string{p.base.Address}
+	for _, n := range confirmed {
+		if n.Role == cluster.Control {
+			holders = append(holders, n.Address)
+		}
+	}
+	if !registration.Majority(p.voters(), holders) {
 		return errUnconfirmed
 	}
+	p.withReceivers(func(_ time.Duration, table *registration.Table) registration.Change {
+		table.Confirmed(record)
+		return registration.Change{}
+	})
 	return nil
 }
 
-// hasPeers says whether any other control node or proxy is known.
-func (p *Plane) hasPeers() bool {
-	for _, n := range p.base.Cluster.Nodes() {
-		if n.Role != cluster.Store && n.Name != p.base.Settings.Name && n.State != cluster.Left {
-			return true
-		}
+// voters are the addresses of the control nodes that vote, as this one knows them.
+func (p *Plane) voters() []string {
+	var addresses []string
+	for _, m := range p.replica.Members() {
+		addresses = append(addresses, m.Address)
 	}
-	return false
+	return addresses
 }
 
 // receiver gives what the cluster knows of a receiver.
--- a/internal/registration/registration.go
+++ b/internal/registration/registration.go
@@ -53,8 +53,11 @@
 
 // Change is what follows from news of a receiver.
 type Change struct {
-	News   bool // Entry is to be published
-	Ends   bool // the receiver takes no new requests from now on: to be confirmed by others before it is acknowledged
+	News bool // Record is to be published
+	// Ends: the receiver takes no new requests from now on, and it is not known that a majority of the control
+	// nodes have heard it. It must be acknowledged only once they have, see Majority and Confirmed. Without News
+	// it is what the cluster knows already that has to be confirmed.
+	Ends   bool
 	Record records.ReceiverRecord
 	Stamp  cluster.Stamp
 }
@@ -71,42 +74,77 @@
 	node     string
 	interval time.Duration
 	watched  map[string]*watched
+	// confirmed are the receivers whose end a majority has heard, as this node was told.
+	confirmed map[string]records.ReceiverState
 }
 
 // New makes an empty table of a control node; interval is that of the heartbeats.
 func New(node string, interval time.Duration) *Table {
-	return &Table{node: node, interval: interval, watched: map[string]*watched{}}
+	return &Table{node: node, interval: interval, watched: map[string]*watched{},
+		confirmed: map[string]records.ReceiverState{}}
+}
+
+// Confirmed notes that a majority of the control nodes have heard that a receiver ends: the same word again may be
+// acknowledged at once.
+func (t *Table) Confirmed(record records.ReceiverRecord) { t.confirmed[record.ID] = record.State }
+
+// unconfirmed says whether the end of a receiver, draining or gone, has still to be confirmed.
+func (t *Table) unconfirmed(id string, end records.ReceiverState) bool {
+	known, ok := t.confirmed[id]
+	return !ok || known != end && known != records.ReceiverGone
+}
+
+// Majority says whether those that have news of a receiver, by their addresses, are a majority of the voting control
+// nodes. A proxy compares tables with a majority before it serves, so it then hears of it whoever is lost. Without
+// voters there is none.
+func Majority(voters, holders []string) bool {
+	count := 0
+	for _, voter := range voters {
+		if slices.Contains(holders, voter) {
+			count++
+		}
+	}
+	return 2*count > len(voters)
 }
 
 // Heartbeat takes a heartbeat; known is the record that the cluster has of the receiver, nil if there is none.
 func (t *Table) Heartbeat(now time.Duration, id string, beat Heartbeat, known *records.ReceiverRecord) Change {
 	if known != nil && (known.Sequence > int64(beat.Sequence) || hasLeft(known)) {
-		return Change{}
+		return t.again(id, beat, known)
 	}
 	w := t.watched[id]
 	if w != nil && w.sequence > beat.Sequence {
-		return Change{}
+		return t.again(id, beat, known)
 	}
 	record := t.record(id, beat)
 	t.watched[id] = &watched{sequence: beat.Sequence, heardAt: now, state: record.State}
 	if known != nil && same(*known, record) {
-		return Change{}
+		return t.again(id, beat, known)
 	}
 	return Change{
 		News:   true,
-		Ends:   beat.Draining && (known == nil || known.State != records.ReceiverDraining),
+		Ends:   beat.Draining && t.unconfirmed(id, records.ReceiverDraining),
 		Record: record,
 		Stamp:  cluster.Stamp{Epoch: beat.Sequence, Sequence: heard, Origin: t.node},
 	}
 }
 
+// again is what follows from a heartbeat that is no news. That it drains may have been heard here without a majority
+// hearing of it: an earlier call that could not be acknowledged comes again as the same word.
+func (t *Table) again(id string, beat Heartbeat, known *records.ReceiverRecord) Change {
+	if !beat.Draining || known == nil || !t.unconfirmed(id, records.ReceiverDraining) {
+		return Change{}
+	}
+	return Change{Ends: true, Record: *known}
+}
+
 // Leave takes a receiver's word that it ends now.
 func (t *Table) Leave(id string, known *records.ReceiverRecord) Change {
 	delete(t.watched, id)
 	record := records.ReceiverRecord{ID: id}
 	if known != nil {
 		if hasLeft(known) {
-			return Change{}
+			return Change{Ends: t.unconfirmed(id, records.ReceiverGone), Record: *known}
 		}
 		record = *known
 	}
@@ -171,6 +209,11 @@
 			changes = append(changes, change)
 		}
 	}
+	for id := range t.confirmed {
+		if _, listed := seen[id]; !listed {
+			delete(t.confirmed, id)
+		}
+	}
 	for id, w := range t.watched {
 		if _, listed := seen[id]; !listed && now-w.heardAt > t.after(goneAfter) {
 			delete(t.watched, id)
--- a/internal/registration/registration_test.go
+++ b/internal/registration/registration_test.go
@@ -45,7 +45,7 @@
 	It("that come late change nothing", func() {
 		last := table.Heartbeat(0, "i-1", draining(5), nil)
 		Expect(last.Ends).To(BeTrue())
-		Expect(table.Heartbeat(1, "i-1", beat(4), &last.Record).News).To(BeFalse())
+		Expect(table.Heartbeat(1, "i-1", beat(4), &last.Record)).To(Equal(registration.Change{}))
 	})
 
 	It("that were heard elsewhere are not undone by an older one here", func() {
@@ -75,6 +75,59 @@
 	})
 })
 
+// A receiver's word that it ends may be acknowledged only once a majority has heard it; what was heard here alone is
+// not enough, however often it comes.
+var _ = Describe("the word that a receiver ends", func() {
+	var table *registration.Table
+	BeforeEach(func() { table = registration.New("front-1", interval) })
+
+	It("is to be confirmed again where it was not the first time", func() {
+		first := table.Heartbeat(0, "i-1", draining(1), nil)
+		Expect(first.News && first.Ends).To(BeTrue())
+		again := table.Heartbeat(1, "i-1", draining(2), &first.Record)
+		Expect(again.News).To(BeFalse())
+		Expect(again.Ends).To(BeTrue())
+		Expect(again.Record.State).To(Equal(records.ReceiverDraining))
+		table.Confirmed(again.Record)
+		Expect(table.Heartbeat(2, "i-1", draining(3), &first.Record)).To(Equal(registration.Change{}))
+	})
+
+	It("is to be confirmed where another node spread it, late or not", func() {
+		known := registration.New("front-2", interval).Heartbeat(0, "i-1", draining(9), nil).Record
+		Expect(table.Heartbeat(0, "i-1", draining(8), &known).Ends).To(BeTrue())
+		Expect(table.Heartbeat(0, "i-1", draining(10), &known).Ends).To(BeTrue())
+		Expect(table.Heartbeat(0, "i-1", beat(8), &known)).To(Equal(registration.Change{}))
+	})
+
+	It("of leaving is to be confirmed apart from that of draining", func() {
+		first := table.Heartbeat(0, "i-1", draining(1), nil)
+		table.Confirmed(first.Record)
+		left := table.Leave("i-1", &first.Record)
+		Expect(left.News && left.Ends).To(BeTrue())
+		Expect(table.Leave("i-1", &left.Record).Ends).To(BeTrue())
+		Expect(table.Heartbeat(1, "i-1", draining(2), &left.Record).Ends).To(BeFalse()) // the first confirmation covers it
+		table.Confirmed(left.Record)
+		Expect(table.Leave("i-1", &left.Record)).To(Equal(registration.Change{Record: left.Record}))
+	})
+
+	It("is not remembered longer than the receiver", func() {
+		first := table.Heartbeat(0, "i-1", draining(1), nil)
+		table.Confirmed(first.Record)
+		table.Tick(1, nil, always)
+		Expect(table.Heartbeat(2, "i-1", draining(2), &first.Record).Ends).To(BeTrue())
+	})
+
+	DescribeTable("has a majority", func(voters, holders []string, enough bool) {
+		Expect(registration.Majority(voters, holders)).To(Equal(enough))
+	},
+		Entry("with two of three", []string{"a", "b", "c"}, []string{"a", "c"}, true),
+		Entry("not with one of three and others that do not vote", []string{"a", "b", "c"}, []string{"a", "x", "y"}, false),
+		Entry("not with half", []string{"a", "b", "c", "d"}, []string{"a", "b"}, false),
+		Entry("alone", []string{"a"}, []string{"a"}, true),
+		Entry("not where no voter is known", nil, []string{"a"}, false),
+	)
+})
+
 var _ = Describe("silence", func() {
 	It("of a receiver whose owner lives is the owner's matter", func() {
 		known := []records.ReceiverRecord{registration.New("front-2", interval).Heartbeat(0, "i-1", beat(1), nil).Record}
--- a/internal/sim/fault.go
+++ b/internal/sim/fault.go
@@ -32,6 +32,7 @@
 	versionMayFall    Fault = "a proxy takes any configuration that comes"
 	digestMissesEntry Fault = "the comparison of tables misses the configuration"
 	drainUnconfirmed  Fault = "draining is acknowledged by one node alone, and not spread"
+	drainOfOne        Fault = "draining is acknowledged once any one other node has confirmed it"
 	silenceIgnored    Fault = "nobody looks for receivers that are silent"
 	reserveUnsynced   Fault = "a store answers for a reservation before its disk has synced"
 	reserveForgotten  Fault = "a store that starts again drops open reservations"
@@ -61,7 +62,7 @@
 // Faults are all of them.
 var Faults = []Fault{
 	answerBeforeSync, voteAfterWipe, forgetsVotes, headAcknowledges, sealIgnored, staleRead, repeatByVersion, repeatForgotten,
-	baseIgnored, invalidTaken, versionMayFall, digestMissesEntry, drainUnconfirmed, silenceIgnored, reserveUnsynced,
+	baseIgnored, invalidTaken, versionMayFall, digestMissesEntry, drainUnconfirmed, drainOfOne, silenceIgnored, reserveUnsynced,
 	reserveForgotten, oneRound, smallQuorum, incompleteCounts, tooFewCopies, missingTooSoon, retireForgets, brokenNotCounted,
 	repeatOfNewest, fullAcknowledges, fullForgets, longSyncCounts, stalledStays, commitUnsynced, retireUnsynced, expiryByTimeOfDay,
 	storesMissTurns, commitHoldsOn, reserveWaits,
--- a/internal/sim/receiver.go
+++ b/internal/sim/receiver.go
@@ -78,24 +78,24 @@
 	r.spread(r.table.Leave(id, r.known(id)), reply)
 }
 
-// spread publishes a change. That a receiver ends is acknowledged once others know it, as the control plane does.
+// spread publishes a change. That a receiver ends is acknowledged once a majority of the control nodes know it, as the
+// control plane does.
 func (r *registration) spread(change table.Change, reply func(bool)) {
 	w := r.life.host.world
-	if !change.News {
+	if !change.News && !change.Ends {
 		reply(true)
 		return
 	}
-	value, err := records.Receivers.Encode(change.Record)
-	if err != nil {
+	if w.has(drainUnconfirmed) && change.Ends {
+		reply(true)
+		return
+	}
+	entry, ok := r.entryOf(change)
+	if !ok {
 		reply(false)
 		return
 	}
-	entry := gossip.Entry{Key: core.ReceiverPrefix + change.Record.ID, Value: value, Stamp: change.Stamp}
-	if !change.Ends || w.has(drainUnconfirmed) {
-		if w.has(drainUnconfirmed) && change.Ends {
-			reply(true)
-			return
-		}
+	if !change.Ends {
 		r.life.core.Publish(w.clock(), entry)
 		r.life.settleCore()
 		reply(true)
@@ -103,10 +103,26 @@
 	}
 	r.life.core.PublishApart(w.clock(), entry)
 	r.life.settleCore()
-	c := &confirming{life: r.life, entry: entry, until: w.now + confirmTimeout, reply: reply}
+	confirmed := func(ok bool) {
+		if ok {
+			r.table.Confirmed(change.Record)
+		}
+		reply(ok)
+	}
+	c := &confirming{life: r.life, entry: entry, until: w.now + confirmTimeout, reply: confirmed}
 	c.begin()
 }
 
+// entryOf is what is to be spread of a change: news, or what the cluster has already.
+func (r *registration) entryOf(change table.Change) (gossip.Entry, bool) {
+	key := core.ReceiverPrefix + change.Record.ID
+	if !change.News {
+		return r.life.core.Get(key)
+	}
+	value, err := records.Receivers.Encode(change.Record)
+	return gossip.Entry{Key: key, Value: value, Stamp: change.Stamp}, err == nil
+}
+
 // confirming brings an entry to all live control nodes and proxies, as cluster.PublishConfirmed does.
 type confirming struct {
 	life  *life
@@ -115,7 +131,7 @@
 	reply func(bool)
 	over  bool
 	open  int
-	has   int
+	has   []string // addresses
 }
 
 func (c *confirming) begin() {
@@ -126,11 +142,24 @@
 			c.bring(n.Address)
 		}
 	}
+	c.has = append(c.has, c.life.host.address)
 	if c.open == 0 {
-		c.end(true)
+		c.end(c.enough())
 		return
 	}
-	c.life.later(confirmTimeout, func() { c.end(c.has > 0) })
+	c.life.later(confirmTimeout, func() { c.end(c.enough()) })
+}
+
+// enough says whether a majority of the voters have it, as far as this node knows the voters.
+func (c *confirming) enough() bool {
+	if c.life.host.world.has(drainOfOne) {
+		return len(c.has) > 1
+	}
+	var voters []string
+	for _, m := range c.life.replica.node.View().Members {
+		voters = append(voters, m.Address)
+	}
+	return table.Majority(voters, c.has)
 }
 
 func (c *confirming) end(ok bool) {
@@ -157,10 +186,10 @@
 			return
 		}
 		told = true
-		c.has++
+		c.has = append(c.has, address)
 		c.open--
 		if c.open == 0 {
-			c.end(true)
+			c.end(c.enough())
 		}
 	})
 	c.life.later(confirmRetry, func() {
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -50,9 +50,9 @@
 	pushed   map[string]map[string]bool // while retiring: by what, where it is
 	told     map[string]bool            // while retiring: ids of stores that know all programs
 	expires  map[string]time.Duration   // by turn, on the store's steady clock
-	written  int                      // records handed to the disk by this process
-	onDisk   int                      // those of them that are synced
-	fence    int                      // the record of the view, counted as in written
+	written  int                        // records handed to the disk by this process
+	onDisk   int                        // those of them that are synced
+	fence    int                        // the record of the view, counted as in written
 	syncing  bool
 	began    time.Duration // of the sync that runs
 	waiting  []func()
