Changes that were taken are never refused later, refused ones never taken; a bound on size

Cause: the state remembered the last 4,096 accepted changes and the last 1,024 refused ones. An order that was acknowledged and came again after more was refused (412), and a refused one could come into force: bounds in number for promises without one. Change: accepted changes are kept by rising versions, so at most one a base (found by binary search, no map to build at each restore); 8,192 of them, and one that builds on a version before gets 503, which promises nothing. Refused ones are dropped only once their version is passed; without room for another it gets 503. The test 'is known among the last 4096' was wrong, it asked for the refusal: replaced by one that asks for 1, 300, 5,000 and 8,192 later changes and never a refusal. The test of a crowd of 1,100 early changes likewise. Seen failing on the state before. New in internal/replica: a member out for 300 and 5,000 changes, for 25 of 4 MiB (the ring lapped), back from its disk, a torn end, an empty disk: caught up, in the chain behind, and the next one may go.

--- a/internal/controlplane/operator.go
+++ b/internal/controlplane/operator.go
@@ -14,8 +14,9 @@
 const (
 	// versionHeader names the version that a change builds on.
 	versionHeader = "Emberquay-Base-Version"
-	// maxOrderBytes bounds the body of an order: twice the largest configuration of the protocol.
-	maxOrderBytes = 8 << 20
+	// maxOrderBytes bounds the body of an order, above the largest configuration that is taken: who sends a larger one
+	// hears by how much.
+	maxOrderBytes = 2 * controlstate.MaxConfigurationBytes
 	// orderTimeout bounds an order: the operator goes on to another node after a second of silence, and an
 	// order whose fate is open by then gets no clear answer here.
 	orderTimeout = 3 * time.Second
--- a/internal/controlstate/command.go
+++ b/internal/controlstate/command.go
@@ -63,6 +63,8 @@
 	StatusNotFound           = 404
 	StatusConflict           = 409
 	StatusPreconditionFailed = 412
+	// StatusUnknown is no refusal: whether the command was carried out before is not known, or it can't be refused for good.
+	StatusUnknown = 503
 )
 
 // Result is what became of a command.
--- a/internal/controlstate/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -71,8 +71,8 @@
 	record := snapshotRecord{
 		Version:     int64(s.version),
 		Body:        s.body,
-		Accepted:    s.accepted.encode(),
-		Refused:     s.refused.encode(),
+		Accepted:    encodeChanges(s.accepted.order),
+		Refused:     encodeChanges(s.refused.order),
 		Epoch:       int64(s.stores.Epoch),
 		Tolerance:   int32(s.stores.Tolerance),
 		Members:     make([]memberRecord, 0, len(s.stores.Members)),
@@ -148,10 +148,10 @@
 		s.body = r.Body
 	}
 	var err error
-	if s.accepted, err = decodeChanges(r.Accepted, maxAccepted); err != nil {
+	if s.accepted, err = decodeAccepted(r.Accepted, s.version); err != nil {
 		return nil, eris.Wrap(err, "accepted")
 	}
-	if s.refused, err = decodeChanges(r.Refused, maxRefused); err != nil {
+	if s.refused, err = decodeRefused(r.Refused); err != nil {
 		return nil, eris.Wrap(err, "refused")
 	}
 	if err := r.restoreStores(s); err != nil {
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -10,15 +10,23 @@
 // A State is deterministic: the same commands in the same order give the same results and the same snapshot on every
 // replica. It does no I/O and reads no clock; whoever owns it calls it from one goroutine at a time.
 //
-// Invariants: the version of the configuration and the epoch of the view only rise; a change that was taken is
-// acknowledged again as long as it is among the last maxAccepted; a change that was refused never comes into force.
+// Invariants: the version of the configuration and the epoch of the view only rise; at most one change is ever taken on a
+// base; a change that was taken is acknowledged again as long as it is among the last maxAccepted, and gets no clear answer
+// (StatusUnknown) after that, but is never refused; a change that was refused never comes into force.
 package controlstate
 
 const (
-	// maxAccepted bounds the changes that are known to have been taken. The operator repeats a change for seconds; this
-	// is days of changes.
-	maxAccepted = 4096
-	// maxRefused bounds the refused changes that are kept, see State.refused.
+	// MaxConfigurationBytes bounds a configuration that is taken, and a change of it by items. A replica's journal has to
+	// hold four states of this size at a time (a vote and a view with one each, and a checkpoint of both) in half of its
+	// room, and a message between replicas one of them: what is larger is refused when the order comes.
+	MaxConfigurationBytes = 4 << 20
+	// maxAccepted bounds the changes that are known to have been taken: three days of changes, though the operator repeats
+	// one for seconds only. What is older is neither acknowledged nor refused.
+	maxAccepted = 8192
+	// formerMaxAccepted is how many earlier releases kept: a state of theirs with as many may have dropped some.
+	formerMaxAccepted = 4096
+	// maxRefused bounds the refused changes that are kept, see State.refused. Where there are as many, a further one gets no
+	// clear answer.
 	maxRefused = 1024
 	// maxMembers bounds the view of the stores.
 	maxMembers = 1024
@@ -31,19 +39,17 @@
 	version uint64 // of the configuration; 0 where there is none yet
 	body    []byte
 
-	accepted changes
+	accepted acceptedChanges
 	// refused are changes that built on a version above the current one. Once that version is reached they would be
 	// taken if they came again, as a call that was long on its way may; but their caller was told that they are not.
-	refused changes
+	refused refusedChanges
 
 	stores      StoreView
 	retirements []Retirement
 }
 
 // New gives the state before the first command.
-func New() *State {
-	return &State{accepted: newChanges(maxAccepted), refused: newChanges(maxRefused)}
-}
+func New() *State { return &State{} }
 
 // Configuration gives the configuration in force. The body must not be changed. Version 0 says that there is none yet.
 func (s *State) Configuration() (version uint64, body []byte) { return s.version, s.body }
