--- a/coordination/chain/calls.go
+++ b/coordination/chain/calls.go
@@ -100,6 +100,15 @@
 	return v.Tail()
 }
 
+// follow keeps the view of a node up to date that only forwards calls: no heartbeat tells it of another one.
+func (n *Node) follow() {
+	if n.settings.Voter || n.now-n.lastFollow < followEvery {
+		return
+	}
+	n.lastFollow = n.now
+	n.askAround()
+}
+
 // askAround asks the next address for a newer view.
 func (n *Node) askAround() {
 	all := n.addresses()
--- a/coordination/chain/conformance_test.go
+++ b/coordination/chain/conformance_test.go
@@ -248,6 +248,18 @@
 		Expect(t.view().Has(t.nodes["visitor"].Self().ID)).To(BeFalse())
 	})
 
+	It("are not needed for a node that is no member to know who votes", func() {
+		t := newTrio("a", "b", "c")
+		t.start("visitor", false)
+		t.pass(100 * time.Millisecond)
+		Expect(t.nodes["visitor"].View()).To(Equal(t.view()))
+		t.start("d", true)
+		t.pass(3 * time.Second)
+		Expect(t.view().Members).To(HaveLen(4))
+		Expect(t.nodes["visitor"].View()).To(Equal(t.view()))
+		Expect(t.nodes["visitor"].Member()).To(BeFalse())
+	})
+
 	It("find a command of open fate too old", func() {
 		t := newTrio("a", "b", "c")
 		t.lost = is[chain.Result]
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -22,6 +22,9 @@
 	busyEvery = 50 * time.Millisecond
 	// resendAfter is how long an answer among members may take before the question is sent again.
 	resendAfter = 200 * time.Millisecond
+	// followEvery is how often one that only forwards calls asks for a newer view: whoever counts the members' votes on
+	// its word must know who they are.
+	followEvery = time.Second
 	// lateTick is a pause between two Ticks after which the process must have been stopped: what it didn't hear
 	// meanwhile says nothing about the others.
 	lateTick = heartbeatEvery + 250*time.Millisecond
@@ -81,8 +84,10 @@
 	now      time.Duration
 	lastTick time.Duration
 	lastBeat time.Duration
-	out      Output
-	inbox    []Envelope // to itself, within the step
+	// lastFollow is when a node that only forwards last asked for a newer view.
+	lastFollow time.Duration
+	out        Output
+	inbox      []Envelope // to itself, within the step
 
 	view       view.View // zero: not a member
 	known      view.View // the newest heard of
@@ -119,15 +124,16 @@
 // New makes a node from its disk. Time counts from any moment, and on. Errors: a disk or settings that make no sense.
 func New(s Settings, d *Durable, machine StateMachine, now time.Duration) (*Node, Output, error) {
 	n := &Node{
-		settings: s,
-		random:   rand.New(rand.NewPCG(s.Random[0], s.Random[1])),
-		machine:  machine,
-		now:      now,
-		lastTick: now,
-		lastBeat: now - heartbeatEvery,
-		lastAsk:  now - resendAfter,
-		contacts: map[view.MemberID]*contact{},
-		joining:  map[view.MemberID]view.Member{},
+		settings:   s,
+		random:     rand.New(rand.NewPCG(s.Random[0], s.Random[1])),
+		machine:    machine,
+		now:        now,
+		lastTick:   now,
+		lastBeat:   now - heartbeatEvery,
+		lastFollow: now - followEvery,
+		lastAsk:    now - resendAfter,
+		contacts:   map[view.MemberID]*contact{},
+		joining:    map[view.MemberID]view.Member{},
 	}
 	n.process = n.random.Int64()
 	n.confirm.nonce = n.random.Int64N(math.MaxInt64 / 2)
@@ -282,6 +288,7 @@
 	}
 	n.now, n.lastTick = now, now
 	n.beat()
+	n.follow()
 	n.resendAppend()
 	n.resendConfirm()
 	n.resendCalls()
@@ -295,7 +302,7 @@
 	case n.busy():
 		return n.lastTick + busyEvery
 	case !n.settings.Voter:
-		return n.lastTick + time.Hour
+		return max(n.lastTick, n.lastFollow+followEvery)
 	}
 	return n.lastBeat + heartbeatEvery
 }
--- a/coordination/chain/trio_test.go
+++ b/coordination/chain/trio_test.go
@@ -169,7 +169,7 @@
 
 func sortedNames(nodes map[string]*chain.Node) []string {
 	var names []string
-	for _, name := range []string{"a", "b", "c", "d", "e", "visitor"} {
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "visitor"} {
 		if nodes[name] != nil {
 			names = append(names, name)
 		}
