--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -85,7 +85,7 @@
 func (l *life) startControl() {
 	w, h := l.host.world, l.host
 	var durable chain.Durable
-	for _, r := range h.control.synced {
+	for _, r := range h.recordsAtStart() {
 		if err := durable.Apply(r); err != nil {
 			w.judge.breach("INTERNAL", "%s: a disk that cannot be read: %v", h.name, err)
 			return
@@ -94,7 +94,7 @@
 	r := &replica{life: l, machine: w.machine(), waiting: map[int64]func(chain.Reply){}}
 	l.replica = r
 	settings := chain.Settings{Name: h.name, Address: h.address, Zone: h.zone, Voter: true, Bootstrap: h.bootstrap && h.starts == 1,
-		Seeds: w.seedsFor(h), Random: [2]uint64{w.random.Uint64(), w.random.Uint64()}}
+		Seeds: w.seedsFor(h), Random: h.chanceOf()}
 	node, out, err := chain.New(settings, &durable, r.machine, w.now)
 	if err != nil {
 		w.judge.breach("INTERNAL", "%s: does not start: %v", h.name, err)
@@ -172,8 +172,9 @@
 		r.post(e)
 	}
 	for _, reply := range out.Replies {
-		if answer := r.waiting[reply.Number]; answer != nil {
-			delete(r.waiting, reply.Number)
+		number := r.answerTo(reply.Number)
+		if answer := r.waiting[number]; answer != nil {
+			delete(r.waiting, number)
 			answer(reply)
 		}
 	}
--- a/internal/sim/fault.go
+++ b/internal/sim/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -54,6 +55,9 @@
 	storesMissTurns   Fault = "the comparison of stores misses some turns"
 	commitHoldsOn     Fault = "a turn waits for the stores where it belongs"
 	reserveWaits      Fault = "a reservation waits for all stores"
+	entryForgotten    Fault = "a control node's start leaves out the newest entry of its disk"
+	callsRenumbered   Fault = "a process that starts again numbers its calls as the one before"
+	answersCrossed    Fault = "an answer is given to another caller of the same node"
 )
 
 // falseBeatEvery is how often stalledStays sends heartbeats.
@@ -65,7 +69,7 @@
 	baseIgnored, invalidTaken, versionMayFall, digestMissesEntry, drainUnconfirmed, drainOfOne, silenceIgnored, reserveUnsynced,
 	reserveForgotten, oneRound, smallQuorum, incompleteCounts, tooFewCopies, missingTooSoon, retireForgets, brokenNotCounted,
 	repeatOfNewest, fullAcknowledges, fullForgets, longSyncCounts, stalledStays, commitUnsynced, retireUnsynced, expiryByTimeOfDay,
-	storesMissTurns, commitHoldsOn, reserveWaits,
+	storesMissTurns, commitHoldsOn, reserveWaits, entryForgotten, callsRenumbered, answersCrossed,
 }
 
 // voteless is what is left where a wiped disk keeps its name: the view, without votes and entries.
@@ -83,6 +87,42 @@
 	return []chain.Record{chain.Identity{Member: d.Member}, chain.Adoption{View: d.View, State: state}}
 }
 
+// recordsAtStart are what a start finds on the disk; entryForgotten bites here.
+func (h *host) recordsAtStart() []chain.Record {
+	records := h.control.synced
+	if !h.world.has(entryForgotten) {
+		return records
+	}
+	for at, r := range slices.Backward(records) {
+		if _, ok := r.(chain.Addition); ok {
+			return slices.Delete(slices.Clone(records), at, at+1)
+		}
+	}
+	return records
+}
+
+// chanceOf is what a process draws its own name in calls from; callsRenumbered bites here.
+func (h *host) chanceOf() [2]uint64 {
+	if h.world.has(callsRenumbered) {
+		return [2]uint64{uint64(len(h.name)), uint64(h.name[len(h.name)-1])}
+	}
+	return [2]uint64{h.world.random.Uint64(), h.world.random.Uint64()}
+}
+
+// answerTo gives the call that a reply goes to; answersCrossed bites here.
+func (r *replica) answerTo(number int64) int64 {
+	w := r.life.host.world
+	if !w.has(answersCrossed) || len(r.waiting) < 2 || !w.one(2) {
+		return number
+	}
+	for _, other := range slices.Sorted(maps.Keys(r.waiting)) {
+		if other != number {
+			return other
+		}
+	}
+	return number
+}
+
 // spoilRecords is where forgetsVotes bites.
 func (w *world) spoilRecords(records []chain.Record) []chain.Record {
 	if !w.has(forgetsVotes) {
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -39,6 +39,7 @@
 // life is one start of a host's process.
 type life struct {
 	host    *host
+	started time.Duration
 	core    *core.Core
 	frozen  bool
 	backlog []func()      // of a frozen process
@@ -63,7 +64,7 @@
 		return
 	}
 	h.starts++
-	l := &life{host: h}
+	l := &life{host: h, started: w.now}
 	h.life = l
 	self := membership.Node{Name: h.name, Role: h.role, Zone: h.zone, Region: "r", Address: h.address,
 		Incarnation: uint64(h.timeOfDay().Add(w.between(-time.Second, time.Second)).UnixNano())}
--- a/internal/sim/judge.go
+++ b/internal/sim/judge.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"emberquay/coordination/chain"
+	"emberquay/coordination/view"
 	"emberquay/internal/cluster/records"
 	"emberquay/internal/controlstate"
 )
@@ -211,6 +212,7 @@
 	w.counts.Drains++
 	j.note("%s drains", r.id)
 	acked := w.now
+	j.known(r)
 	w.trace("draining of %s is acknowledged by %s", r.id, r.ackedBy)
 	w.after(drainBound, func() {
 		if !w.calmSince(acked - contactBound) {
@@ -224,6 +226,35 @@
 	})
 }
 
+// knownWithin is how long before an acknowledgement the others confirmed at most: who has started since may know nothing.
+const knownWithin = 2 * time.Second
+
+// known checks that a majority of the voting control nodes know that a receiver ends when that is acknowledged. Those that
+// do not run, or have just started, may have known.
+func (j *judge) known(r *receiver) {
+	w := j.world
+	var newest view.View
+	for _, h := range w.up(controlRole) {
+		if node := h.life.replica.node; node != nil && node.View().Epoch > newest.Epoch {
+			newest = node.View()
+		}
+	}
+	ignorant := 0
+	for _, m := range newest.Members {
+		h := w.at(m.Address)
+		if h == nil || h.life == nil || w.now-h.life.started < knownWithin || h.life.watch == nil {
+			continue
+		}
+		if record := h.life.watch.known(r.id); record == nil || record.State == records.ReceiverReady {
+			ignorant++
+		}
+	}
+	if len(newest.Members)-ignorant < newest.Majority() {
+		j.breach(DrainRule, "draining of %s is acknowledged by %s, and %d of %d voting control nodes do not know of it",
+			r.id, r.ackedBy, ignorant, len(newest.Members))
+	}
+}
+
 // granted tells of a reservation.
 func (j *judge) granted() {
 	hooks := j.onGrant
--- a/internal/sim/kinds.go
+++ b/internal/sim/kinds.go
@@ -23,6 +23,9 @@
 	FullDisks
 	StuckMembers
 	ClockSteps
+	Islands
+	SecondLosses
+	Floods
 	kindCount
 )
 
@@ -31,6 +34,7 @@
 	"power lost at a removal", "process frozen", "network cut", "network loses, repeats, delays",
 	"storm round one control node", "races over uneven links", "machine slow", "disk lost", "control node replaced",
 	"disks slow", "disks stalled", "disks full", "one disk stuck, nothing else", "time of day stepped",
+	"control node on an island", "second loss in a repair", "hundreds of changes while one is out",
 }
 
 func (k Kind) String() string { return kindNames[k] }
--- a/internal/sim/operator.go
+++ b/internal/sim/operator.go
@@ -74,11 +74,18 @@
 	return c
 }
 
-// changeAt begins a valid change that is sent to one node alone.
-func (o *operators) changeAt(address string) *order {
-	c := &order{no: len(o.orders), base: o.version, version: o.version + 1, sent: o.world.now, pause: operatorPause, pinned: address}
+// newOrder makes a valid change on top of a base; it is not sent yet.
+func (o *operators) newOrder(base uint64) *order {
+	c := &order{no: len(o.orders), base: base, version: base + 1, sent: o.world.now, pause: operatorPause}
 	c.body = bodyOf(c.version, c.no)
 	o.orders = append(o.orders, c)
+	return c
+}
+
+// changeAt begins a valid change that is sent to one node alone.
+func (o *operators) changeAt(address string) *order {
+	c := o.newOrder(o.version)
+	c.pinned = address
 	o.send(c, address)
 	return c
 }
@@ -172,13 +179,20 @@
 
 // read reads the configuration at any node.
 func (o *operators) read(done func(*readCall)) {
+	o.readFrom(pick(o.world, o.world.of(controlRole)).address, done)
+}
+
+// readAt reads it at one node.
+func (o *operators) readAt(address string) { o.readFrom(address, nil) }
+
+func (o *operators) readFrom(address string, done func(*readCall)) {
 	w := o.world
 	c := &readCall{sent: w.now, floor: w.judge.acked}
 	type answer struct {
 		version uint64
 		body    string
 	}
-	callFromOutside(w, pick(w, w.of(controlRole)).address, func(l *life, reply func(answer)) {
+	callFromOutside(w, address, func(l *life, reply func(answer)) {
 		if l.replica == nil {
 			return
 		}
@@ -214,7 +228,11 @@
 		o.read(nil)
 	case 2:
 		if acked := o.ackedOrders(); len(acked) > 0 {
-			o.repeat(acked[max(0, len(acked)-1-w.random.IntN(3))])
+			newest := 3
+			if w.one(3) {
+				newest = len(acked)
+			}
+			o.repeat(acked[max(0, len(acked)-1-w.random.IntN(newest))])
 		}
 	case 3: // a race of two on the same base
 		o.change(o.version)
--- a/internal/sim/trouble.go
+++ b/internal/sim/trouble.go
@@ -24,7 +24,7 @@
 // strike does one thing at random and says how long to wait before the next.
 func (t *trouble) strike() {
 	w := t.world
-	switch w.random.IntN(29) {
+	switch w.random.IntN(34) {
 	case 0, 1:
 		t.kill(t.some(controlRole, 1), 3*time.Second)
 	case 2:
@@ -67,6 +67,12 @@
 		t.slowHost()
 	case 28:
 		t.retire()
+	case 29, 30:
+		t.island()
+	case 31, 32:
+		t.secondLoss()
+	case 33:
+		t.flood()
 	}
 }
 
