Answers that end with their connection are whole; a conformance table of receivers that misbehave

Cause: an answer without a length was taken for a broken one (errUnbounded), also where its receiver closed the connection behind all of it; an unsafe request got 502 for it. Ruled out: passing on an answer to another request without a length: it can't be skipped, so its connection is given up.

--- /dev/null
+++ b/internal/proxy/conformance_test.go
@@ -0,0 +1,113 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// misbehaviour is what a receiver does with the first request that comes to it, after it has read all of it.
+type misbehaviour struct {
+	name string
+	do   func(received)
+	ends bool // as a whole answer, for all kinds of request
+}
+
+// stamped is the head of the first receiver's answer up to the framing.
+func stamped(r received) string { return r.headOf(200, "Content-Type: text/event-stream") }
+
+func reset(r received) {
+	r.connection.(*net.TCPConn).SetLinger(0)
+	r.connection.Close()
+}
+
+var misbehaviours = []misbehaviour{
+	{"is reset before a byte of the answer", reset, false},
+	{"is closed before a byte of the answer", func(r received) { r.connection.Close() }, false},
+	{"is closed in the head", func(r received) {
+		r.write(stamped(r)[:40])
+		r.connection.Close()
+	}, false},
+	{"is closed behind the head", func(r received) {
+		r.write(stamped(r) + "Content-Length: 100\r\n\r\n")
+		r.connection.Close()
+	}, false},
+	{"brings bytes that are no answer", func(r received) {
+		r.write("\x00\x01 no answer\r\n\r\n")
+		r.connection.Close()
+	}, false},
+	{"brings an answer to another request alone", func(r received) {
+		r.write("HTTP/1.1 200 OK\r\nEmberquay-Request-Id: 77\r\nEmberquay-Server-Stamp: s\r\nContent-Length: 5\r\n\r\nwrong")
+		r.connection.Close()
+	}, false},
+	{"brings an answer that names no request", func(r received) {
+		r.write("HTTP/1.1 200 OK\r\nEmberquay-Server-Stamp: s\r\nContent-Length: 5\r\n\r\nwrong")
+	}, false},
+	{"brings a success without its stamp", func(r received) {
+		r.write("HTTP/1.1 200 OK\r\nEmberquay-Request-Id: " + r.id() + "\r\nContent-Length: 5\r\n\r\nwrong")
+	}, false},
+	{"brings the answer to an earlier request first", func(r received) {
+		r.write("HTTP/1.1 200 OK\r\nEmberquay-Request-Id: 77\r\nEmberquay-Server-Stamp: s\r\nContent-Length: 5\r\n\r\nwrong")
+		r.write(stamped(r) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(event(1, "good")), event(1, "good")))
+	}, true},
+	{"brings a second answer behind its own", func(r received) {
+		r.write(stamped(r) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(event(1, "good")), event(1, "good")))
+		r.write("HTTP/1.1 200 OK\r\nEmberquay-Request-Id: 9c41\r\nEmberquay-Server-Stamp: s\r\nContent-Length: 5\r\n\r\nwrong")
+	}, true},
+	{"brings its answer without a length, and ends", func(r received) {
+		r.write(stamped(r) + "\r\n" + event(1, "good"))
+		r.connection.Close()
+	}, true},
+}
+
+// Each kind of request against each way in which an answer fails: what the client gets, and how often it ran.
+var _ = Describe("A connection to a receiver that", func() {
+	kinds := []struct {
+		line, body string
+		repeats    bool
+	}{
+		{"GET /safe/x", "", true},
+		{"POST /unsafe/x", "body", false},
+		{"POST /unsafe/y", "", false},
+		{"POST /stream/x", "body", false},
+		{"POST /resume/x", "body", true},
+	}
+	for _, m := range misbehaviours {
+		for _, kind := range kinds {
+			It(m.name+": "+kind.line, func() {
+				p, f := startService("plain", 2, func(number int, r received) {
+					if number == 1 {
+						m.do(r)
+						return
+					}
+					r.write(stamped(r) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(event(1, "good")), event(1, "good")))
+				})
+				got := p.ask(kind.line, kind.body)
+				switch {
+				case m.ends:
+					Expect(got.status).To(Equal(200))
+					Expect(f.seen()).To(HaveLen(1))
+				case kind.repeats:
+					Expect(got.status).To(Equal(200))
+					Expect(f.seen()).To(HaveLen(2))
+				default:
+					Expect(got.status).To(Equal(502))
+					Expect(f.seen()).To(HaveLen(1))
+				}
+				if got.status == 200 {
+					Expect(got.err).NotTo(HaveOccurred())
+					Expect(got.body).To(Equal(event(1, "good")))
+				}
+				// The next one gets its own answer, whatever is left on the connections.
+				c := p.dial()
+				c.send("POST /unsafe/next", "b", "Emberquay-Request-Id: 9c42")
+				next := c.result()
+				Expect(next.status).To(Equal(200))
+				Expect(next.header.Get(headerRequestID)).To(Equal("9c42"))
+				Expect(next.body).To(Equal(event(1, "good")))
+			})
+		}
+	}
+})
--- a/internal/proxy/outbound/errors.go
+++ b/internal/proxy/outbound/errors.go
@@ -17,7 +17,6 @@
 var (
 	errForeign      = errors.New("the answer belongs to another request")
 	errUnidentified = errors.New("the answer names no request")
-	errUnbounded    = errors.New("the answer does not tell where its body ends")
 	errHeadTooLong  = errors.New("the answer's head is too long")
 	errUpgrade      = errors.New("the receiver switched protocols")
 )
--- a/internal/proxy/outbound/exchange.go
+++ b/internal/proxy/outbound/exchange.go
@@ -174,9 +174,6 @@
 		if echoed == "" && request.ID != "" && !(refusal(response) && c.served == 1 && foreign == 0) {
 			return nil, errUnidentified
 		}
-		if !bounded(response) {
-			return nil, errUnbounded
-		}
 		return c.answer(response, foreign > 0), nil
 	}
 }
@@ -196,7 +193,8 @@
 	return err == nil && n <= maxForeignBody
 }
 
-// bounded says whether the end of the body can be told from a connection that broke off.
+// bounded says whether the head tells where the body ends. One that does not ends with its connection: whole if that is
+// closed, broken off if it is reset.
 func bounded(response *http.Response) bool {
 	return response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked") || response.Body == http.NoBody
 }
--- a/internal/sim/judge.go
+++ b/internal/sim/judge.go
@@ -239,6 +239,9 @@
 			newest = node.View()
 		}
 	}
+	if newest.Epoch == 0 {
+		return // none runs by now
+	}
 	ignorant := 0
 	for _, m := range newest.Members {
 		h := w.at(m.Address)
