Chain: a member resigns before it stops; nobody waits for the rank of those that are silent

Cause: a control node that got SIGTERM left by falling silent, so orders waited 700 ms and the rank's delay until the others noticed; and whoever follows a dead head in the chain waited 150 ms for each place before it, also for those that are dead. Change: Resign sends a message of its own kind (old members pass over it) in place of heartbeats, the others leave the member out by a view in which it still votes; it answers until then, for one second at most. The rank counts living members only. A resigned head is left out within 250 ms, and the next order is answered at once.

--- a/coordination/chain/conformance_test.go
+++ b/coordination/chain/conformance_test.go
@@ -405,6 +405,62 @@
 		Expect(t.view().Members).To(HaveLen(3))
 	})
 
+	DescribeTable("go on at once without one that resigns, which answers until then", func(name string, names ...string) {
+		t := newTrio(names...)
+		t.propose(names[1], 0, 5)
+		t.pass(300 * time.Millisecond)
+		by := names[1]
+		if by == name {
+			by = names[2]
+		}
+		t.take(name, t.nodes[name].Resign(t.now))
+		began := t.now
+		t.propose(name, 1, 6) // its own call goes on
+		for !t.nodes[name].Resigned() && t.now-began < 5*time.Second {
+			t.pass(25 * time.Millisecond)
+		}
+		Expect(t.now - began).To(BeNumerically("<", 250*time.Millisecond))
+		Expect(t.answers(name)).To(ContainElement(2))
+		t.stop(name)
+		began = t.now
+		t.propose(by, 2, 7)
+		Expect(t.answers(by)).To(ContainElement(3))
+		Expect(addresses(t.view())).NotTo(ContainElement(name))
+		Expect(t.view().Members).To(HaveLen(len(names)), "it still votes: it comes back")
+
+		t.start(name, false)
+		t.pass(time.Second)
+		Expect(addresses(t.view())).To(ContainElement(name))
+	},
+		Entry("the head", "a", "a", "b", "c"),
+		Entry("the middle", "b", "a", "b", "c"),
+		Entry("the tail", "c", "a", "b", "c"),
+		Entry("the head of four", "a", "a", "b", "c", "d"),
+	)
+
+	It("keep one that resigns where too few would be left", func() {
+		t := newTrio("a", "b", "c")
+		t.stop("c")
+		t.pass(2 * time.Second)
+		t.take("a", t.nodes["a"].Resign(t.now))
+		t.pass(time.Second)
+		Expect(t.nodes["a"].Resigned()).To(BeFalse())
+		Expect(addresses(t.view())).To(Equal([]string{"a", "b"}))
+		t.propose("b", 0, 5)
+		Expect(t.answers("b")).To(Equal([]int{1}), "it goes on meanwhile")
+	})
+
+	It("do not wait for those before them in the chain that are silent", func() {
+		t := newTrio("a", "b", "c")
+		t.stop("a")
+		began := t.now
+		t.propose("c", 0, 5)
+		for len(t.answers("c")) == 0 {
+			t.pass(25 * time.Millisecond)
+		}
+		Expect(t.now - began).To(BeNumerically("<=", view.SuspectAfter+100*time.Millisecond))
+	})
+
 	It("remove a dead one of four, which comes back as another", func() {
 		t := newTrio("a", "b", "c")
 		t.start("d", true)
--- a/coordination/chain/members.go
+++ b/coordination/chain/members.go
@@ -16,6 +16,7 @@
 	reported map[view.MemberID]time.Duration // whom it said it hears, and when
 	assumed  time.Duration                   // when it is taken to have heard those whom it never named
 	epoch    int64                           // as it last told
+	leaving  bool                            // it said that it is about to stop, and has sent no heartbeat since
 }
 
 // never is before any time of a node.
@@ -68,6 +69,10 @@
 		n.askToJoin()
 		return
 	}
+	if n.leaving {
+		n.tellLeaving()
+		return
+	}
 	beat := Heartbeat{Epoch: n.view.Epoch, Committed: n.committed, Heard: n.heardLately()}
 	for _, m := range n.view.Members {
 		if m.ID != n.self.ID {
@@ -76,6 +81,38 @@
 	}
 }
 
+// Resign tells the others that this process is about to stop: they leave it out of the chain by a view that this member
+// still takes part in, so that nothing has to wait until its silence is noticed. It answers all that comes meanwhile;
+// Resigned says when it may go.
+func (n *Node) Resign(now time.Duration) Output {
+	n.now = max(n.now, now)
+	n.leaving = true
+	if n.settings.Voter && n.member() {
+		n.lastBeat = n.now
+		n.tellLeaving()
+	}
+	return n.finish()
+}
+
+// Resigned says whether the chain does without this member. One whose absence would leave too few stays in it.
+func (n *Node) Resigned() bool { return !n.member() || n.view.Position(n.self.ID) < 0 }
+
+func (n *Node) tellLeaving() {
+	for _, m := range n.view.Members {
+		if m.ID != n.self.ID {
+			n.sendMember(m, Leave{Epoch: n.view.Epoch})
+		}
+	}
+}
+
+// onLeave notes that a member is about to stop. Its next heartbeat, of the process that follows, ends that.
+func (n *Node) onLeave(from Peer, m Leave) {
+	if c := n.contacts[from.ID]; c != nil {
+		c.leaving, c.epoch = true, m.Epoch
+	}
+	n.sameEpoch(from, m.Epoch, true)
+}
+
 func (n *Node) heardLately() []view.MemberID {
 	var heard []view.MemberID
 	for _, id := range sortedKeys(n.contacts) {
@@ -88,7 +125,7 @@
 
 func (n *Node) onHeartbeat(from Peer, m Heartbeat) {
 	if c := n.contacts[from.ID]; c != nil {
-		c.epoch = m.Epoch
+		c.epoch, c.leaving = m.Epoch, false
 		for _, id := range m.Heard {
 			if _, joins := n.joining[id]; joins || n.view.Has(id) {
 				c.reported[id] = n.now
@@ -287,8 +324,11 @@
 	return math.MaxInt64
 }
 
-// Hears says whether one hears the other.
+// Hears says whether one hears the other. One that is about to stop counts as silent: the chain is to do without it.
 func (c contacts) Hears(by, of view.MemberID) bool {
+	if c.isLeaving(by) || c.isLeaving(of) {
+		return false
+	}
 	if by == c.self.ID {
 		return c.Silence(of) < view.SuspectAfter
 	}
@@ -303,6 +343,11 @@
 	return c.now-at < view.SuspectAfter
 }
 
+func (c contacts) isLeaving(id view.MemberID) bool {
+	other := c.contacts[id]
+	return other != nil && other.leaving
+}
+
 // Settled says whether a member has told that it adopted the present view.
 func (c contacts) Settled(id view.MemberID) bool {
 	other := c.contacts[id]
--- a/coordination/chain/message.go
+++ b/coordination/chain/message.go
@@ -153,6 +153,10 @@
 	Snapshot []byte
 }
 
+// Leave says that the sender is about to stop and takes no further part; it is sent in place of heartbeats.
+type Leave struct{ Epoch int64 }
+
+func (Leave) message()      {}
 func (Heartbeat) message()  {}
 func (Hint) message()       {}
 func (Ask) message()        {}
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -104,6 +104,8 @@
 	knownCommit int64  // newest sequence heard of as committed
 	learnt      bool   // knownCommit tells something: this process has heard of a commit, or that there is none
 
+	leaving bool // this process is about to stop
+
 	queue  []proposed // head
 	flight flight     // head
 
@@ -241,6 +243,8 @@
 	switch m := e.Body.(type) {
 	case Heartbeat:
 		n.onHeartbeat(e.From, m)
+	case Leave:
+		n.onLeave(e.From, m)
 	case Hint:
 		n.onHint(e.From, m)
 	case Ask:
--- a/coordination/chain/reconfigure.go
+++ b/coordination/chain/reconfigure.go
@@ -62,7 +62,7 @@
 // considerPlan waits with a change that is wanted for as long as the rank says, and drops it if it isn't any more. Only
 // those of the chain propose: its other members know best whether one of them is silent.
 func (n *Node) considerPlan() {
-	if n.view.Position(n.self.ID) < 0 {
+	if n.view.Position(n.self.ID) < 0 || n.leaving {
 		return
 	}
 	next, change := view.Plan(n.view, n.self.ID, contacts{n})
@@ -89,15 +89,27 @@
 	return rank*changeStep + n.jitter(someJitter)
 }
 
-// rank is the place in the chain, or behind it.
+// rank is the place in the chain, or behind it. Members before this one that say nothing, or are about to stop, will not
+// propose anything: nobody waits for them.
 func (n *Node) rank() int {
 	if at := n.view.Position(n.self.ID); at >= 0 {
-		return at
+		return at - n.absent(n.view.Chain[:at])
 	}
 	at := slices.IndexFunc(n.view.Members, func(m view.Member) bool { return m.ID == n.self.ID })
 	return len(n.view.Chain) + at
 }
 
+func (n *Node) absent(members []view.MemberID) int {
+	count := 0
+	for _, id := range members {
+		c := contacts{n}
+		if c.Silence(id) >= view.SuspectAfter || c.isLeaving(id) {
+			count++
+		}
+	}
+	return count
+}
+
 // hearsMajority keeps a member that is cut off from sealing an epoch whose successor it couldn't decide.
 func (n *Node) hearsMajority() bool {
 	heard := 0
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -179,6 +179,7 @@
 	p.mutex.Lock()
 	p.ended = true
 	p.mutex.Unlock()
+	p.resign(ctx)
 	if err := p.server.Shutdown(ctx); err != nil {
 		p.base.Log.WithError(err).Warn("calls were cut off by the stop")
 	}
@@ -186,6 +187,15 @@
 	p.close()
 }
 
+// resignTimeout bounds the wait until the others go on without this member.
+const resignTimeout = time.Second
+
+func (p *Plane) resign(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
+	p.replica.Resign(ctx)
+}
+
 func (p *Plane) close() {
 	p.stop()
 	close(p.done)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -173,6 +173,32 @@
 // Ended is closed once the replica has ended: by Close, or because the disk can't hold its state.
 func (r *Replica) Ended() <-chan struct{} { return r.ended }
 
+// resignPoll is how often Resign looks whether the others go on without this member.
+const resignPoll = 10 * time.Millisecond
+
+// Resign has the other members go on without this one before it ends, so that no order waits until its silence is noticed.
+// It returns once they do, or when ctx ends; calls are served until Close.
+func (r *Replica) Resign(ctx context.Context) {
+	if r.enqueue(ctx, func() { r.carryOut(r.node.Resign(r.now())) }) != nil {
+		return
+	}
+	ticker := time.NewTicker(resignPoll)
+	defer ticker.Stop()
+	for {
+		status := r.Status()
+		if !status.Member || status.View.Position(status.Self.ID) < 0 {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		case <-r.ended:
+			return
+		}
+	}
+}
+
 // Close ends the replica; calls that wait get ErrClosed. What was acknowledged is on the disk.
 func (r *Replica) Close() error {
 	if r.closed.CompareAndSwap(false, true) {
--- a/internal/replica/wire.go
+++ b/internal/replica/wire.go
@@ -85,6 +85,7 @@
 	as[chain.Message](record[chain.Read]("Read", "ID", commandID, "Have", long)),
 	as[chain.Message](record[chain.ReadResult]("ReadResult", "ID", commandID, "Verdict", number, "Epoch", long,
 		"Sequence", long, "Full", boolean, "Snapshot", data)),
+	as[chain.Message](record[chain.Leave]("Leave", "Epoch", long)),
 }
 
 // seal makes an envelope ready for the wire.
--- a/internal/sim/kinds.go
+++ b/internal/sim/kinds.go
@@ -26,6 +26,7 @@
 	Islands
 	SecondLosses
 	Floods
+	PlannedStops
 	kindCount
 )
 
@@ -35,6 +36,7 @@
 	"storm round one control node", "races over uneven links", "machine slow", "disk lost", "control node replaced",
 	"disks slow", "disks stalled", "disks full", "one disk stuck, nothing else", "time of day stepped",
 	"control node on an island", "second loss in a repair", "hundreds of changes while one is out",
+	"control nodes stopped in turn",
 }
 
 func (k Kind) String() string { return kindNames[k] }
--- a/internal/sim/trouble.go
+++ b/internal/sim/trouble.go
@@ -24,7 +24,7 @@
 // strike does one thing at random and says how long to wait before the next.
 func (t *trouble) strike() {
 	w := t.world
-	switch w.random.IntN(34) {
+	switch w.random.IntN(36) {
 	case 0, 1:
 		t.kill(t.some(controlRole, 1), 3*time.Second)
 	case 2:
@@ -73,6 +73,8 @@
 		t.secondLoss()
 	case 33:
 		t.flood()
+	case 34, 35:
+		t.roll()
 	}
 }
 
--- a/internal/sim/trouble_control.go
+++ b/internal/sim/trouble_control.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"emberquay/coordination/chain"
 )
 
 const (
@@ -14,6 +16,9 @@
 	floodOrders = 300
 	// repairTime is within how long of a first loss the second one comes: longer than a repair takes.
 	repairTime = 3500 * time.Millisecond
+	// resignTimeout and resignPoll are as in the service.
+	resignTimeout = time.Second
+	resignPoll    = 10 * time.Millisecond
 )
 
 // island cuts a control node off from the others, with a proxy or alone, both ways or one way. Operators and receivers reach
@@ -179,3 +184,38 @@
 	}
 	next()
 }
+
+// roll has the control nodes stop as planned and start again, one after the other, as an upgrade does.
+func (t *trouble) roll() {
+	w := t.world
+	w.begins(PlannedStops, "control nodes stop in turn")
+	at := time.Duration(0)
+	for _, h := range w.of(controlRole) {
+		w.after(at, func() {
+			h.resign(func() { w.after(w.between(50*time.Millisecond, 500*time.Millisecond), h.start) })
+		})
+		at += w.between(500*time.Millisecond, 2500*time.Millisecond)
+	}
+	w.after(at+resignTimeout+500*time.Millisecond, w.ends)
+}
+
+// resign ends the process once the others go on without it, or after a time, as the control plane does.
+func (h *host) resign(stopped func()) {
+	w, l := h.world, h.life
+	if l == nil || l.replica == nil || l.replica.node == nil {
+		stopped()
+		return
+	}
+	l.replica.do(func() chain.Output { return l.replica.node.Resign(w.now) })
+	until := w.now + resignTimeout
+	var poll func()
+	poll = func() {
+		if !l.replica.node.Resigned() && w.now < until {
+			l.later(resignPoll, poll)
+			return
+		}
+		h.stop()
+		stopped()
+	}
+	poll()
+}
