--- a/control/control.go
+++ b/control/control.go
@@ -1,5 +1,5 @@
-// Package control: the decisions of a sender stand in the files that `policy` in deploy/balancer.toml names, this
-// one first. Its types and the Outlet that it calls are in interface.go, its state in state.go.
+// Package control: the decisions of a sender stand in the files that `policy` in deploy/balancer.toml names,
+// this one first. Its types and the Outlet that it calls are in interface.go, its state in state.go.
 //
 // How to call it: New once an instance; then, for each batch of news, Clock with the time, the calls that
 // tell what happened (Take, Ended, Withdrawn, Listed, Noted, Started) and at last Settle, which
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -71,6 +71,7 @@
 	go p.ownReceivers(ctx)
 	go p.keep(ctx)
 	go p.watchStores(ctx)
+	go p.watchVoters(ctx)
 	return p, p.listen()
 }
 
--- a/internal/registration/snapshot/snapshot.go
+++ b/internal/registration/snapshot/snapshot.go
@@ -25,11 +25,10 @@
 )
 
 // Name is the file's name in its folder.
-const Name = name
+const Name = "known"
 
 const (
-	// name is the file's name; a new one is written beside it first.
-	name    = "known"
+	// newName is that of the next one, which is written beside it first.
 	newName = "known.new"
 	// maxBytes bounds the file: the largest configuration and many receivers.
 	maxBytes = 12 << 20
@@ -76,7 +75,7 @@
 
 // Check reads the list as Load does; nil where there is none. Errors: ErrNotWhole, or the disk's.
 func (f File) Check() ([]cluster.Entry, error) {
-	file, err := f.Files.Open(filepath.Join(f.Dir, name))
+	file, err := f.Files.Open(filepath.Join(f.Dir, Name))
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
@@ -155,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	if err := f.Files.Rename(from, filepath.Join(f.Dir, name)); err != nil {
+	if err := f.Files.Rename(from, filepath.Join(f.Dir, Name)); err != nil {
 		return err
 	}
 	return f.Files.SyncDir(f.Dir)
