sim: operators read before the last checks change: an order given up may be in force

Cause: a change at the end was refused (412) and counted as no progress where an order that an operator had given up after 15 s, its answer lost, was in force. Ruled out: the state machine; the base was older than what is in force.

--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -177,8 +177,14 @@
 	}
 }
 
-// changes checks that a control node brings a change through, and a read of it.
+// changes checks that a control node brings a change through, and a read of it. Operators read first: an order that they
+// gave up without an answer may be in force.
 func (w *world) changes(h *host) {
+	w.operators.read(nil)
+	w.phase(progressBound)
+	if w.broken() {
+		return
+	}
 	c := w.operators.change(w.operators.version)
 	for c.invalid {
 		w.phase(progressBound)
