--- a/internal/replica/large_test.go
+++ b/internal/replica/large_test.go
@@ -8,13 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
-
 	"emberquay/coordination/chain"
 	"emberquay/internal/controlstate"
 	"emberquay/internal/replica"
-	"emberquay/internal/transport"
 	"emberquay/internal/vfs/memfs"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -23,13 +19,8 @@
 
 // controlMember is a replica of the real control state, on a disk of the size that small machines have.
 type controlMember struct {
-	address string
-	seeds   []string
-	disk    *memfs.Mem
-	replica *replica.Replica
-	server  *transport.Server
-	client  *transport.Client
-	told    atomic.Uint64 // the newest configuration that it knows to be committed
+	process
+	told atomic.Uint64 // the newest configuration that it knows to be committed
 }
 
 // smallDisk is the journal's part of a disk of 64 MB.
@@ -37,12 +28,8 @@
 
 func (m *controlMember) start(bootstrap bool) {
 	GinkgoHelper()
-	mux := transport.NewMux()
-	m.client = transport.NewClient()
-	var err error
-	m.replica, err = replica.Open(replica.Options{
-		Name: m.address, Address: m.address, Zone: "a", Seeds: m.seeds, Bootstrap: bootstrap, Voter: true,
-		Files: m.disk, Dir: "control", DiskBytes: smallDisk,
+	m.open(replica.Options{
+		Bootstrap: bootstrap, DiskBytes: smallDisk,
 		Machine: func() chain.StateMachine { return controlstate.New() },
 		OnCommit: func(_, _ uint64, snapshot []byte) {
 			state := controlstate.New()
@@ -51,35 +38,16 @@
 				m.told.Store(version)
 			}
 		},
-		Client: m.client, Mux: mux, Log: &log.Logger{Handler: discard.Default},
 	})
-	Expect(err).NotTo(HaveOccurred())
-	m.server, err = transport.Listen(m.address, mux)
-	Expect(err).NotTo(HaveOccurred())
-}
-
-func (m *controlMember) stop() {
-	if m.replica == nil {
-		return
-	}
-	Expect(m.replica.Close()).To(Succeed())
-	Expect(m.server.Close()).To(Succeed())
-	m.client.Close()
-	m.replica = nil
 }
 
 func controlMembers(count int) []*controlMember {
 	var members []*controlMember
-	var seeds []string
-	for range count {
-		m := &controlMember{address: freeAddress(), disk: memfs.New()}
+	for _, p := range processes(count) {
+		m := &controlMember{process: p}
 		members = append(members, m)
-		seeds = append(seeds, m.address)
-	}
-	for _, m := range members {
-		m.seeds = seeds
 		m.start(true)
-		DeferCleanup(m.stop)
+		DeferCleanup(m.kill)
 	}
 	return members
 }
@@ -117,7 +85,7 @@
 			version++
 			change(ctx, members[1], version, size)
 		}
-		out.stop()
+		out.kill()
 		for range changes {
 			version++
 			change(ctx, others[version%2], version, size)
@@ -132,7 +100,7 @@
 			change(ctx, out, version, size)
 		}
 		// And they can do without another one now.
-		others[0].stop()
+		others[0].kill()
 		version++
 		change(ctx, out, version, size)
 	},
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -48,8 +48,8 @@
 
 func on(version uint64) []byte { return binary.BigEndian.AppendUint64(nil, version) }
 
-// machine is one replica with its server and its disk.
-type machine struct {
+// process is one replica with its server and its disk.
+type process struct {
 	address string
 	seeds   []string
 	voter   bool
@@ -57,6 +57,53 @@
 	replica *replica.Replica
 	server  *transport.Server
 	client  *transport.Client
+}
+
+// open starts the replica and its server. Of the options only those that differ between tests are given.
+func (p *process) open(options replica.Options) {
+	GinkgoHelper()
+	options.Name, options.Address, options.Zone = p.address, p.address, "a"
+	options.Seeds, options.Voter = p.seeds, p.voter
+	options.Files, options.Dir = p.disk, "control"
+	options.Mux = transport.NewMux()
+	options.Log = &log.Logger{Handler: discard.Default}
+	p.client = transport.NewClient()
+	options.Client = p.client
+	var err error
+	p.replica, err = replica.Open(options)
+	Expect(err).NotTo(HaveOccurred())
+	p.server, err = transport.Listen(p.address, options.Mux)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// kill ends it; what its disk holds stays.
+func (p *process) kill() {
+	if p.replica == nil {
+		return
+	}
+	Expect(p.replica.Close()).To(Succeed())
+	Expect(p.server.Close()).To(Succeed())
+	p.client.Close()
+	p.replica = nil
+}
+
+// processes are so many that are the seeds of each other.
+func processes(count int) []process {
+	all := make([]process, count)
+	var seeds []string
+	for at := range all {
+		all[at] = process{address: freeAddress(), disk: memfs.New(), voter: true}
+		seeds = append(seeds, all[at].address)
+	}
+	for at := range all {
+		all[at].seeds = seeds
+	}
+	return all
+}
+
+// machine is a replica of a counter.
+type machine struct {
+	process
 
 	broken    atomic.Bool // the disk takes nothing
 	mutex     sync.Mutex
@@ -73,12 +120,8 @@
 		}
 		return memfs.Verdict{}
 	}
-	mux := transport.NewMux()
-	m.client = transport.NewClient()
-	var err error
-	m.replica, err = replica.Open(replica.Options{
-		Name: m.address, Address: m.address, Zone: "a", Seeds: m.seeds, Bootstrap: bootstrap, Voter: m.voter,
-		Files: m.disk, Dir: "control", DiskBytes: 48 << 10,
+	m.open(replica.Options{
+		Bootstrap: bootstrap, DiskBytes: 48 << 10,
 		Machine: func() chain.StateMachine { return &counter{} },
 		OnCommit: func(_, sequence uint64, snapshot []byte) {
 			m.mutex.Lock()
@@ -86,21 +129,7 @@
 			Expect(binary.BigEndian.Uint64(snapshot)).To(Equal(sequence))
 			m.committed = append(m.committed, sequence)
 		},
-		Client: m.client, Mux: mux, Log: &log.Logger{Handler: discard.Default},
 	})
-	Expect(err).NotTo(HaveOccurred())
-	m.server, err = transport.Listen(m.address, mux)
-	Expect(err).NotTo(HaveOccurred())
-}
-
-func (m *machine) kill() {
-	if m.replica == nil {
-		return
-	}
-	Expect(m.replica.Close()).To(Succeed())
-	Expect(m.server.Close()).To(Succeed())
-	m.client.Close()
-	m.replica = nil
 }
 
 func (m *machine) newest() uint64 {
@@ -122,14 +151,9 @@
 
 func cluster(size int) []*machine {
 	var machines []*machine
-	var seeds []string
-	for range size {
-		m := &machine{address: freeAddress(), disk: memfs.New(), voter: true}
+	for _, p := range processes(size) {
+		m := &machine{process: p}
 		machines = append(machines, m)
-		seeds = append(seeds, m.address)
-	}
-	for _, m := range machines {
-		m.seeds = seeds
 		m.start(true)
 		DeferCleanup(m.kill)
 	}
@@ -290,14 +314,14 @@
 
 	It("serve one that only forwards, and take in a fourth", func(ctx SpecContext) {
 		machines := cluster(3)
-		forwards := &machine{address: freeAddress(), seeds: machines[0].seeds}
+		forwards := &machine{process: process{address: freeAddress(), seeds: machines[0].seeds}}
 		forwards.start(false)
 		DeferCleanup(forwards.kill)
 		advance(ctx, forwards, 0)
 		Expect(version(ctx, forwards)).To(Equal(uint64(1)))
 		Expect(forwards.replica.Status().Member).To(BeFalse())
 
-		fourth := &machine{address: freeAddress(), seeds: machines[0].seeds, voter: true, disk: memfs.New()}
+		fourth := &machine{process: process{address: freeAddress(), seeds: machines[0].seeds, voter: true, disk: memfs.New()}}
 		fourth.start(false)
 		DeferCleanup(fourth.kill)
 		Eventually(ctx, func() int { return len(fourth.replica.View().Chain) }).Should(Equal(4))
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -65,6 +65,19 @@
 // cut cuts or joins one direction.
 func (n *network) cut(from, to string, by int) { n.cuts[link{from, to}] += by }
 
+// cutFor cuts directions for a time, and then does something.
+func (n *network) cutFor(links []link, d time.Duration, then func()) {
+	for _, l := range links {
+		n.cut(l.from, l.to, 1)
+	}
+	n.world.after(d, func() {
+		for _, l := range links {
+			n.cut(l.from, l.to, -1)
+		}
+		then()
+	})
+}
+
 // exchange carries a call to the process at an address and its answer back. serve runs at the called process as it is then,
 // and may answer later or never; answered runs at the caller if it still lives.
 func exchange[A any](w *world, from *life, to string, serve func(h *life, reply func(A)), answered func(A)) {
--- a/internal/sim/trouble.go
+++ b/internal/sim/trouble.go
@@ -228,15 +228,7 @@
 func (t *trouble) cut(kind Kind, links []link, what string) {
 	w := t.world
 	w.begins(kind, what+" %v", links)
-	for _, l := range links {
-		w.network.cut(l.from, l.to, 1)
-	}
-	w.after(w.between(300*time.Millisecond, 5*time.Second), func() {
-		for _, l := range links {
-			w.network.cut(l.from, l.to, -1)
-		}
-		w.ends()
-	})
+	w.network.cutFor(links, w.between(300*time.Millisecond, 5*time.Second), w.ends)
 }
 
 // bad has the network lose, repeat and delay much.
--- a/internal/sim/trouble_control.go
+++ b/internal/sim/trouble_control.go
@@ -53,9 +53,6 @@
 	}
 	length = max(time.Second, min(length, t.end-w.now))
 	w.begins(Islands, "%s is cut off for %s, %v", alone.name, length, links)
-	for _, l := range links {
-		w.network.cut(l.from, l.to, 1)
-	}
 	for range islandCalls {
 		w.after(w.between(0, length), func() { t.askIsland(alone) })
 	}
@@ -63,10 +60,7 @@
 		t.blink(alone, w.between(0, length))
 	}
 	lost := w.one(2)
-	w.after(length, func() {
-		for _, l := range links {
-			w.network.cut(l.from, l.to, -1)
-		}
+	w.network.cutFor(links, length, func() {
 		if lost {
 			t.kill(members, time.Second)
 		}
@@ -157,14 +151,7 @@
 				links = append(links, link{h.address, out.address}, link{out.address, h.address})
 			}
 		}
-		for _, l := range links {
-			w.network.cut(l.from, l.to, 1)
-		}
-		w.after(length, func() {
-			for _, l := range links {
-				w.network.cut(l.from, l.to, -1)
-			}
-		})
+		w.network.cutFor(links, length, func() {})
 	}
 	w.after(length, w.ends)
 	until := w.now + length
