sim: no sync outlasts the calm; what is not whole is told in more words

Ruled out: the member's own part; it waited for its vote's sync all the time, and the others went on without it.

--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -5,6 +5,8 @@
 const (
 	// slowFactor is by how much each sync of a slow disk takes longer: a few ms become more than 100.
 	slowFactor = 30
+	// longestSync bounds one sync, so that none outlasts the calm by which all has to be whole: as long as a stall.
+	longestSync = 4 * time.Second
 	// assumeAfter is when longSyncCounts takes a sync for done.
 	assumeAfter = 150 * time.Millisecond
 )
@@ -30,7 +32,7 @@
 	if h.disk.slow > 0 {
 		d *= slowFactor
 	}
-	return d
+	return min(d, longestSync)
 }
 
 // sync begins a sync of the process's disk and says once how it ended; never, if the process ends before.
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"fmt"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -271,7 +272,8 @@
 		node := h.life.replica.node
 		v := node.View()
 		if !node.Member() || v.Position(node.Self().ID) < 0 || len(v.Members) != len(w.of(controlRole)) {
-			said += h.name + " "
+			said += fmt.Sprintf("%s (member %t, epoch %d, chain %v of %d, own id %d, waits for the disk %t) ",
+				h.name, node.Member(), v.Epoch, v.Chain, len(v.Members), node.Self().ID, h.life.replica.busy)
 		}
 	}
 	return said
