--- a/internal/sim/teeth_test.go
+++ b/internal/sim/teeth_test.go
@@ -29,6 +29,7 @@
 	sealIgnored, voteAfterWipe, headAcknowledges, staleRead, repeatByVersion, repeatForgotten, baseIgnored, invalidTaken, versionMayFall,
 	drainUnconfirmed, silenceIgnored, smallQuorum, tooFewCopies, missingTooSoon, brokenNotCounted,
 	oneRound, repeatOfNewest, stalledStays, commitHoldsOn, reserveWaits,
+	drainOfOne, entryForgotten, callsRenumbered, answersCrossed,
 }
 
 const quickSeeds = 100
