--- a/internal/controlplane/alone_test.go
+++ b/internal/controlplane/alone_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -65,6 +66,10 @@
 	readyCall    = call{"heartbeat", "POST", "/api/Instances.Heartbeat/i-1", "", `{"service":"s","address":"127.0.2.1:80","zone":"z1","slots":2,"state":"ready","sequence":1}`}
 	drainingCall = call{"heartbeat of one that drains", "POST", "/api/Instances.Heartbeat/i-1", "", `{"service":"s","address":"127.0.2.1:80","zone":"z1","slots":2,"state":"draining","sequence":2}`}
 	againCall    = call{"the same again", "POST", "/api/Instances.Heartbeat/i-1", "", `{"service":"s","address":"127.0.2.1:80","zone":"z1","slots":2,"state":"draining","sequence":3}`}
+	baselessCall = call{"replace on a base that is no number", "POST", "/api/Config.Replace", "one", `{"version":2}`}
+	negativeCall = call{"modify on a negative base", "POST", "/api/Config.Modify", "-1", `{"version":2}`}
+	endlessCall  = call{"replace by more than is read", "POST", "/api/Config.Replace", "1", strings.Repeat(" ", maxOrderBytes+1)}
+	brokenCall   = call{"heartbeat that is cut short", "POST", "/api/Instances.Heartbeat/i-2", "", `{"service":`}
 	leaveCall    = call{"leave", "POST", "/api/Instances.Leave/i-1", "", ""}
 )
 
@@ -130,6 +135,9 @@
 			orders.Go(func() { expectRefusedAs(c, 503, orderTimeout) })
 		}
 		orders.Wait()
+		for _, c := range []call{baselessCall, negativeCall, endlessCall, brokenCall} {
+			expectRefusedAs(c, 400, 0) // no state could make it valid
+		}
 		expectRefusedAs(readyCall, 200, confirmTimeout)
 		for _, c := range []call{drainingCall, againCall, leaveCall, leaveCall} {
 			expectRefusedAs(c, 503, confirmTimeout)
