--- a/coordination/chain/conformance_test.go
+++ b/coordination/chain/conformance_test.go
@@ -422,7 +422,6 @@
 		Expect(t.now - began).To(BeNumerically("<", 250*time.Millisecond))
 		Expect(t.answers(name)).To(ContainElement(2))
 		t.stop(name)
-		began = t.now
 		t.propose(by, 2, 7)
 		Expect(t.answers(by)).To(ContainElement(3))
 		Expect(addresses(t.view())).NotTo(ContainElement(name))
--- a/coordination/chain/second_loss_test.go
+++ b/coordination/chain/second_loss_test.go
@@ -29,10 +29,9 @@
 // repairRun is a few nodes that lose one, and another one in the middle of the repair.
 type repairRun struct {
 	*trio
-	values  uint64            // of the changes that were sent, from 1 on
-	sent    map[uint64]uint64 // base by value
-	acked   map[uint64]bool   // values
-	callers []string          // who sent changes, and lives or has lived
+	values uint64            // of the changes that were sent, from 1 on
+	sent   map[uint64]uint64 // base by value
+	acked  map[uint64]bool   // values
 
 	victim string
 	step   int // messages that the victim hears until it is lost
