dispatch: programs that begin are admitted by a share that follows what is observed

Cause: an overload was met turn by turn.

Change: per service a share of programs that begin, increased by 0.01 with a turn that begins within half of its objective, multiplied by 0.9 with one that does not; 0.3 before anything is observed, 0.05 at least. Drawn by the hash of the program's name, so all senders refuse the same ones. Not in play while under a third of the places are taken, nor for programs under way.

Seen failing on the decisions before.

--- /dev/null
+++ b/admission/dispatch/beginning_test.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("programs that begin", func() {
+	turn := func(program string) func(*Request) {
+		return func(r *Request) { r.Kind, r.Turn, r.Program, r.TargetLatency = Streaming, true, program, 200*ms }
+	}
+	// crowded has two engines whose places are taken, but for a few.
+	crowded := func() *script {
+		s := newScript(engine("a"), engine("b")).warm(50 * ms)
+		s.told("a", Report{Running: 20})
+		s.told("b", Report{Running: 20})
+		return s
+	}
+	// begin has programs come until so many were refused, or a hundred have come, and gives those that were refused.
+	begin := func(s *script, count int) map[string]bool {
+		refused := map[string]bool{}
+		for i := range count {
+			name := fmt.Sprint("program-", i)
+			s.arrive(RequestID(name), turn(name))
+			if s.refusal(RequestID(name)) != nil {
+				refused[name] = true
+				continue
+			}
+			s.take(s.Withdraw(s.now, RequestID(name)))
+			if slicesHas(s.sends, RequestID(name)) {
+				s.end(RequestID(name), Outcome{Kind: Cancelled})
+			}
+		}
+		return refused
+	}
+
+	ginkgo.It("are refused in part by a sender that knows nothing yet, where places are scarce", func() {
+		refused := begin(crowded(), 200)
+		Expect(len(refused)).To(BeNumerically("~", 200*(1-firstAdmitShare), 25))
+	})
+	ginkgo.It("are told when to come back, at once", func() {
+		s := crowded()
+		s.services[pool].admitShare = 0
+		s.arrive("1", turn("p"))
+		Expect(s.refusal("1").Status).To(Equal(StatusServiceUnavailable))
+		Expect(s.refusal("1").RetryAfter).To(BeNumerically(">=", defaultPause))
+		Expect(s.refusal("1").Executed).To(BeFalse())
+	})
+	ginkgo.It("are the same ones at every sender", func() {
+		one, two := crowded(), crowded()
+		two.services[pool].admitShare = 0.6
+		few, more := begin(two, 100), begin(one, 100)
+		Expect(len(few)).To(BeNumerically("<", len(more)))
+		for name := range few {
+			Expect(more).To(HaveKey(name))
+		}
+	})
+	ginkgo.It("are all admitted while few places are taken", func() {
+		s := newScript(engine("a"), engine("b")).warm(50 * ms)
+		s.told("a", Report{Running: 7})
+		s.told("b", Report{Running: 7})
+		Expect(begin(s, 50)).To(BeEmpty())
+	})
+	ginkgo.It("are those of which no turn is known: neither from the client nor from before", func() {
+		s := crowded()
+		s.services[pool].admitShare = 0
+		s.arrive("1", turn("p"), func(r *Request) { r.Begun = true })
+		Expect(s.refusals).To(BeEmpty())
+		s.take(s.Started(s.now, "1"))
+		s.end("1", Outcome{Kind: Success, FirstByte: 20 * ms, Took: 50 * ms})
+		s.services[pool].admitShare = 0
+		s.arrive("2", turn("p"))
+		Expect(s.refusals).To(BeEmpty())
+		s.arrive("3", turn("q"))
+		Expect(s.refusal("3")).NotTo(BeNil())
+	})
+	ginkgo.It("are not those that are no turns", func() {
+		s := crowded()
+		s.services[pool].admitShare = 0
+		s.arrive("1", func(r *Request) { r.Kind, r.TargetLatency = Streaming, 200*ms })
+		Expect(s.refusals).To(BeEmpty())
+	})
+
+	// observed has one turn under way that begins after a span, or is given up then.
+	observed := func(after time.Duration, begins bool) float64 {
+		s := crowded()
+		before := s.services[pool].admitShare
+		s.arrive("1", turn("p"), func(r *Request) { r.Begun = true })
+		s.now = s.now.Add(after)
+		if begins {
+			s.take(s.Started(s.now, "1"))
+			s.end("1", Outcome{Kind: Success, FirstByte: after, Took: after})
+		} else {
+			s.take(s.Withdraw(s.now, "1"))
+			s.end("1", Outcome{Kind: Cancelled, Took: after})
+		}
+		return s.services[pool].admitShare - before
+	}
+	ginkgo.DescribeTable("are admitted by how turns begin",
+		func(after time.Duration, begins bool, change float64) {
+			Expect(observed(after, begins)).To(BeNumerically("~", change, 1e-9))
+		},
+		ginkgo.Entry("in time", 100*ms, true, admitIncrease),
+		ginkgo.Entry("late", 101*ms, true, -admitDecrease*firstAdmitShare),
+		ginkgo.Entry("given up late", 2*time.Second, false, -admitDecrease*firstAdmitShare),
+		ginkgo.Entry("given up early, which says nothing", 50*ms, false, 0.0),
+	)
+	ginkgo.It("are never all refused, nor admitted by more than all", func() {
+		s := newScript(engine("a"))
+		service := s.service(pool)
+		for range 1000 {
+			service.turnLate(&request{})
+		}
+		Expect(service.admitShare).To(Equal(leastAdmitShare))
+		for range 1000 {
+			s.observeStart(service, &request{Request: Request{Turn: true}})
+		}
+		Expect(service.admitShare).To(Equal(1.0))
+	})
+	ginkgo.It("are remembered within bounds, and forgotten after a time", func() {
+		var p programSet
+		for i := range uint64(10 * mostPrograms) {
+			p.add(start, i)
+		}
+		Expect(len(p.young) + len(p.old)).To(BeNumerically("<=", 2*mostPrograms))
+		Expect(p.has(10*mostPrograms - 1)).To(BeTrue())
+		Expect(p.has(1)).To(BeFalse())
+		p.add(start.Add(programKept), 1)
+		Expect(p.has(10*mostPrograms - 1)).To(BeTrue())
+		p.add(start.Add(2*programKept), 2)
+		Expect(p.has(10*mostPrograms - 1)).To(BeFalse())
+	})
+})
+
+func slicesHas(sends []Send, id RequestID) bool {
+	for _, send := range sends {
+		if send.Request == id {
+			return true
+		}
+	}
+	return false
+}
--- a/admission/dispatch/dispatch.go
+++ b/admission/dispatch/dispatch.go
@@ -129,6 +129,9 @@
 	q := d.newRequest(r)
 	s := d.service(r.Service)
 	s.hold(q)
+	if !d.admits(s, q) {
+		d.giveUp(s, q, defaultPause)
+	}
 	d.settle(s)
 	return d.done()
 }
@@ -191,6 +194,7 @@
 	d.begin(now)
 	if q := d.requests[id]; q != nil && q.to != nil {
 		q.started = true
+		d.observeStart(d.service(q.Service), q)
 		q.to.unread -= q.unread
 		q.unread = 0
 		q.to.lives(d.now)
@@ -206,6 +210,7 @@
 	if q := d.requests[id]; q != nil {
 		s := d.service(q.Service)
 		q.over = true
+		d.observeEnd(s, q)
 		if q.to == nil {
 			s.unhold(q)
 			d.forget(q)
--- a/admission/dispatch/outcome.go
+++ b/admission/dispatch/outcome.go
@@ -47,6 +47,9 @@
 	s.out--
 	b.returned(d.now, q)
 	d.learn(s, q, b, o)
+	if o.Kind.MayHaveRun() && o.Kind != ErrorAnswer {
+		d.observeEnd(s, q)
+	}
 	q.note(b, o.Kind)
 	switch {
 	case q.over || o.Kind == Success || o.Kind == ErrorAnswer || o.Kind == Cancelled:
--- a/admission/dispatch/queue.go
+++ b/admission/dispatch/queue.go
@@ -42,8 +42,7 @@
 // outlook: each call out frees its place after a usual call.
 func (s *service) outlook(now Instant) outlook {
 	o := outlook{hold: time.Duration(math.MaxInt64)}
-	places, taken, limits := 0, 0.0, 0
-	usual := s.usualLoad(now)
+	places := 0
 	for _, b := range s.buckets {
 		if !b.usable() {
 			continue
@@ -54,9 +53,8 @@
 		if hold <= defaultPause {
 			places += max(1, len(b.out))
 		}
-		taken += b.load(now, usual)
-		limits += b.limit()
 	}
+	taken, limits := s.places(now)
 	if o.usable == 0 {
 		o.hold = defaultPause
 	}
@@ -65,6 +63,18 @@
 	return o
 }
 
+// places gives how many of a service's places are thought to be taken, and how many there are.
+func (s *service) places(now Instant) (taken float64, limits int) {
+	usual := s.usualLoad(now)
+	for _, b := range s.buckets {
+		if b.usable() {
+			taken += b.load(now, usual)
+			limits += b.limit()
+		}
+	}
+	return taken, limits
+}
+
 // settle decides for a service what goes, what is refused and when time alone next changes something.
 func (d *Dispatcher) settle(s *service) {
 	if len(s.queue) == 0 {
--- a/admission/dispatch/state.go
+++ b/admission/dispatch/state.go
@@ -20,6 +20,7 @@
 	buckets  map[InstanceID]*bucket
 	requests map[RequestID]*request
 	usuals   map[usualKey]*usual
+	underWay programSet
 	arrivals uint64
 	wakeAt   Instant // asked for and not come; 0: none
 	wake     Instant // the earliest that this event found
@@ -60,6 +61,7 @@
 	failure    int  // the status that tells how the last call that may have run failed
 	started    bool // part of an answer has gone to the client
 	over       bool // nobody waits for it any more
+	judged     bool // whether its answer began in time has been counted
 }
 
 // spareRequests bounds the request records that are kept for reuse.
@@ -73,6 +75,8 @@
 	out     int     // calls out
 	took    float64 // a usual call, any size
 	fresh   float64 // prompt tokens of a usual call that no receiver keeps
+
+	admitShare float64 // of programs that begin, while places are scarce; 1: all
 }
 
 // bucket is what this sender knows of one receiver endpoint, and what it has out there.
@@ -126,7 +130,7 @@
 func (d *Dispatcher) service(name string) *service {
 	s := d.services[name]
 	if s == nil {
-		s = &service{name: name}
+		s = &service{name: name, admitShare: firstAdmitShare}
 		d.services[name] = s
 	}
 	return s
