control plane: the acknowledged end of a receiver is on disk first

Cause: a drain or a Leave was acknowledged once a majority had it in memory; the disk followed within 300 ms. Change: a control node with a disk says that it has an entry only once its file of known entries holds it (cluster.ConfirmAfter); the asking node waits for its own disk for 200 ms beside the 600 ms for the others. One writing serves all who wait; none where the file has it already.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -99,6 +99,7 @@
 	nodes    atomic.Pointer[[]Node]
 	notify   *notifier
 	senders  *senders
+	keep     atomic.Pointer[keepFunc]
 }
 
 // Start registers the handlers on the mux and begins to look for the others. The caller then listens.
@@ -145,6 +146,16 @@
 	return n
 }
 
+// keepFunc returns nil once an entry of the table is kept as its node promises.
+type keepFunc func(ctx context.Context, key string, stamp Stamp) error
+
+// ConfirmAfter has this node say that it has an entry which PublishConfirmed brings here only once keep has returned nil
+// for it. Without it, having the entry in memory is enough.
+func (c *Cluster) ConfirmAfter(keep func(ctx context.Context, key string, stamp Stamp) error) {
+	f := keepFunc(keep)
+	c.keep.Store(&f)
+}
+
 // Publish puts an entry into the table and spreads it. A zero stamp is replaced by one above what is known
 // here of the key. An entry that is not above what is known is dropped. The value must not be changed after.
 func (c *Cluster) Publish(entry Entry) {
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,4 +149,26 @@
 		Expect(err).To(MatchError(context.Canceled))
 		Expect(confirmed).To(BeEmpty())
 	}, SpecTimeout(bound))
+
+	It("confirms only what is kept, where a node is told to keep it first", func(ctx SpecContext) {
+		all := identities()
+		first := start(all[0], all[0].Address)
+		second := start(all[1], all[0].Address)
+		Eventually(func() []cluster.Node { return first.cluster.Nodes() }).WithContext(ctx).Should(HaveLen(2))
+		var asked atomic.Int32
+		second.cluster.ConfirmAfter(func(_ context.Context, key string, stamp cluster.Stamp) error {
+			entry, known := second.cluster.Get(key)
+			if !known || stamp.Above(entry.Stamp) {
+				return errors.New("asked before it was there")
+			}
+			if asked.Add(1) < 3 {
+				return errors.New("the disk is busy")
+			}
+			return nil
+		})
+		confirmed, err := first.cluster.PublishConfirmed(ctx, cluster.Entry{Key: "receiver/a", Value: []byte("x")})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(confirmed).To(HaveLen(1))
+		Expect(asked.Load()).To(BeEquivalentTo(3))
+	}, SpecTimeout(bound))
 })
--- a/internal/cluster/confirm.go
+++ b/internal/cluster/confirm.go
@@ -212,7 +212,7 @@
 	entry := core.EntryFromWire(request.Entry)
 	if request.Holder != "" {
 		if has, err := c.deliver(ctx, request, nil); has || err != nil {
-			return confirmAnswer{Has: has}, err
+			return confirmAnswer{Has: has && c.isKept(ctx, request)}, err
 		}
 		answer, err := transport.Call(ctx, c.client, request.Holder, methodFetch, fetchRequests, fetchAnswers, fetchRequest{Key: entry.Key})
 		if err != nil || len(answer.Entries) == 0 {
@@ -221,7 +221,18 @@
 		entry = core.EntryFromWire(answer.Entries[0])
 	}
 	has, err := c.deliver(ctx, request, &entry)
-	return confirmAnswer{Has: has}, err
+	return confirmAnswer{Has: has && c.isKept(ctx, request)}, err
+}
+
+// isKept says whether an entry that is in the table is kept as ConfirmAfter asks.
+func (c *Cluster) isKept(ctx context.Context, request confirmRequest) bool {
+	keep := c.keep.Load()
+	if keep == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTime)
+	defer cancel()
+	return (*keep)(ctx, request.Entry.Key, core.StampFromWire(request.Entry.Stamp)) == nil
 }
 
 // deliver puts an entry, if there is one, into the table and tells whether what was asked for is there now.
--- a/internal/controlplane/alone_test.go
+++ b/internal/controlplane/alone_test.go
@@ -14,7 +14,11 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"emberquay/internal/cluster"
+	"emberquay/internal/cluster/records"
+	"emberquay/internal/registration/snapshot"
 	"emberquay/internal/settings"
+	"emberquay/internal/vfs"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -155,3 +159,56 @@
 		Eventually(ctx, func() int { status, _, _ := leaveCall.at(alone); return status }).Should(Equal(200))
 	}, SpecTimeout(2*time.Minute))
 })
+
+// drainsAtDisks counts the disks on which a receiver is kept as one that ends.
+func drainsAtDisks(dirs []string, id string) (count int) {
+	GinkgoHelper()
+	for _, dir := range dirs {
+		entries, err := snapshot.File{Files: vfs.OS{}, Dir: dir}.Load()
+		Expect(err).NotTo(HaveOccurred())
+		for _, e := range entries {
+			record, err := records.Receivers.Decode(e.Value)
+			if e.Key == cluster.ReceiverPrefix+id && err == nil && record.State != records.ReceiverReady {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// All machines may lose power at the moment after an acknowledgement, also those that do not count.
+var _ = Describe("the acknowledged end of a receiver", func() {
+	It("is on the disks of a majority when it is acknowledged", func(ctx SpecContext) {
+		internal, control := freePorts()
+		ports := [2]int{internal, internal + 15}
+		var seeds, dirs []string
+		for at := 1; at <= 3; at++ {
+			seeds = append(seeds, net.JoinHostPort("127.0.1."+strconv.Itoa(at), strconv.Itoa(control)))
+			dirs = append(dirs, GinkgoT().TempDir())
+		}
+		for at := range 3 {
+			plane := planeOf(at+1, ports, seeds, dirs[at], true)
+			DeferCleanup(func() {
+				short, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				plane.Shutdown(short)
+			})
+		}
+		Eventually(ctx, func() int { status, _, _ := leaveCall.at(seeds[0]); return status }).Should(Equal(200))
+		for n := range 10 {
+			id := "i-" + strconv.Itoa(10+n)
+			ready, drains := readyCall, drainingCall
+			ready.path, drains.path = "/api/Instances.Heartbeat/"+id, "/api/Instances.Heartbeat/"+id
+			at := seeds[n%3]
+			Expect(status(ready, at)).To(Equal(200))
+			Eventually(ctx, func() int { return status(drains, at) }).Should(Equal(200))
+			Expect(drainsAtDisks(dirs, id)).To(BeNumerically(">=", 2), id)
+		}
+	}, SpecTimeout(2*time.Minute))
+})
+
+func status(c call, address string) int {
+	GinkgoHelper()
+	status, _, _ := c.at(address)
+	return status
+}
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -47,6 +47,7 @@
 	base    *planes.Base
 	replica *replica.Replica
 	server  *http.Server
+	keeper  *keeper // nil without a disk
 
 	receiverCommands chan func(*registration.Table)
 	done             chan struct{}
@@ -64,19 +65,18 @@
 		receiverCommands: make(chan func(*registration.Table), commandBound),
 		done:             make(chan struct{}),
 	}
-	if err := p.open(); err != nil {
+	if err := p.open(ctx); err != nil {
 		p.close()
 		return nil, err
 	}
 	go p.ownReceivers(ctx)
-	go p.keep(ctx)
 	go p.watchStores(ctx)
 	go p.watchVoters(ctx)
 	return p, p.listen()
 }
 
 // open starts what other nodes call.
-func (p *Plane) open() error {
+func (p *Plane) open(ctx context.Context) error {
 	if err := p.base.Join(); err != nil {
 		return err
 	}
@@ -85,6 +85,7 @@
 		return err
 	}
 	p.recall()
+	p.keepKnown(ctx)
 	p.registerStores(p.base.Mux)
 	return p.base.Serve(p.addStatus)
 }
--- a/internal/controlplane/receivers.go
+++ b/internal/controlplane/receivers.go
@@ -129,12 +129,14 @@
 	return cluster.Entry{Key: key, Value: value, Stamp: change.Stamp}, err
 }
 
-// confirm brings the news that a receiver ends to the others, and says whether a majority of the voters have it.
+// confirm brings the news that a receiver ends to the others, and says whether a majority of the voters have it, on disk
+// where they have one: all machines may lose power at the next moment, and the receiver may not say it again.
 func (p *Plane) confirm(ctx context.Context, record records.ReceiverRecord, entry cluster.Entry) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	confirmed, _ := p.base.Cluster.PublishConfirmed(ctx, entry, cluster.Control, cluster.Proxy)
-	holders := []string{p.base.Address}
+	confirmed := p.tellOthers(ctx, entry)
+	var holders []string
+	if p.keptHere(ctx, entry.Key) == nil {
+		holders = append(holders, p.base.Address)
+	}
 	for _, n := range confirmed {
 		if n.Role == cluster.Control {
 			holders = append(holders, n.Address)
@@ -150,6 +152,14 @@
 	return nil
 }
 
+// tellOthers brings an entry to the others and gives those that have confirmed it in time.
+func (p *Plane) tellOthers(ctx context.Context, entry cluster.Entry) []cluster.Node {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	confirmed, _ := p.base.Cluster.PublishConfirmed(ctx, entry, cluster.Control, cluster.Proxy)
+	return confirmed
+}
+
 // voters are the addresses of the control nodes that vote, as this one knows them.
 func (p *Plane) voters() []string {
 	var addresses []string
