dispatch: programs that a zone does not bear are served in other zones

Cause: a home is sought in the sender's zone, and receivers of other zones, of which no report comes in a large fleet, count as loaded as the own ones. Change: a second share, of programs beyond the first, whose home is sought in the other zones; it falls twice as fast, as these serve their own first. Where a program is placed is remembered with it. The set of programs under way keeps that instead of names alone.

--- a/admission/dispatch/beginning_test.go
+++ b/admission/dispatch/beginning_test.go
@@ -10,7 +10,9 @@
 
 var _ = ginkgo.Describe("programs that begin", func() {
 	turn := func(program string) func(*Request) {
-		return func(r *Request) { r.Kind, r.Turn, r.Program, r.TargetLatency = Streaming, true, program, 200*ms }
+		return func(r *Request) {
+			r.Kind, r.Turn, r.Program, r.TargetLatency, r.Priority = Streaming, true, program, 200*ms, 1
+		}
 	}
 	// crowded has two engines whose places are taken, but for a few.
 	crowded := func() *script {
@@ -43,7 +45,7 @@
 	})
 	ginkgo.It("are told when to come back, at once", func() {
 		s := crowded()
-		s.services[pool].admitShare = 0
+		s.services[pool].admit = admitShares{}
 		s.arrive("1", turn("p"))
 		Expect(s.refusal("1").Status).To(Equal(StatusServiceUnavailable))
 		Expect(s.refusal("1").RetryAfter).To(BeNumerically(">=", defaultPause))
@@ -51,7 +53,7 @@
 	})
 	ginkgo.It("are the same ones at every sender", func() {
 		one, two := crowded(), crowded()
-		two.services[pool].admitShare = 0.6
+		two.services[pool].admit.near = 0.6
 		few, more := begin(two, 100), begin(one, 100)
 		Expect(len(few)).To(BeNumerically("<", len(more)))
 		for name := range few {
@@ -66,12 +68,12 @@
 	})
 	ginkgo.It("are those of which no turn is known: neither from the client nor from before", func() {
 		s := crowded()
-		s.services[pool].admitShare = 0
+		s.services[pool].admit = admitShares{}
 		s.arrive("1", turn("p"), func(r *Request) { r.Begun = true })
 		Expect(s.refusals).To(BeEmpty())
 		s.take(s.Started(s.now, "1"))
 		s.end("1", Outcome{Kind: Success, FirstByte: 20 * ms, Took: 50 * ms})
-		s.services[pool].admitShare = 0
+		s.services[pool].admit = admitShares{}
 		s.arrive("2", turn("p"))
 		Expect(s.refusals).To(BeEmpty())
 		s.arrive("3", turn("q"))
@@ -79,7 +81,7 @@
 	})
 	ginkgo.It("are not those that are no turns", func() {
 		s := crowded()
-		s.services[pool].admitShare = 0
+		s.services[pool].admit = admitShares{}
 		s.arrive("1", func(r *Request) { r.Kind, r.TargetLatency = Streaming, 200*ms })
 		Expect(s.refusals).To(BeEmpty())
 	})
@@ -87,7 +89,7 @@
 	// observed has one turn under way that begins after a span, or is given up then.
 	observed := func(after time.Duration, begins bool) float64 {
 		s := crowded()
-		before := s.services[pool].admitShare
+		before := s.services[pool].admit.near
 		s.arrive("1", turn("p"), func(r *Request) { r.Begun = true })
 		s.now = s.now.Add(after)
 		if begins {
@@ -97,7 +99,7 @@
 			s.take(s.Withdraw(s.now, "1"))
 			s.end("1", Outcome{Kind: Cancelled, Took: after})
 		}
-		return s.services[pool].admitShare - before
+		return s.services[pool].admit.near - before
 	}
 	ginkgo.DescribeTable("are admitted by how turns begin",
 		func(after time.Duration, begins bool, change float64) {
@@ -109,32 +111,64 @@
 		ginkgo.Entry("given up early, which says nothing", 50*ms, false, 0.0),
 	)
 	ginkgo.It("are never all refused, nor admitted by more than all", func() {
-		s := newScript(engine("a"))
-		service := s.service(pool)
-		for range 1000 {
-			service.turnLate(&request{})
+		for _, at := range []placement{placedNear, placedFar} {
+			a := newAdmitShares()
+			for range 1000 {
+				a.late(at)
+			}
+			Expect(min(a.near, a.far)).To(Equal(leastAdmitShare))
+			for range 1000 {
+				a.inTime(at)
+			}
+			Expect(max(a.near, a.far)).To(Equal(1.0))
 		}
-		Expect(service.admitShare).To(Equal(leastAdmitShare))
-		for range 1000 {
-			s.observeStart(service, &request{Request: Request{Turn: true}})
+	})
+	ginkgo.DescribeTable("are placed by what they draw",
+		func(draw float64, elsewhere bool, placed placement, admitted bool) {
+			at, ok := admitShares{near: 0.5, far: 0.3}.place(draw, elsewhere)
+			Expect(ok).To(Equal(admitted))
+			Expect(at).To(Equal(placed))
+		},
+		ginkgo.Entry("within the share of the own zone", 0.49, true, placedNear, true),
+		ginkgo.Entry("beyond it", 0.51, true, placedFar, true),
+		ginkgo.Entry("beyond it where there is no other zone", 0.51, false, placedNear, false),
+		ginkgo.Entry("beyond both", 0.81, true, placedNear, false),
+	)
+	ginkgo.It("go to a home in another zone when placed there, and stay", func() {
+		s := newScript(engine("a"), engine("b", zone("there")), engine("c", zone("there"))).warm(50 * ms)
+		for _, id := range []InstanceID{"a", "b", "c"} {
+			s.told(id, Report{Running: 20})
 		}
-		Expect(service.admitShare).To(Equal(1.0))
+		s.services[pool].admit = admitShares{far: 1}
+		prompt := func(r *Request) { r.Prefix = []PrefixPart{{ID: 1, Tokens: 3000}} }
+		s.arrive("1", turn("p"), prompt)
+		Expect(s.last("1").Instance).NotTo(Equal(InstanceID("a")))
+		s.take(s.Started(s.now, "1"))
+		s.end("1", Outcome{Kind: Success, FirstByte: 20 * ms, Took: 50 * ms})
+		s.services[pool].admit = admitShares{near: 1}
+		s.arrive("2", turn("p"), prompt)
+		Expect(s.last("2").Instance).To(Equal(s.last("1").Instance))
 	})
 	ginkgo.It("are remembered within bounds, and forgotten after a time", func() {
 		var p programSet
 		for i := range uint64(10 * mostPrograms) {
-			p.add(start, i)
+			p.add(start, i, placedFar)
 		}
 		Expect(len(p.young) + len(p.old)).To(BeNumerically("<=", 2*mostPrograms))
-		Expect(p.has(10*mostPrograms - 1)).To(BeTrue())
-		Expect(p.has(1)).To(BeFalse())
-		p.add(start.Add(programKept), 1)
-		Expect(p.has(10*mostPrograms - 1)).To(BeTrue())
-		p.add(start.Add(2*programKept), 2)
-		Expect(p.has(10*mostPrograms - 1)).To(BeFalse())
+		Expect(has(&p, 10*mostPrograms-1)).To(BeTrue())
+		Expect(has(&p, 1)).To(BeFalse())
+		p.add(start.Add(programKept), 1, placedNear)
+		Expect(has(&p, 10*mostPrograms-1)).To(BeTrue())
+		p.add(start.Add(2*programKept), 2, placedNear)
+		Expect(has(&p, 10*mostPrograms-1)).To(BeFalse())
 	})
 })
 
+func has(p *programSet, program uint64) bool {
+	_, some := p.get(program)
+	return some
+}
+
 func slicesHas(sends []Send, id RequestID) bool {
 	for _, send := range sends {
 		if send.Request == id {
--- a/admission/dispatch/goodput_test.go
+++ b/admission/dispatch/goodput_test.go
@@ -70,3 +70,13 @@
 		t.Errorf("after 7 of 18 engines had gone and all proxies had lost power twice %.2f was earned", part)
 	}
 }
+
+// TestZoneWithoutEnoughEngines: what a zone's engines do not bear is served by those of other zones while these bear it.
+func TestZoneWithoutEnoughEngines(t *testing.T) {
+	l := modelPool
+	l.proxies, l.engines, l.zones, l.perSecond = 21, 36, 3, 45
+	l.removed, l.removedAt = 7, 4*time.Second
+	if _, part := earned(l, 15*time.Second, l.span); part < 0.97 {
+		t.Errorf("with 5 of 12 engines left in one of three zones %.2f was earned", part)
+	}
+}
--- a/admission/dispatch/home.go
+++ b/admission/dispatch/home.go
@@ -9,7 +9,8 @@
 const homeShare = 0.9
 
 // home finds the receiver on which all senders of a zone agree for a program: the one with the highest weight of those
-// that stand in the zone, or of all where none does (Thaler and Ravishankar's rendezvous hashing). A receiver that comes
+// that stand in the zone, in the others for a program that is placed there, or of all where none does (Thaler and
+// Ravishankar's rendezvous hashing). A receiver that comes
 // or goes moves the programs of no other. nil: the request has no program or the service no engines.
 func (d *Dispatcher) home(s *service, q *request) *bucket {
 	if q.programKey == 0 {
@@ -17,15 +18,15 @@
 	}
 	var home *bucket
 	var weight uint64
-	near := false
+	some := false // in the zones where it is placed
 	for _, b := range s.buckets {
-		own := b.Zone == d.zone
-		if b.Engine == nil || !b.usable() || near && !own {
+		placed := placement(b.Zone != d.zone) == q.placed
+		if b.Engine == nil || !b.usable() || some && !placed {
 			continue
 		}
 		w := hashing.Pair(b.key, q.programKey)
-		if home == nil || own && !near || w > weight {
-			home, weight, near = b, w, own
+		if home == nil || placed && !some || w > weight {
+			home, weight, some = b, w, placed
 		}
 	}
 	return home
--- a/admission/dispatch/programs_test.go
+++ b/admission/dispatch/programs_test.go
@@ -45,6 +45,7 @@
 	burstTo          time.Duration
 	removed          int           // engines that are taken away
 	removedAt        time.Duration // the first of them, the others a second apart each
+	zones            int           // in which proxies and engines stand, reports stay in each; 0: one
 	dark             []time.Duration
 	darkFor          time.Duration
 }
@@ -61,7 +62,6 @@
 	begun   int
 	ended   []programEnd
 	read    int
-	preempt int
 }
 
 type programEnd struct {
@@ -94,6 +94,7 @@
 type programEngine struct {
 	m        *programs
 	id       InstanceID
+	zone     string
 	running  []*programCall
 	queued   []*programCall
 	cache    prefixCache
@@ -184,6 +185,7 @@
 // programProxy is one proxy; its dispatcher is a new one after a loss of power.
 type programProxy struct {
 	m     *programs
+	zone  string
 	d     *Dispatcher
 	life  int
 	tries map[RequestID]*programTry
@@ -293,7 +295,7 @@
 func (m *programs) try(a *agent, again bool) {
 	p := a.home
 	if again || m.chance.Below(8) == 0 {
-		p = m.proxies[m.chance.Below(len(m.proxies))]
+		p = m.sameZone(p)
 	}
 	if p.d == nil { // dark: the client gives the connection a second
 		m.after(time.Second, func() { m.failed(a) })
@@ -323,6 +325,15 @@
 	p.carry(p.d.Arrive(m.now, r))
 }
 
+// sameZone gives some proxy of the zone of one.
+func (m *programs) sameZone(as *programProxy) *programProxy {
+	for {
+		if p := m.proxies[m.chance.Below(len(m.proxies))]; p.zone == as.zone {
+			return p
+		}
+	}
+}
+
 // abandon is a client that closes its connection.
 func (p *programProxy) abandon(t *programTry) {
 	t.over = true
@@ -418,7 +429,7 @@
 func (m *programs) list() []Receiver {
 	var list []Receiver
 	for _, e := range m.engines {
-		r := engine(e.id, func(r *Receiver) { r.Slots, r.Draining = programSlots, e.draining })
+		r := engine(e.id, func(r *Receiver) { r.Slots, r.Draining, r.Zone = programSlots, e.draining, e.zone })
 		r.Engine.KVCapacityTokens = programMemory
 		list = append(list, r)
 	}
@@ -439,7 +450,7 @@
 		told := Report{Running: len(e.running), Queued: len(e.queued), KVUsed: e.used(), KVTotal: programMemory, Age: programLag}
 		m.after(programLag, func() {
 			for _, p := range m.proxies {
-				if p.d != nil {
+				if p.d != nil && p.zone == e.zone {
 					p.carry(p.d.Report(m.now, e.id, told))
 				}
 			}
@@ -468,7 +479,7 @@
 	}
 	m.after(m.darkFor, func() {
 		for i, p := range m.proxies {
-			p.d = New(uint64(m.seq+i), "here")
+			p.d = New(uint64(m.seq+i), p.zone)
 		}
 		m.listAll()
 	})
@@ -497,11 +508,13 @@
 
 func newPrograms(seed uint64, l load) *programs {
 	m := &programs{load: l, now: start, chance: admission.NewPCG(seed)}
+	zoneOf := func(i, of int) string { return fmt.Sprint("zone-", i*max(1, l.zones)/of) }
 	for i := range l.engines {
-		m.engines = append(m.engines, &programEngine{m: m, id: InstanceID(fmt.Sprint("e", i))})
+		m.engines = append(m.engines, &programEngine{m: m, zone: zoneOf(i, l.engines), id: InstanceID(fmt.Sprint("e", i))})
 	}
 	for i := range l.proxies {
-		m.proxies = append(m.proxies, &programProxy{m: m, d: New(seed+uint64(i), "here"), tries: map[RequestID]*programTry{}})
+		zone := zoneOf(i, l.proxies)
+		m.proxies = append(m.proxies, &programProxy{m: m, zone: zone, d: New(seed+uint64(i), zone), tries: map[RequestID]*programTry{}})
 	}
 	m.listAll()
 	m.reports()
--- a/admission/dispatch/state.go
+++ b/admission/dispatch/state.go
@@ -62,6 +62,7 @@
 	started    bool // part of an answer has gone to the client
 	over       bool // nobody waits for it any more
 	judged     bool // whether its answer began in time has been counted
+	placed     placement
 }
 
 // spareRequests bounds the request records that are kept for reuse.
@@ -76,7 +77,7 @@
 	took    float64 // a usual call, any size
 	fresh   float64 // prompt tokens of a usual call that no receiver keeps
 
-	admitShare float64 // of programs that begin, while places are scarce; 1: all
+	admit admitShares
 }
 
 // bucket is what this sender knows of one receiver endpoint, and what it has out there.
@@ -130,7 +131,7 @@
 func (d *Dispatcher) service(name string) *service {
 	s := d.services[name]
 	if s == nil {
-		s = &service{name: name, admitShare: firstAdmitShare}
+		s = &service{name: name, admit: newAdmitShares()}
 		d.services[name] = s
 	}
 	return s
