--- a/tools/testverdict/main.go
+++ b/tools/testverdict/main.go
@@ -4,7 +4,8 @@
 //	go test -json ./... | go run ./tools/testverdict KNOWN-RED.txt
 //
 // A line of the list is "PACKAGE TEST: cause, issue". A listed test may fail and is printed. A listed test that
-// passes or did not run fails the run, as does any failure that is not listed. The last line counts the tests.
+// passes or did not run fails the run, as does any failure that is not listed. The last line counts the tests; a suite
+// of Ginkgo counts by its specs, so that one that is taken out shows.
 package main
 
 import (
@@ -15,13 +16,37 @@
 	"io"
 	"io/fs"
 	"os"
+	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 )
 
 // test names a test, or with an empty name a package as a whole.
 type test struct{ pkg, name string }
 
+// specs is how the specs of a suite ended.
+type specs struct{ passed, failed, left int } // left: pending or skipped
+
+// summary is the line with which Ginkgo ends a suite, without its colours.
+var summary = regexp.MustCompile(`(\d+) Passed \| (\d+) Failed \| (\d+) Pending \| (\d+) Skipped`)
+
+// colours are what a terminal is told of them.
+var colours = regexp.MustCompile(`\x1b\[[0-9;]*m`)
+
+// specsOf reads a suite's last line; false if a line is another one.
+func specsOf(line string) (specs, bool) {
+	found := summary.FindStringSubmatch(colours.ReplaceAllString(line, ""))
+	if found == nil {
+		return specs{}, false
+	}
+	var counts [4]int
+	for i := range counts {
+		counts[i], _ = strconv.Atoi(found[i+1]) // digits
+	}
+	return specs{passed: counts[0], failed: counts[1], left: counts[2] + counts[3]}, true
+}
+
 // event is what is read of a line of `go test -json`.
 type event struct {
 	Action     string
@@ -38,11 +63,12 @@
 	passed, failed []test
 	packages       []test // that failed as a whole
 	skipped        int
+	suites         map[test]specs
 	unfinished     map[string]bool // packages that began and have no result
 }
 
 func newVerdict() *verdict {
-	return &verdict{output: map[test][]string{}, build: map[string][]string{}, unfinished: map[string]bool{}}
+	return &verdict{output: map[test][]string{}, build: map[string][]string{}, suites: map[test]specs{}, unfinished: map[string]bool{}}
 }
 
 func main() {
@@ -115,6 +141,9 @@
 		v.build[e.ImportPath] = append(v.build[e.ImportPath], e.Output)
 	case "output":
 		v.output[t] = append(v.output[t], e.Output)
+		if s, ended := specsOf(e.Output); ended {
+			v.suites[t] = s
+		}
 	case "skip":
 		if e.Test != "" {
 			v.skipped++
@@ -168,6 +197,23 @@
 		fmt.Fprintln(w, "no test passed")
 		good = false
 	}
-	fmt.Fprintf(w, "%d passed, %d failed, %d skipped\n", len(v.passed), len(v.failed), v.skipped)
+	passed, failed, skipped := v.counts()
+	fmt.Fprintf(w, "%d passed, %d failed, %d skipped\n", passed, failed, skipped)
 	return good
 }
+
+// counts counts tests, and of suites the specs.
+func (v *verdict) counts() (passed, failed, skipped int) {
+	passed, failed, skipped = len(v.passed), len(v.failed), v.skipped
+	for t, s := range v.suites {
+		passed += s.passed
+		failed += s.failed
+		skipped += s.left
+		if slices.Contains(v.failed, t) {
+			failed--
+		} else if slices.Contains(v.passed, t) {
+			passed--
+		}
+	}
+	return passed, failed, skipped
+}
--- a/tools/testverdict/main_test.go
+++ b/tools/testverdict/main_test.go
@@ -66,3 +66,18 @@
 		t.Errorf("a line without a cause: %v", err)
 	}
 }
+
+// TestSpecsAreCounted: a suite counts by its specs, whatever its colours.
+func TestSpecsAreCounted(t *testing.T) {
+	const suites = `{"Action":"output","Package":"p","Test":"TestSuite","Output":"\u001b[1mSUCCESS!\u001b[0m -- \u001b[1m20 Passed\u001b[0m | \u001b[91m0 Failed\u001b[0m | 1 Pending | 2 Skipped\n"}
+{"Action":"pass","Package":"p","Test":"TestSuite"}
+{"Action":"pass","Package":"p","Test":"TestPlain"}
+{"Action":"output","Package":"q","Test":"TestOther","Output":"FAIL! -- 7 Passed | 3 Failed | 0 Pending | 0 Skipped\n"}
+{"Action":"fail","Package":"q","Test":"TestOther"}
+{"Action":"fail","Package":"q"}
+`
+	good, says := judge(t, suites, "")
+	if good || !strings.Contains(says, "28 passed, 3 failed, 3 skipped\n") {
+		t.Errorf("good: %v, %s", good, says)
+	}
+}
