Names: simwire, simadapter, warmstart for onyx, drill, learnt

Names that say their job: the simulator's wire, the adapter that puts the module on it, what is kept for a warm start. No other change; the deploy file starts the same programs.

--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -17,7 +17,6 @@
 	"emberquay/internal/clients"
 	"emberquay/internal/config"
 	"emberquay/internal/directory"
-	"emberquay/internal/learnt"
 	"emberquay/internal/ledger"
 	"emberquay/internal/logs"
 	"emberquay/internal/notices"
@@ -26,6 +25,7 @@
 	"emberquay/internal/receivers"
 	"emberquay/internal/sender"
 	"emberquay/internal/vfs"
+	"emberquay/internal/warmstart"
 )
 
 type serveCmd struct{ where }
@@ -106,7 +106,7 @@
 	<-stopped
 	if own.Move.Learnt != "" {
 		at, all := s.Learnt()
-		err := learnt.Write(own.Move.Learnt, at, all)
+		err := warmstart.Write(own.Move.Learnt, at, all)
 		slog.Info("learnt_kept", "part", "serve", "file", own.Move.Learnt, "receivers", len(all), "err", err)
 	}
 	if err := s.CloseLedger(); err != nil {
@@ -123,7 +123,7 @@
 	if path == "" {
 		return
 	}
-	all, err := learnt.Read(path, protocol.At(time.Now()))
+	all, err := warmstart.Read(path, protocol.At(time.Now()))
 	if err != nil {
 		slog.Warn("not_recalled", "part", "serve", "err", err)
 		return
--- a/cmd/drill/main.go
+++ b/cmd/simadapter/main.go
@@ -1,4 +1,4 @@
-// Command drill puts the decisions of package control on the wire onyx-7696: standard input to
+// Command simadapter puts the decisions of package control on the wire onyx-7696: standard input to
 // standard output, many instances a process, nothing shared between them.
 package main
 
@@ -14,7 +14,7 @@
 	"strings"
 
 	"emberquay/control"
-	"emberquay/internal/onyx"
+	"emberquay/internal/simwire"
 )
 
 // perTenth is how many of the wire's microseconds make one of the module's tenths of a millisecond.
@@ -22,7 +22,7 @@
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "drill:", err)
+		fmt.Fprintln(os.Stderr, "simadapter:", err)
 		os.Exit(1)
 	}
 }
@@ -32,11 +32,11 @@
 	who    int64
 	sender *control.Sender
 	reply  bytes.Buffer
-	listed bool // stands in drill.heard
+	listed bool // stands in adapter.heard
 	broken bool // a fault was told; the day is over for it
 }
 
-type drill struct {
+type adapter struct {
 	instances map[int64]*instance
 	lists     map[int64][]control.Entry
 	heard     []*instance // those with an event in this batch, in order
@@ -45,8 +45,8 @@
 }
 
 func run(in io.Reader, out io.Writer) error {
-	d := &drill{instances: map[int64]*instance{}, lists: map[int64][]control.Entry{}}
-	lines, w := onyx.NewReader(in), bufio.NewWriterSize(out, 1<<16)
+	d := &adapter{instances: map[int64]*instance{}, lists: map[int64][]control.Entry{}}
+	lines, w := simwire.NewReader(in), bufio.NewWriterSize(out, 1<<16)
 	round := ""
 	for {
 		l, err := lines.Next()
@@ -84,7 +84,7 @@
 }
 
 // commit lets every instance that heard something decide, and writes what they all had to say.
-func (d *drill) commit(w io.Writer) {
+func (d *adapter) commit(w io.Writer) {
 	for _, i := range d.heard {
 		i.guard(func() { i.sender.Settle() })
 		w.Write(i.reply.Bytes())
@@ -117,7 +117,7 @@
 	i.reply.WriteByte('\n')
 }
 
-func (d *drill) directory(l *onyx.Line, lines *onyx.Reader) error {
+func (d *adapter) directory(l *simwire.Line, lines *simwire.Reader) error {
 	ref, count := l.Whole("Ref", 0, 15), l.Whole("Elements", 0, 1<<24)
 	var entries []control.Entry
 	for range count {
@@ -155,7 +155,7 @@
 }
 
 // event hands one line to the instance that it is for.
-func (d *drill) event(l *onyx.Line) error {
+func (d *adapter) event(l *simwire.Line) error {
 	who := l.Whole("Who", 0, math.MaxInt32)
 	if l.Err() != nil {
 		return nil
@@ -236,14 +236,14 @@
 }
 
 // call makes one call on the module, unless the line was at fault.
-func (i *instance) call(l *onyx.Line, do func()) error {
+func (i *instance) call(l *simwire.Line, do func()) error {
 	if l.Err() == nil {
 		i.guard(do)
 	}
 	return nil
 }
 
-func (d *drill) spawn(l *onyx.Line, i *instance) error {
+func (d *adapter) spawn(l *simwire.Line, i *instance) error {
 	seed, settings := l.Seed("InitSeed"), control.Settings{}
 	for _, f := range l.Fields {
 		settings[f.Name] = f.Value
@@ -261,7 +261,7 @@
 }
 
 // hears notes that an instance has an event in this batch and tells it the time.
-func (d *drill) hears(i *instance) {
+func (d *adapter) hears(i *instance) {
 	if !i.listed {
 		i.listed = true
 		d.heard = append(d.heard, i)
@@ -270,7 +270,7 @@
 }
 
 // drop forgets an instance and all it meant to say: its texts are void.
-func (d *drill) drop(who int64) {
+func (d *adapter) drop(who int64) {
 	if i := d.instances[who]; i != nil {
 		i.reply.Reset()
 		i.sender = nil
@@ -278,7 +278,7 @@
 	}
 }
 
-func result(l *onyx.Line) control.Result {
+func result(l *simwire.Line) control.Result {
 	r := control.Result{
 		Closed: l.Flag("Final"),
 		Took:   control.Time(l.OptWhole("TookUs", 0, math.MaxInt64) / perTenth),
--- a/internal/sender/listing.go
+++ b/internal/sender/listing.go
@@ -7,7 +7,7 @@
 
 	"emberquay/control"
 	"emberquay/internal/directory"
-	"emberquay/internal/learnt"
+	"emberquay/internal/warmstart"
 )
 
 // The list of receivers: who is where, and what was learnt of them.
@@ -61,8 +61,8 @@
 }
 
 // Recall takes over what a process before has learnt, as its receivers are listed; before the list is told.
-func (s *Sender) Recall(all []learnt.Receiver) {
-	s.recall = map[string]learnt.Receiver{}
+func (s *Sender) Recall(all []warmstart.Receiver) {
+	s.recall = map[string]warmstart.Receiver{}
 	for _, l := range all {
 		s.recall[l.Addr] = l
 	}
@@ -70,15 +70,15 @@
 
 // Learnt gives what the module has learnt, for the process after this one; after Run. What was taken over of
 // receivers that were not listed yet goes on.
-func (s *Sender) Learnt() (control.Time, []learnt.Receiver) {
+func (s *Sender) Learnt() (control.Time, []warmstart.Receiver) {
 	addr := map[control.ReceiverID]string{}
 	for a, id := range s.at {
 		addr[id] = a
 	}
-	all := slices.SortedFunc(maps.Values(s.recall), func(a, b learnt.Receiver) int { return cmp.Compare(a.Addr, b.Addr) })
+	all := slices.SortedFunc(maps.Values(s.recall), func(a, b warmstart.Receiver) int { return cmp.Compare(a.Addr, b.Addr) })
 	for _, l := range s.module.Learnt() {
 		if e, ok := s.listed[l.Receiver]; ok && addr[l.Receiver] != "" {
-			all = append(all, learnt.Receiver{Addr: addr[l.Receiver], Destination: e.Destination, Kind: e.Kind, Lesson: l})
+			all = append(all, warmstart.Receiver{Addr: addr[l.Receiver], Destination: e.Destination, Kind: e.Kind, Lesson: l})
 		}
 	}
 	return s.now(), all
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -9,10 +9,10 @@
 
 	"emberquay/control"
 	"emberquay/internal/config"
-	"emberquay/internal/learnt"
 	"emberquay/internal/ledger"
 	"emberquay/internal/protocol"
 	"emberquay/internal/receivers"
+	"emberquay/internal/warmstart"
 )
 
 // Verdict is what a client hears of the text that it hands in.
@@ -52,7 +52,7 @@
 	over     recent           // ids of texts that were taken on and have their end
 	listed   map[control.ReceiverID]control.Entry
 	at       map[string]control.ReceiverID // by address, those listed
-	recall   map[string]learnt.Receiver    // of a process before, by address; until the list names them
+	recall   map[string]warmstart.Receiver // of a process before, by address; until the list names them
 	fresh    []*held                       // their clients have yet to hear
 	later    []func()                      // calls on the module that came up during one
 	leaving  []effect                      // what may leave once the ledger is synced
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -22,12 +22,12 @@
 	"emberquay/control"
 	"emberquay/internal/config"
 	"emberquay/internal/directory"
-	"emberquay/internal/learnt"
 	"emberquay/internal/ledger"
 	"emberquay/internal/protocol"
 	"emberquay/internal/receivers"
 	"emberquay/internal/vfs"
 	"emberquay/internal/vfs/memfs"
+	"emberquay/internal/warmstart"
 )
 
 var settings = control.Settings{
@@ -702,7 +702,7 @@
 		return directory.Host{Addr: addr, Entry: control.Entry{Receiver: id, Rate: 5, Destination: dest, Kind: "one"}}
 	}
 	host := at("127.0.0.1:9", 1, 3)
-	start := func(set control.Settings, kept []learnt.Receiver, h directory.Host) *Sender {
+	start := func(set control.Settings, kept []warmstart.Receiver, h directory.Host) *Sender {
 		conf := &config.Config{Settings: set, Limits: config.Limits{Slots: 8, Texts: 50, Mailbox: 64}}
 		l, err1 := ledger.Open(memfs.New(), "d", ledger.Options{Room: 3e6})
 		s, err2 := New(conf, l, receivers.New(conf.Limits, nil))
@@ -735,11 +735,11 @@
 	} {
 		s := start(moved, kept, c.host)
 		_, now := s.Learnt()
-		i := slices.IndexFunc(now, func(r learnt.Receiver) bool { return r.Addr == c.host.Addr && r.Destination == c.host.Destination })
+		i := slices.IndexFunc(now, func(r warmstart.Receiver) bool { return r.Addr == c.host.Addr && r.Destination == c.host.Destination })
 		if wait, cold := now[i].WaitUntil == kept[0].WaitUntil, now[i].Cold == learntAt; wait != c.told || cold != c.told {
 			t.Errorf("%s: the told wait is known: %v, that it is cold: %v", c.name, wait, cold)
 		}
-		if gone := !slices.ContainsFunc(now, func(r learnt.Receiver) bool { return r.Addr == host.Addr && r.Destination == 3 }); gone != (c.host.Destination == 4) {
+		if gone := !slices.ContainsFunc(now, func(r warmstart.Receiver) bool { return r.Addr == host.Addr && r.Destination == 3 }); gone != (c.host.Destination == 4) {
 			t.Errorf("%s: forgotten: %v", c.name, gone)
 		}
 	}
--- a/internal/onyx/onyx.go
+++ b/internal/simwire/simwire.go
@@ -1,8 +1,8 @@
-// Package onyx reads and writes the lines of the wire onyx-7696.
+// Package simwire reads and writes the lines of the wire onyx-7696.
 //
 // A line is a name and then field=value pairs, set apart by single spaces. A
 // reading fault is told once, with the number of the line and the field.
-package onyx
+package simwire
 
 import (
 	"bufio"
--- a/internal/onyx/onyx_test.go
+++ b/internal/simwire/simwire_test.go
@@ -1,4 +1,4 @@
-package onyx
+package simwire
 
 import (
 	"errors"
--- a/internal/learnt/learnt.go
+++ b/internal/warmstart/warmstart.go
@@ -1,12 +1,12 @@
-// Package learnt keeps what a sender has learnt of its receivers from one process to the next: a file that is written
+// Package warmstart keeps what a sender has learnt of its receivers from one process to the next: a file that is written
 // when it stops and read, once, when the next one starts.
 //
-//	known, err := learnt.Read(path, now) // nil, nil where there is none
-//	err = learnt.Write(path, now, receivers)
+//	known, err := warmstart.Read(path, now) // nil, nil where there is none
+//	err = warmstart.Write(path, now, receivers)
 //
 // What cannot be read, or was written by a clock ahead of ours, is an error and counts for nothing: the sender then
 // starts afresh, as it does without the file.
-package learnt
+package warmstart
 
 import (
 	"encoding/json"
--- a/internal/learnt/learnt_test.go
+++ b/internal/warmstart/warmstart_test.go
@@ -1,4 +1,4 @@
-package learnt
+package warmstart
 
 import (
 	"os"
