Tests: one piece for engines that read, for three control planes, for what was sent

Read again: the two models of engines had the same call and the same loop over a step's piece (simCall is embedded, readFrom serves both); two specs set up three control planes alike (threePlaces, end); slicesHas stood beside script.order. No service code.

--- a/admission/dispatch/beginning_test.go
+++ b/admission/dispatch/beginning_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -32,7 +33,7 @@
 				continue
 			}
 			s.take(s.Withdraw(s.now, RequestID(name)))
-			if slicesHas(s.sends, RequestID(name)) {
+			if slices.Contains(s.order(), RequestID(name)) {
 				s.end(RequestID(name), Outcome{Kind: Cancelled})
 			}
 		}
@@ -168,12 +169,3 @@
 	_, some := p.get(program)
 	return some
 }
-
-func slicesHas(sends []Send, id RequestID) bool {
-	for _, send := range sends {
-		if send.Request == id {
-			return true
-		}
-	}
-	return false
-}
--- a/admission/dispatch/programs_test.go
+++ b/admission/dispatch/programs_test.go
@@ -79,14 +79,9 @@
 
 // programCall is one call at an engine.
 type programCall struct {
-	prefix  []PrefixPart
-	prompt  int
-	unread  int
-	tokens  int
-	started bool
-	gone    bool // its connection is closed
-	first   func()
-	done    func()
+	simCall
+	prompt int
+	gone   bool // its connection is closed
 }
 
 func (c *programCall) memory() int { return c.prompt + c.tokens }
@@ -153,9 +148,7 @@
 	}
 	piece := programPiece
 	for _, c := range e.running {
-		part := min(piece, c.unread)
-		c.unread -= part
-		piece -= part
+		piece = c.readFrom(piece)
 	}
 	reading := time.Duration(float64(programPiece-piece) / programPerMs * float64(time.Millisecond))
 	e.m.after(programStep+time.Duration(len(e.running))*programPerSlot+reading, e.stepped)
@@ -250,7 +243,7 @@
 	m, life := p.m, p.life
 	t.sent, t.send = m.now, send
 	turn := t.program.turns[t.program.turn]
-	c := &programCall{prefix: t.program.parts, tokens: turn.output}
+	c := &programCall{simCall: simCall{prefix: t.program.parts, tokens: turn.output}}
 	for _, part := range c.prefix {
 		c.prompt += part.Tokens
 	}
--- a/admission/dispatch/sim_test.go
+++ b/admission/dispatch/sim_test.go
@@ -91,6 +91,13 @@
 	done    func()
 }
 
+// readFrom reads prompt tokens of what is left of a step's piece, and gives what is left after it.
+func (c *simCall) readFrom(piece int) int {
+	read := min(piece, c.unread)
+	c.unread -= read
+	return piece - read
+}
+
 type simEngine struct {
 	s       *simulation
 	id      InstanceID
@@ -132,9 +139,7 @@
 	}
 	piece := simPiece
 	for _, c := range e.running {
-		read := min(piece, c.unread)
-		c.unread -= read
-		piece -= read
+		piece = c.readFrom(piece)
 	}
 	reading := time.Duration(float64(simPiece-piece) / simPerMs * float64(time.Millisecond))
 	e.s.after(simStep+time.Duration(len(e.running))*simPerRunning+reading, e.stepped)
--- a/internal/controlplane/alone_test.go
+++ b/internal/controlplane/alone_test.go
@@ -54,6 +54,24 @@
 	return ports[0], ports[1]
 }
 
+// threePlaces are ports, seeds and empty disks for three control planes.
+func threePlaces() (ports [2]int, seeds, dirs []string) {
+	GinkgoHelper()
+	internal, control := freePorts()
+	for at := 1; at <= 3; at++ {
+		seeds = append(seeds, net.JoinHostPort("127.0.1."+strconv.Itoa(at), strconv.Itoa(control)))
+		dirs = append(dirs, GinkgoT().TempDir())
+	}
+	return [2]int{internal, internal + 15}, seeds, dirs
+}
+
+// end stops a control plane, within a second.
+func end(plane *Plane) {
+	short, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	plane.Shutdown(short)
+}
+
 // call is one of the calls that a control plane serves.
 type call struct {
 	what, method, path, base, body string
@@ -97,28 +115,20 @@
 // receiver is acknowledged. docs/notes/control-side.md has the same table.
 var _ = Describe("a control plane that is cut off from the others", func() {
 	It("promises nothing, and goes on once a majority is back", func(ctx SpecContext) {
-		internal, control := freePorts()
-		ports := [2]int{internal, internal + 15}
-		var seeds, dirs []string
-		for at := 1; at <= 3; at++ {
-			seeds = append(seeds, net.JoinHostPort("127.0.1."+strconv.Itoa(at), strconv.Itoa(control)))
-			dirs = append(dirs, GinkgoT().TempDir())
-		}
+		ports, seeds, dirs := threePlaces()
 		planes := make([]*Plane, 3)
 		for at := range planes {
 			planes[at] = planeOf(at+1, ports, seeds, dirs[at], true)
 		}
-		end := func(at int) {
+		stop := func(at int) {
 			if planes[at] != nil {
-				short, cancel := context.WithTimeout(context.Background(), time.Second)
-				defer cancel()
-				planes[at].Shutdown(short)
+				end(planes[at])
 				planes[at] = nil
 			}
 		}
 		DeferCleanup(func() {
 			for at := range planes {
-				end(at)
+				stop(at)
 			}
 		})
 		alone := seeds[0]
@@ -126,8 +136,8 @@
 		Eventually(ctx, func() int { status, _, _ := first.at(alone); return status }).Should(Equal(200))
 		Eventually(ctx, func() int { status, _, _ := readyCall.at(alone); return status }).Should(Equal(200))
 
-		end(1)
-		end(2)
+		stop(1)
+		stop(2)
 		expectRefusedAs := func(c call, status int, most time.Duration) {
 			defer GinkgoRecover()
 			got, body, took := c.at(alone)
@@ -179,20 +189,10 @@
 // All machines may lose power at the moment after an acknowledgement, also those that do not count.
 var _ = Describe("the acknowledged end of a receiver", func() {
 	It("is on the disks of a majority when it is acknowledged", func(ctx SpecContext) {
-		internal, control := freePorts()
-		ports := [2]int{internal, internal + 15}
-		var seeds, dirs []string
-		for at := 1; at <= 3; at++ {
-			seeds = append(seeds, net.JoinHostPort("127.0.1."+strconv.Itoa(at), strconv.Itoa(control)))
-			dirs = append(dirs, GinkgoT().TempDir())
-		}
+		ports, seeds, dirs := threePlaces()
 		for at := range 3 {
 			plane := planeOf(at+1, ports, seeds, dirs[at], true)
-			DeferCleanup(func() {
-				short, cancel := context.WithTimeout(context.Background(), time.Second)
-				defer cancel()
-				plane.Shutdown(short)
-			})
+			DeferCleanup(end, plane)
 		}
 		Eventually(ctx, func() int { status, _, _ := leaveCall.at(seeds[0]); return status }).Should(Equal(200))
 		for n := range 10 {
