Proxy: a stop tells what it waits for and what it cuts

The log line at a stop's end told a number only: whether requests under way were old or new, and whether they came after the notice, could not be seen. Now one table holds the clients' connections (it was a count of connections and a count of requests), and the end of the notice and the end of the stop each log the requests in hand, the age of the oldest and the youngest, connections at rest, and how many requests were read after the notice. Tests of the table; what looked into its lock asks for the count.

--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -148,11 +148,7 @@
 		p := startPlane(func(o *Options) { o.configurationWait = time.Minute })
 		c := p.dial()
 		c.send("GET /safe/x", "", "Emberquay-Request-Id: 1")
-		Eventually(func() int {
-			p.inHand.mu.Lock()
-			defer p.inHand.mu.Unlock()
-			return p.inHand.count
-		}).Should(Equal(1))
+		Eventually(p.clients.requestsInHand).Should(Equal(1))
 		p.SetReceivers(f.listed)
 		p.SetConfiguration(configuration(1, usualLimits))
 		Expect(c.result().status).To(Equal(200))
--- a/internal/proxy/lifecycle_test.go
+++ b/internal/proxy/lifecycle_test.go
@@ -164,16 +164,42 @@
 
 var _ = Describe("Requests in hand", func() {
 	It("are waited for, and none enters after", func() {
-		var h inHand
-		h.enter()
-		h.enter()
-		stopped := make(chan int)
-		go func() { stopped <- h.stop(context.Background()) }()
-		h.leave()
-		Expect(h.isStopped()).To(BeFalse())
-		Eventually(func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.empty != nil }).Should(BeTrue())
-		h.leave()
-		Expect(<-stopped).To(BeZero())
-		Expect(h.isStopped()).To(BeTrue())
+		var s connections
+		first, second := &clientConnection{}, &clientConnection{}
+		s.changed(first, http.StateActive)
+		s.changed(second, http.StateActive)
+		stopped := make(chan struct{})
+		go func() {
+			s.stop(context.Background())
+			close(stopped)
+		}()
+		s.changed(first, http.StateIdle)
+		Expect(s.isStopped()).To(BeFalse())
+		Eventually(func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.empty != nil }).Should(BeTrue())
+		s.changed(second, http.StateClosed)
+		<-stopped
+		Expect(s.requestsInHand()).To(BeZero())
+		Expect(s.isStopped()).To(BeTrue())
+	})
+
+	It("are told apart from connections at rest, with their ages", func() {
+		var s connections
+		idle, busy := &clientConnection{}, &clientConnection{}
+		Expect(s.add(idle, 2)).To(BeTrue())
+		Expect(s.add(busy, 2)).To(BeTrue())
+		Expect(s.add(&clientConnection{}, 2)).To(BeFalse())
+		s.changed(idle, http.StateActive)
+		s.changed(idle, http.StateIdle)
+		s.endNotice()
+		s.changed(busy, http.StateActive)
+		busy.since = busy.since.Add(-time.Second)
+		c := s.count()
+		Expect(c.inHand).To(Equal(1))
+		Expect(c.atRest).To(Equal(1))
+		Expect(c.late).To(Equal(1))
+		Expect(c.oldest).To(BeNumerically(">=", time.Second))
+		Expect(c.youngest).To(Equal(c.oldest))
+		s.changed(idle, http.StateClosed)
+		Expect(s.count().atRest).To(BeZero())
 	})
 })
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
 	"emberquay/admission/dispatch"
@@ -33,7 +34,7 @@
 
 	ready    atomic.Bool
 	draining atomic.Bool
-	inHand   inHand
+	clients  connections
 	finished chan struct{}
 	once     sync.Once
 }
@@ -69,7 +70,7 @@
 		listener.Close()
 		return nil, eris.Wrapf(err, "the readiness address %s", options.Readiness)
 	}
-	p.front = newFront(listener, p.handler, &p.inHand, options.MaxClients)
+	p.front = newFront(listener, p.handler, &p.clients, options.MaxClients)
 	p.front.setLimits(limitsBefore)
 	return p, nil
 }
@@ -101,12 +102,26 @@
 	case <-ctx.Done():
 	}
 	p.front.stopAccepting()
-	if left := p.inHand.stop(ctx); left > 0 {
-		p.options.Logger.WithField("requests", left).Warn("stopped with requests in hand")
+	p.clients.endNotice()
+	p.clientsLog().Info("the notice is over")
+	p.clients.stop(ctx)
+	if p.clients.requestsInHand() > 0 {
+		p.clientsLog().Warn("stopped with requests in hand")
+	} else {
+		p.clientsLog().Info("stopped with nothing in hand")
 	}
 	p.finish()
 }
 
+// clientsLog has what is open to clients: what a stop waits for, and what it cuts.
+func (p *Proxy) clientsLog() log.Interface {
+	c := p.clients.count()
+	return p.options.Logger.WithFields(log.Fields{
+		"requests": c.inHand, "at_rest": c.atRest, "late": c.late,
+		"oldest_ms": c.oldest.Milliseconds(), "youngest_ms": c.youngest.Milliseconds(),
+	})
+}
+
 // finish ends all that runs, once.
 func (p *Proxy) finish() {
 	p.once.Do(func() {
@@ -185,7 +200,7 @@
 // handler answers the clients of one generation of the server.
 func (p *Proxy) handler(current func() bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if p.inHand.isStopped() {
+		if p.clients.isStopped() {
 			panic(http.ErrAbortHandler) // nothing of it was passed on: the client sends it again
 		}
 		arrived := time.Now()
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,9 +38,8 @@
 type front struct {
 	listener net.Listener
 	handler  func(current func() bool) http.Handler
-	inHand   *inHand
-	most     int64
-	open     atomic.Int64
+	clients  *connections
+	most     int // connections of clients
 
 	mu          sync.Mutex
 	present     *generation
@@ -65,31 +63,8 @@
 	return config.Listen(context.Background(), "tcp", address)
 }
 
-func newFront(listener net.Listener, handler func(func() bool) http.Handler, inHand *inHand, most int) *front {
-	return &front{listener: listener, handler: handler, inHand: inHand, most: int64(most)}
-}
-
-// clientConnection knows whether a request of it is in hand.
-type clientConnection struct {
-	net.Conn
-	active bool // touched by net/http's hook only, which one goroutine calls
-}
-
-// changed is net/http's hook: a request is in hand from its head on until the last byte of its answer was written,
-// which is after its handler has returned.
-func (f *front) changed(raw net.Conn, state http.ConnState) {
-	connection := raw.(*clientConnection)
-	active := state == http.StateActive
-	if active && !connection.active {
-		f.inHand.enter()
-	}
-	if !active && connection.active {
-		f.inHand.leave()
-	}
-	connection.active = active
-	if state == http.StateClosed || state == http.StateHijacked {
-		f.open.Add(-1)
-	}
+func newFront(listener net.Listener, handler func(func() bool) http.Handler, clients *connections, most int) *front {
+	return &front{listener: listener, handler: handler, clients: clients, most: most}
 }
 
 // setLimits begins a new generation if the limits differ.
@@ -105,7 +80,7 @@
 		ReadHeaderTimeout:            limits.HeaderTimeout,
 		IdleTimeout:                  limits.IdleTimeout,
 		MaxHeaderBytes:               max(limits.MaxHeaderBytes, leastHeader),
-		ConnState:                    f.changed,
+		ConnState:                    f.clients.changed,
 		ErrorLog:                     quietLog,
 		DisableGeneralOptionsHandler: true,
 	}
@@ -148,14 +123,14 @@
 // admit hands a connection to the present generation. Past the cap it is closed with nothing read: its client may go to
 // another sender at once.
 func (f *front) admit(connection net.Conn) {
-	if f.open.Load() >= f.most {
+	client := &clientConnection{Conn: connection}
+	if !f.clients.add(client, f.most) {
 		connection.Close()
 		return
 	}
-	f.open.Add(1)
-	for !f.current().conns.give(&clientConnection{Conn: connection}) {
+	for !f.current().conns.give(client) {
 		if f.ended() {
-			f.open.Add(-1)
+			f.clients.remove(client)
 			connection.Close()
 			return
 		}
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -24,7 +24,7 @@
 func (p *Proxy) Status(ctx context.Context) (Status, error) {
 	status := Status{
 		Ready:   p.takesClients(),
-		InHand:  p.inHand.present(),
+		InHand:  p.clients.requestsInHand(),
 		Arrived: p.admission.issued.Load(),
 	}
 	if snapshot := p.snapshot.Load(); snapshot != nil {
