--- a/internal/proxy/lifecycle_test.go
+++ b/internal/proxy/lifecycle_test.go
@@ -39,6 +39,11 @@
 	})
 })
 
+const lateRequest = "POST /stream/late HTTP/1.1\r\nHost: " + host + "\r\nEmberquay-Request-Id: 3\r\nContent-Length: 0\r\n\r\n"
+
+// bringLate sends a request on a connection that may be closed by now.
+func bringLate(c *client) { io.WriteString(c, lateRequest) }
+
 var _ = Describe("Shutdown", func() {
 	It("serves what was read and what still comes, then ends", func() {
 		asked, release := make(chan struct{}, 2), make(chan struct{})
@@ -100,6 +105,79 @@
 		Expect(err).To(Equal(io.EOF))
 	})
 
+	// The incident of a request that was taken 6.7 s after SIGTERM: while something is in hand, a connection that was open
+	// before brings one more, and the end of the grace cuts it.
+	DescribeTable("passes nothing on after the notice that its end would cut",
+		func(before func(*plane, *client), bring func(*client)) {
+			held, late := make(chan struct{}, 1), make(chan struct{}, 1)
+			release := make(chan struct{})
+			f := startFleet("plain", 2, func(_ int, r received) {
+				switch r.head.RequestURI {
+				case "/unsafe/held":
+					held <- struct{}{}
+					<-release
+				case "/stream/late":
+					r.beginStream()
+					r.chunk(event(1, "a"))
+					late <- struct{}{}
+					<-release
+				}
+				r.answer(200, "done")
+			})
+			finish := sync.OnceFunc(func() { close(release) })
+			DeferCleanup(finish)
+			notice := make(chan struct{})
+			p := startPlane(func(o *Options) { o.Notice, o.notice = time.Hour, notice })
+			p.SetConfiguration(configuration(1, usualLimits))
+			p.SetReceivers(f.listed)
+			p.SetReady(true)
+			c, holding := p.dial(), p.dial()
+			before(p, c)
+			holding.send("POST /unsafe/held", "body", "Emberquay-Request-Id: 1")
+			<-held
+
+			over, end := context.WithTimeout(context.Background(), 15*time.Second) // less than a route's time-out
+			defer end()
+			go p.Shutdown(over)
+			Eventually(func() int { return readinessOf(p, "/api/readiness") }).Should(Equal(503))
+			close(notice)
+			Eventually(func() error {
+				connection, err := net.Dial("tcp", p.Proxy.front.listener.Addr().String())
+				if err == nil {
+					connection.Close()
+				}
+				return err
+			}).Should(HaveOccurred())
+
+			answered := make(chan error, 1)
+			go func() {
+				bring(c)
+				response, err := http.ReadResponse(c.reader, nil)
+				if err == nil {
+					_, err = io.Copy(io.Discard, response.Body)
+				}
+				answered <- err
+			}()
+			select {
+			case <-late:
+				end()
+				Expect(<-answered).NotTo(HaveOccurred(), "passed on and cut")
+			case <-answered: // refused, or closed with nothing passed on
+			}
+		},
+		Entry("on a connection at rest since before the signal", func(_ *plane, c *client) {
+			c.send("GET /safe/x", "", "Emberquay-Request-Id: 2")
+			Expect(c.result().status).To(Equal(200))
+		}, bringLate),
+		Entry("on a connection that was opened and brought nothing yet", func(p *plane, _ *client) {
+			Eventually(func() int { return p.clients.count().atRest }).Should(Equal(2))
+		}, bringLate),
+		Entry("of which the first bytes had come", func(p *plane, c *client) {
+			io.WriteString(c, lateRequest[:20])
+			Eventually(func() int { return p.clients.count().atRest }).Should(Equal(2))
+		}, func(c *client) { io.WriteString(c, lateRequest[20:]) }),
+	)
+
 	It("ends with its time, whatever is in hand", func() {
 		asked, release := make(chan struct{}), make(chan struct{})
 		p, _ := startService("plain", 1, func(int, received) {
