Proxy: a stop has a timetable, and takes nothing that its end would cut

No count was wrong (nothing in hand was older than the notice), no signal late. Change: after the notice connections at rest are closed, by a read deadline in the past, which cannot cross a request; others with the end of their answer. What still comes is taken only if its deadline lies before the end, else refused with a promise. The end of the process is a deadline for the dispatcher (EndBy): what is held is refused by the design's own rule. What is in hand at the end is answered (503 where nothing was sent, 504 else) instead of cut; only streams that have begun are.

--- a/admission/dispatch/conformance_test.go
+++ b/admission/dispatch/conformance_test.go
@@ -177,6 +177,20 @@
 		Expect(s.order()).To(Equal([]RequestID{"0"}))
 		Expect(s.refusal("1")).NotTo(BeNil())
 	}),
+	ginkgo.Entry("the end of the process is a deadline too, of what is held and of what arrives", func() {
+		s := newScript(plain("a", 1)).warm(100 * ms)
+		s.arrive("0")
+		s.arrive("1", deadline(s, time.Minute))
+		s.take(s.EndBy(s.now, s.now.Add(150*ms))) // a usual call after that of 0 would end at 200 ms
+		Expect(s.refusal("1")).NotTo(BeNil())
+		Expect(s.refusal("1").Executed).To(BeFalse())
+		s.arrive("2", deadline(s, time.Minute))
+		Expect(s.refusal("2")).NotTo(BeNil())
+		s.serve("0", 10*ms)
+		s.arrive("3", deadline(s, time.Minute)) // there is time for one
+		Expect(s.last("3").Timeout).To(Equal(140 * ms))
+		Expect(s.order()).To(Equal([]RequestID{"0", "3"}))
+	}),
 	ginkgo.Entry("given up is answered at once, never held near the deadline", func() {
 		s := newScript(plain("a", 1)).warm(100 * ms)
 		s.arrive("0")
--- a/admission/dispatch/dispatch.go
+++ b/admission/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 //	effects = d.Started(now, id)               // the first byte or event of the answer has come
 //	effects = d.Answered(now, id, attempt, o)  // once for each Send
 //	effects = d.Tick(now)                      // at the instant that Effects.Wake named last
+//	effects = d.EndBy(now, end)                // the process stops; nothing is begun that would pass its end
 //
 // The ordinary path is the design's: one bucket a receiver endpoint, whose allowance is its slots less what
 // it last reported and own calls sent since; requests held in order of arrival; nothing during a told wait;
@@ -154,6 +155,9 @@
 	if r.Timeout > 0 {
 		q.end = min(q.end, d.now.Add(r.Timeout))
 	}
+	if d.endBy > 0 {
+		q.end = min(q.end, d.endBy)
+	}
 	q.mayWaitUntil = d.bears(q)
 	d.requests[q.ID] = q
 	return q
@@ -220,6 +224,18 @@
 	return d.done()
 }
 
+// EndBy tells that the sender's process ends at an instant. It is a deadline of every request from then on: what is
+// held is refused once its wait plus a usual call would pass it.
+func (d *Dispatcher) EndBy(now, end Instant) Effects {
+	d.begin(now)
+	d.endBy = end
+	for _, q := range d.requests {
+		q.end = min(q.end, end)
+	}
+	d.settleAll()
+	return d.done()
+}
+
 // Tick tells the time.
 func (d *Dispatcher) Tick(now Instant) Effects {
 	d.begin(now)
--- a/admission/dispatch/state.go
+++ b/admission/dispatch/state.go
@@ -24,6 +24,7 @@
 	arrivals uint64
 	wakeAt   Instant // asked for and not come; 0: none
 	wake     Instant // the earliest that this event found
+	endBy    Instant // the process ends; 0: it goes on
 
 	// Kept between events, so that they need not be made anew.
 	effects   Effects
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -198,14 +198,6 @@
 	p.close()
 }
 
-// Abort ends the plane at once and tells nobody, as the end of its process would.
-func (p *Plane) Abort() {
-	now, end := context.WithCancel(context.Background())
-	end()
-	p.proxy.Shutdown(now)
-	p.close()
-}
-
 // Cluster is the plane's part in the cluster, for those who look on. Who watches it after Start is told of a
 // change after the plane itself has taken it.
 func (p *Plane) Cluster() *cluster.Cluster { return p.base.Cluster }
--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -18,6 +18,7 @@
 	Answered(now dispatch.Instant, request dispatch.RequestID, attempt int, outcome dispatch.Outcome) dispatch.Effects
 	Withdraw(now dispatch.Instant, request dispatch.RequestID) dispatch.Effects
 	Tick(now dispatch.Instant) dispatch.Effects
+	EndBy(now, end dispatch.Instant) dispatch.Effects
 }
 
 // commandQueue bounds the events that wait for the dispatcher; whoever brings one more waits.
--- a/internal/proxy/admission_test.go
+++ b/internal/proxy/admission_test.go
@@ -52,6 +52,10 @@
 	return dispatch.Effects{}
 }
 
+func (s *scripted) EndBy(dispatch.Instant, dispatch.Instant) dispatch.Effects {
+	return dispatch.Effects{}
+}
+
 var _ = Describe("Admission", func() {
 	// The commands are applied by hand, so that the order of events is the test's.
 	step := func(a *admission) {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -109,10 +109,14 @@
 	outcome := dispatch.Outcome{Kind: dispatch.Broken, FirstByte: first, Took: time.Since(began)}
 	v.sent = v.sent || outbound.Sent(err)
 	switch {
-	case v.request.Context().Err() != nil:
+	case v.clientGone():
 		outcome.Kind = dispatch.Cancelled
 		v.proxy.admission.finished(send, outcome)
 		return cut, true
+	case v.givenUp():
+		outcome.Kind = dispatch.Cancelled
+		v.proxy.admission.finished(send, outcome)
+		return v.expire(), true
 	case errors.Is(err, outbound.ErrFull):
 		outcome.Kind = dispatch.Full
 	case !outbound.Sent(err):
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
 	"emberquay/admission/dispatch"
@@ -33,10 +32,13 @@
 	configured chan struct{} // closed with the first configuration
 
 	ready    atomic.Bool
-	draining atomic.Bool
 	clients  connections
 	finished chan struct{}
 	once     sync.Once
+
+	draining   atomic.Bool               // the process has been told to stop
+	noticeOver atomic.Bool               // and the platform has had its time to notice
+	end        atomic.Pointer[time.Time] // when what is in hand has to have ended; nil: no stop, or one without a bound
 }
 
 // limitsBefore hold until a configuration is known.
@@ -90,38 +92,6 @@
 	return err
 }
 
-// Shutdown stops the data plane: it is not ready at once, goes on accepting until the platform has noticed, and serves
-// what has been read. It returns when nothing is left in hand, or when ctx ends; Run returns then.
-func (p *Proxy) Shutdown(ctx context.Context) {
-	p.draining.Store(true)
-	notice := time.NewTimer(p.options.Notice)
-	defer notice.Stop()
-	select {
-	case <-notice.C:
-	case <-p.options.notice:
-	case <-ctx.Done():
-	}
-	p.front.stopAccepting()
-	p.clients.endNotice()
-	p.clientsLog().Info("the notice is over")
-	p.clients.stop(ctx)
-	if p.clients.requestsInHand() > 0 {
-		p.clientsLog().Warn("stopped with requests in hand")
-	} else {
-		p.clientsLog().Info("stopped with nothing in hand")
-	}
-	p.finish()
-}
-
-// clientsLog has what is open to clients: what a stop waits for, and what it cuts.
-func (p *Proxy) clientsLog() log.Interface {
-	c := p.clients.count()
-	return p.options.Logger.WithFields(log.Fields{
-		"requests": c.inHand, "at_rest": c.atRest, "late": c.late,
-		"oldest_ms": c.oldest.Milliseconds(), "youngest_ms": c.youngest.Milliseconds(),
-	})
-}
-
 // finish ends all that runs, once.
 func (p *Proxy) finish() {
 	p.once.Do(func() {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -41,6 +41,10 @@
 	clients  *connections
 	most     int // connections of clients
 
+	// base is the context of all requests; giveUp ends them.
+	base   context.Context
+	giveUp context.CancelCauseFunc
+
 	mu          sync.Mutex
 	present     *generation
 	generations []*generation
@@ -64,7 +68,8 @@
 }
 
 func newFront(listener net.Listener, handler func(func() bool) http.Handler, clients *connections, most int) *front {
-	return &front{listener: listener, handler: handler, clients: clients, most: most}
+	base, giveUp := context.WithCancelCause(context.Background())
+	return &front{listener: listener, handler: handler, clients: clients, most: most, base: base, giveUp: giveUp}
 }
 
 // setLimits begins a new generation if the limits differ.
@@ -81,6 +86,7 @@
 		IdleTimeout:                  limits.IdleTimeout,
 		MaxHeaderBytes:               max(limits.MaxHeaderBytes, leastHeader),
 		ConnState:                    f.clients.changed,
+		BaseContext:                  func(net.Listener) context.Context { return f.base },
 		ErrorLog:                     quietLog,
 		DisableGeneralOptionsHandler: true,
 	}
@@ -123,8 +129,8 @@
 // admit hands a connection to the present generation. Past the cap it is closed with nothing read: its client may go to
 // another sender at once.
 func (f *front) admit(connection net.Conn) {
-	client := &clientConnection{Conn: connection}
-	if !f.clients.add(client, f.most) {
+	client, admitted := f.clients.add(connection, f.most)
+	if !admitted {
 		connection.Close()
 		return
 	}
--- /dev/null
+++ b/internal/proxy/stop.go
@@ -0,0 +1,121 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+
+	"emberquay/admission/dispatch"
+)
+
+// A stop has a timetable, counted from the signal:
+//
+//	0                       not ready; answers that begin tell their clients to close
+//	Notice                  no new connection; those at rest are closed, others with the end of their answer;
+//	                        what still comes is taken only if its deadline lies before the end, else refused
+//	end                     what is held is refused, what is out is answered without its receiver
+//	end + lastAnswersTime   all connections are closed
+//
+// So nothing is passed on that the end of the process would cut. A stop that waited for a moment without requests and
+// served what came until then had no such moment under load, and cut what it had just taken.
+
+const (
+	// lastAnswersTime is what remains of a stop's time for answers to what has not ended by itself.
+	lastAnswersTime = 200 * time.Millisecond
+	// noticeShare is the most of a stop's time that the notice takes where the grace is short.
+	noticeShare = 0.6
+	// leavingRetry is told to clients whose request this process has no time for: others take them at once.
+	leavingRetry = 20 * time.Millisecond
+)
+
+// errStopping is the cause with which requests are given up at the end of a stop.
+var errStopping = errors.New("the proxy stops")
+
+// Shutdown stops the data plane: it is not ready at once, goes on accepting until the platform has noticed, and serves
+// what has been read. It returns when nothing is left in hand, or when ctx ends; Run returns then.
+func (p *Proxy) Shutdown(ctx context.Context) {
+	p.draining.Store(true)
+	p.awaitNotice(ctx, p.endBy(ctx))
+	p.front.stopAccepting()
+	p.clients.retire()
+	p.clientsLog().Info("the notice is over")
+	p.drain(ctx)
+	p.finish()
+}
+
+// endBy fixes when what is in hand has to have ended, and tells those who decide by it; the zero time: never.
+func (p *Proxy) endBy(ctx context.Context) time.Time {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return time.Time{}
+	}
+	end := deadline.Add(-lastAnswersTime)
+	p.end.Store(&end)
+	p.admission.tell(stopBegun{end: p.admission.instant(end)})
+	return end
+}
+
+// awaitNotice waits until the platform has noticed that no clients should come.
+func (p *Proxy) awaitNotice(ctx context.Context, end time.Time) {
+	length := p.options.Notice
+	if !end.IsZero() {
+		length = min(length, time.Duration(noticeShare*float64(time.Until(end))))
+	}
+	notice := time.NewTimer(length)
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-p.options.notice:
+	case <-ctx.Done():
+	}
+	p.noticeOver.Store(true)
+}
+
+// hasTimeFor says whether a request with that deadline is sure to have ended before the process does.
+func (p *Proxy) hasTimeFor(deadline time.Time) bool {
+	end := p.end.Load()
+	return !p.noticeOver.Load() || end == nil || !deadline.After(*end)
+}
+
+// drain serves what is in hand until the end, and then gives it up.
+func (p *Proxy) drain(ctx context.Context) {
+	serving, cancel := ctx, context.CancelFunc(func() {})
+	if end := p.end.Load(); end != nil {
+		serving, cancel = context.WithDeadline(ctx, *end)
+	}
+	defer cancel()
+	if p.clients.drained(serving) {
+		p.clientsLog().Info("stopped with nothing in hand")
+		return
+	}
+	p.clientsLog().Warn("stopped with requests in hand")
+	p.front.giveUp(errStopping)
+	answers, done := context.WithTimeout(context.WithoutCancel(ctx), lastAnswersTime)
+	defer done()
+	p.clients.drained(answers)
+	p.clients.stop()
+}
+
+// clientsLog has what is open to clients: what a stop waits for, and what it gives up.
+func (p *Proxy) clientsLog() log.Interface {
+	c := p.clients.count()
+	return p.options.Logger.WithFields(log.Fields{
+		"requests": c.inHand, "at_rest": c.atRest, "late": c.late,
+		"oldest_ms": c.oldest.Milliseconds(), "youngest_ms": c.youngest.Milliseconds(),
+	})
+}
+
+// givenUp says whether the end of the process has ended the visit.
+func (v *visit) givenUp() bool { return context.Cause(v.request.Context()) == errStopping }
+
+// clientGone says whether its client has ended the visit.
+func (v *visit) clientGone() bool { return v.request.Context().Err() != nil && !v.givenUp() }
+
+// stopBegun tells the dispatcher when the process ends.
+type stopBegun struct{ end dispatch.Instant }
+
+func (c stopBegun) apply(a *admission, now dispatch.Instant) dispatch.Effects {
+	return a.dispatcher.EndBy(now, c.end)
+}
--- a/internal/proxy/visit.go
+++ b/internal/proxy/visit.go
@@ -59,6 +59,9 @@
 		return v.answer(status, busyRetry)
 	}
 	defer v.release()
+	if !v.proxy.hasTimeFor(v.deadline) {
+		return v.answer(http.StatusServiceUnavailable, leavingRetry)
+	}
 	return v.carry()
 }
 
@@ -135,7 +138,7 @@
 		return http.StatusServiceUnavailable
 	case isTimeout(err):
 		return http.StatusRequestTimeout
-	case r.Context().Err() != nil || brokeOff(err):
+	case v.clientGone() || brokeOff(err):
 		return statusGone
 	}
 	return http.StatusBadRequest
@@ -163,7 +166,7 @@
 	for {
 		d, ok := v.proxy.admission.await(v.request.Context(), v.ticket, v.waitsUntil())
 		switch {
-		case !ok && v.request.Context().Err() != nil:
+		case !ok && v.clientGone():
 			return cut
 		case !ok:
 			return v.expire()
@@ -245,11 +248,14 @@
 	return dispatch.Unsafe
 }
 
-// expire ends a request whose time is over while it waited.
+// expire ends a request whose time, or that of the process, is over.
 func (v *visit) expire() ending {
 	if v.sent {
 		return v.answer(http.StatusGatewayTimeout, 0)
 	}
+	if v.givenUp() {
+		return v.answer(http.StatusServiceUnavailable, leavingRetry)
+	}
 	return v.answer(http.StatusServiceUnavailable, 0)
 }
 
