Lifecycle: the grace runs from the signal, also while a plane starts

Now the instant of the signal is kept, and a short grace leaves an eighth for the end instead of half a second. Tests: a stop three seconds before the end of a start, two graces; the old code gave the whole grace from then on.

--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -2,7 +2,8 @@
 //
 //	return lifecycle.Run(node, logger, func() (lifecycle.Plane, error) { return store.Start(node, logger) })
 //
-// SIGTERM and SIGINT stop the plane within the platform's grace. SIGHUP has the settings file read again; it may
+// SIGTERM and SIGINT stop the plane within the platform's grace, which runs from the signal, whatever the process does at
+// that moment. SIGHUP has the settings file read again; it may
 // also change without a signal, so its time is looked at now and then. Of a changed file only the seeds count
 // while a process runs; a faulty one is logged and changes nothing.
 package lifecycle
@@ -22,8 +23,10 @@
 )
 
 const (
-	// graceReserve is what is left of the platform's grace for the process to end.
-	graceReserve = 500 * time.Millisecond
+	// graceReserve is what is left of the platform's grace for the process to end, graceReserveShare the most of it where
+	// the grace is short.
+	graceReserve      = 500 * time.Millisecond
+	graceReserveShare = 0.125
 	// fileInterval is the time between two looks at the settings file.
 	fileInterval = 2 * time.Second
 	// memoryShare is how much of the machine's memory the heap may take before it is collected more often: the
@@ -46,10 +49,25 @@
 func Run(path string, node *settings.Node, logger log.Interface, start func() (Plane, error)) error {
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(node.Limits.MemoryMB<<20)))
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	return run(path, node, logger, start, told(syscall.SIGTERM, syscall.SIGINT), reload)
+}
+
+// told gives the instant at which the first of the signals came, also while the plane starts.
+func told(signals ...os.Signal) <-chan time.Time {
+	came := make(chan os.Signal, 1)
+	signal.Notify(came, signals...)
+	at := make(chan time.Time, 1)
+	go func() {
+		<-came
+		at <- time.Now()
+	}()
+	return at
+}
+
+// run is Run with what the signals tell.
+func run(path string, node *settings.Node, logger log.Interface, start func() (Plane, error), stop <-chan time.Time, reload <-chan os.Signal) error {
 	plane, err := start()
 	if err != nil {
 		return err
@@ -60,9 +78,9 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-stop:
+		case at := <-stop:
 			logger.Info("stopping")
-			shutdown(plane, node.Bounds.Grace-graceReserve)
+			shutdown(plane, at.Add(stopTime(node.Bounds.Grace)))
 			logger.Info("stopped")
 			return nil
 		case <-reload:
@@ -76,8 +94,13 @@
 	}
 }
 
-func shutdown(plane Plane, grace time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
+// stopTime is how long after the signal a plane may take to end.
+func stopTime(grace time.Duration) time.Duration {
+	return grace - min(graceReserve, time.Duration(graceReserveShare*float64(grace)))
+}
+
+func shutdown(plane Plane, end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	plane.Shutdown(ctx)
 }
--- /dev/null
+++ b/internal/lifecycle/lifecycle_test.go
@@ -0,0 +1,68 @@
+package lifecycle
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"emberquay/internal/settings"
+)
+
+func TestLifecycle(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Lifecycle")
+}
+
+// recordingPlane notes until when it may take to end.
+type recordingPlane struct {
+	deadline time.Time
+	bounded  bool
+}
+
+func (p *recordingPlane) Shutdown(ctx context.Context) { p.deadline, p.bounded = ctx.Deadline() }
+
+func (p *recordingPlane) SetSeeds([]string) {}
+
+var _ = Describe("A stop", func() {
+	quiet := &log.Logger{Handler: discard.New()}
+	nowhere := func() string { return filepath.Join(GinkgoT().TempDir(), "settings.toml") }
+	node := func(grace time.Duration) *settings.Node {
+		n := &settings.Node{}
+		n.Bounds.Grace = grace
+		return n
+	}
+
+	DescribeTable("ends within the grace that runs from the signal, though it came while the plane started",
+		func(grace, allowed time.Duration) {
+			plane := &recordingPlane{}
+			signalled := time.Now().Add(-3 * time.Second) // the start took as long
+			stop := make(chan time.Time, 1)
+			stop <- signalled
+			Expect(run(nowhere(), node(grace), quiet, func() (Plane, error) { return plane, nil }, stop, nil)).To(Succeed())
+			Expect(plane.bounded).To(BeTrue())
+			Expect(plane.deadline).To(Equal(signalled.Add(allowed)))
+		},
+		Entry("of eight seconds", 8*time.Second, 7500*time.Millisecond),
+		Entry("of a short one, of which a reserve of half a second would be too much", 2*time.Second, 1750*time.Millisecond),
+	)
+
+	It("is noted by its instant", func() {
+		stop := told(syscall.SIGUSR1)
+		before := time.Now()
+		process, err := os.FindProcess(os.Getpid())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(process.Signal(syscall.SIGUSR1)).To(Succeed())
+		var at time.Time
+		Eventually(stop).Should(Receive(&at))
+		Expect(at).To(BeTemporally(">=", before))
+		Expect(at).To(BeTemporally("<=", time.Now()))
+	})
+})
