A stop's reserve and last answers shrink with a short grace

The last answers began 0.7 s before the end of any grace; under 4.2 s that is before its last sixth, in which alone an answer of what came early may be cut. Both are now at most an eighth of the grace together. Tests: lifecycle's table, the proxy's suite.

--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -24,9 +24,9 @@
 
 const (
 	// graceReserve is what is left of the platform's grace for the process to end, graceReserveShare the most of it where
-	// the grace is short.
+	// the grace is short: with the last answers it stays within the sixth of the grace in which an answer may be cut.
 	graceReserve      = 500 * time.Millisecond
-	graceReserveShare = 0.125
+	graceReserveShare = 1.0 / 12
 	// fileInterval is the time between two looks at the settings file.
 	fileInterval = 2 * time.Second
 	// memoryShare is how much of the machine's memory the heap may take before it is collected more often: the
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -24,8 +24,10 @@
 const (
 	// lastAnswersTime is what remains of a stop's time for answers to what has not ended by itself.
 	lastAnswersTime = 200 * time.Millisecond
-	// noticeShare is the most of a stop's time that the notice takes where the grace is short.
-	noticeShare = 0.6
+	// lastAnswersShare and noticeShare are the most of a stop's time that the last answers and the notice take where the
+	// grace is short.
+	lastAnswersShare = 1.0 / 24
+	noticeShare      = 0.6
 	// leavingRetry is told to clients whose request this process has no time for: others take them at once.
 	leavingRetry = 20 * time.Millisecond
 )
@@ -51,17 +53,22 @@
 	if !bounded {
 		return time.Time{}
 	}
-	end := deadline.Add(-lastAnswersTime)
+	whole := max(0, time.Until(deadline))
+	end := deadline.Add(-min(lastAnswersTime, share(whole, lastAnswersShare)))
 	p.end.Store(&end)
 	p.admission.tell(stopBegun{end: p.admission.instant(end)})
 	return end
 }
 
+func share(whole time.Duration, part float64) time.Duration {
+	return time.Duration(part * float64(whole))
+}
+
 // awaitNotice waits until the platform has noticed that no clients should come.
 func (p *Proxy) awaitNotice(ctx context.Context, end time.Time) {
 	length := p.options.Notice
 	if !end.IsZero() {
-		length = min(length, time.Duration(noticeShare*float64(time.Until(end))))
+		length = min(length, share(time.Until(end), noticeShare))
 	}
 	notice := time.NewTimer(length)
 	defer notice.Stop()
