--- a/internal/referee/tierrules/planned.go
+++ b/internal/referee/tierrules/planned.go
@@ -54,7 +54,8 @@
 	}
 }
 
-// plannedStop is the stop of the machine during which the request ended, with no other trouble near.
+// plannedStop is the stop of the machine during which the request ended, with no unplanned trouble near. Stops of other
+// machines are planned as well and excuse nothing.
 func (j *judge) plannedStop(r *Request) *Trouble {
 	at := slices.IndexFunc(j.Troubles, func(t Trouble) bool {
 		return t.What == Terminated && t.Machine == r.Machine && r.Whole >= t.From-r.Deadline && r.Ended >= t.From && r.Ended <= t.From+j.Bounds.Grace+afterGrace
@@ -63,13 +64,18 @@
 		return nil
 	}
 	for i, t := range j.Troubles {
-		if i != at && t.What != Reloaded && t.From <= r.Ended && t.To > r.Sent-j.Bounds.Contact {
+		if i != at && t.What != Reloaded && t.What != Terminated && t.From <= r.Ended && t.To > r.Sent-j.Bounds.Contact {
 			return nil
 		}
 	}
 	return &j.Troubles[at]
 }
 
+// lateSending is how long after a stop's signal a request may be sent whose receiver may be at work until the end.
+const lateSending = 3 * time.Second
+
+// excused says whether a request round a stop may end without an answer: its time was over, it was not read, its receiver
+// broke off, or it came early and its receiver was still at work in the last sixth of the grace.
 func (j *judge) excused(r *Request, t *Trouble) bool {
 	limit := r.Sent + min(r.Deadline, r.Timeout)
 	if r.Ended >= limit {
@@ -79,9 +85,10 @@
 	if len(runs) == 0 {
 		return r.Ended <= r.Whole+j.Bounds.LossSlack
 	}
-	second := t.From + j.Bounds.Grace/2
+	early := r.Sent <= t.From+lateSending
+	lastSixth := t.From + j.Bounds.Grace*5/6
 	return slices.ContainsFunc(runs, func(run *Run) bool {
-		return run.BrokeOff || run.Ended == 0 || run.Ended >= second
+		return run.BrokeOff || early && (run.Ended == 0 || run.Ended >= lastSixth)
 	})
 }
 
--- a/internal/referee/tierrules/tierrules_test.go
+++ b/internal/referee/tierrules/tierrules_test.go
@@ -192,6 +192,12 @@
 		d.read.Answer = nil
 		d.strike("m1", tierrules.Killed, 5000*ms, false)
 	}),
+	Entry("cut at the end of a stop, taken early and its receiver at work to the last", func(d *day) {
+		d.strike("m1", tierrules.Terminated, 5000*ms, false)
+		d.text.Timeout, d.text.Deadline = 9000*ms, 9000*ms
+		d.text.Ended, d.textRun.Ended, d.textRun.Complete = 8500*ms, 8500*ms, false
+		d.text.Answer.Complete = false
+	}),
 	Entry("a 404 to a turn that is beyond its retention", func(d *day) {
 		d.unanswered(d.second)
 		d.answered(d.second, 404)
@@ -269,6 +275,24 @@
 		d.read.Ended = 5500 * ms
 		d.strike("m1", tierrules.Terminated, 5050*ms, false)
 	}),
+	Entry("cut by a stop, beside that of another machine", tierrules.Lost, func(d *day) {
+		d.read.Answer = nil
+		d.strike("m2", tierrules.Terminated, 4900*ms, true)
+		d.strike("m1", tierrules.Terminated, 5050*ms, false)
+	}),
+	Entry("taken long after SIGTERM and cut at the end, its receiver at work", tierrules.Lost, func(d *day) {
+		d.strike("m1", tierrules.Terminated, 5000*ms, false)
+		d.textRun.Ended, d.textRun.Complete = 8500*ms, false
+		d.text.Sent, d.text.Whole, d.text.Ended = 8100*ms, 8101*ms, 8500*ms
+		d.textRun.Began = 8110 * ms
+		d.text.Answer.Complete = false
+	}),
+	Entry("cut before the last sixth of the grace", tierrules.Lost, func(d *day) {
+		d.strike("m1", tierrules.Terminated, 5000*ms, false)
+		d.text.Timeout, d.text.Deadline = 9000*ms, 9000*ms
+		d.text.Ended, d.textRun.Ended, d.textRun.Complete = 8200*ms, 8200*ms, false
+		d.text.Answer.Complete = false
+	}),
 	Entry("a turn that is forgotten", tierrules.Lost, func(d *day) {
 		d.unanswered(d.second)
 		d.answered(d.second, 404)
