Signals are held before anything else of a process: SIGHUP no longer ends it as it starts

Now a package without imports of ours holds SIGHUP, SIGTERM and SIGINT when it is initialised, and commands that do not serve release them. The program in service takes its signals the same way, and counts its stop from the signal as well. Tests: a process of its own that gets SIGHUP as it starts; one that releases.

--- a/cmd/emberquay/main.go
+++ b/cmd/emberquay/main.go
@@ -12,6 +12,7 @@
 	"emberquay/internal/config"
 	"emberquay/internal/directory"
 	"emberquay/internal/options"
+	"emberquay/internal/signals"
 )
 
 var cli struct {
@@ -63,9 +64,20 @@
 
 func main() {
 	ctx := kong.Parse(&cli, kong.Name("emberquay"), kong.Description("A delivery service for outbound texts."))
+	if !serves(ctx) {
+		signals.Release()
+	}
 	ctx.FatalIfErrorf(ctx.Run())
 }
 
+// server is a command that takes the process's signals itself.
+type server interface{ takesSignals() }
+
+func serves(ctx *kong.Context) bool {
+	_, ok := ctx.Selected().Target.Addr().Interface().(server)
+	return ok
+}
+
 type checkCmd struct{ where }
 
 func (c *checkCmd) Run() error {
--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -7,11 +7,9 @@
 	"log/slog"
 	"net"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strings"
-	"syscall"
 	"time"
 
 	"emberquay/internal/clients"
@@ -24,19 +22,18 @@
 	"emberquay/internal/protocol"
 	"emberquay/internal/receivers"
 	"emberquay/internal/sender"
+	"emberquay/internal/signals"
 	"emberquay/internal/vfs"
 	"emberquay/internal/warmstart"
 )
 
 type serveCmd struct{ where }
 
+func (serveCmd) takesSignals() {}
+
 // Run puts the parts together and serves until SIGTERM or SIGINT.
 func (c *serveCmd) Run() error {
-	hups := make(chan os.Signal, 1)
-	signals := make(chan os.Signal, 1)
-	// From the first: they end a process that does not expect them, in the midst of its start.
-	signal.Notify(hups, syscall.SIGHUP)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	told := signals.Stop()
 	conf, own, err := c.read()
 	if err != nil {
 		return err
@@ -80,7 +77,7 @@
 	go list.Run(ctx)
 	go desk.Run(ctx)
 	go func(now *config.Config) {
-		for range hups {
+		for range signals.Reload() {
 			now = c.reload(now, list.Move, desk.Move)
 		}
 	}(conf)
@@ -97,10 +94,10 @@
 	select {
 	case err := <-failed:
 		return err
-	case sig := <-signals:
-		slog.Info("stopping", "part", "serve", "signal", sig)
+	case at := <-told:
+		slog.Info("stopping", "part", "serve")
+		windDown(conf.Limits, front, s, at)
 	}
-	windDown(conf.Limits, front, s)
 	cancel()
 	close(stop)
 	<-stopped
@@ -171,11 +168,10 @@
 
 // windDown serves what still comes, works on what is owed for as long as there is time, and leaves the
 // rest to the ledger. Nothing is left to do only once clients can bring no more: what they bring after a moment without
-// work would else be cut off in the midst of its call.
-func windDown(limits config.Limits, front *clients.Server, s *sender.Sender) {
-	began := time.Now()
+// work would else be cut off in the midst of its call. Its times run from the signal.
+func windDown(limits config.Limits, front *clients.Server, s *sender.Sender, began time.Time) {
 	front.Linger()
-	time.Sleep(limits.StopListen)
+	time.Sleep(time.Until(began.Add(limits.StopListen)))
 	freeze := time.AfterFunc(time.Until(began.Add(limits.StopSubmit)), s.Freeze)
 	defer freeze.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limits.StopEnd))
--- a/cmd/emberquay/tier.go
+++ b/cmd/emberquay/tier.go
@@ -19,6 +19,8 @@
 	LogLevel string `help:"The least level that is logged: debug, info, warn, error." default:"info" enum:"debug,info,warn,error"`
 }
 
+func (tierCmd) takesSignals() {}
+
 // run reads the settings and runs a plane until the platform stops it.
 func (c tierCmd) run(kind string, start func(*settings.Node, log.Interface) (lifecycle.Plane, error)) error {
 	node, err := settings.LoadFile(c.Settings)
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -11,15 +11,14 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
 
 	"emberquay/internal/settings"
+	"emberquay/internal/signals"
 )
 
 const (
@@ -49,21 +48,7 @@
 func Run(path string, node *settings.Node, logger log.Interface, start func() (Plane, error)) error {
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(node.Limits.MemoryMB<<20)))
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	return run(path, node, logger, start, told(syscall.SIGTERM, syscall.SIGINT), reload)
-}
-
-// told gives the instant at which the first of the signals came, also while the plane starts.
-func told(signals ...os.Signal) <-chan time.Time {
-	came := make(chan os.Signal, 1)
-	signal.Notify(came, signals...)
-	at := make(chan time.Time, 1)
-	go func() {
-		<-came
-		at <- time.Now()
-	}()
-	return at
+	return run(path, node, logger, start, signals.Stop(), signals.Reload())
 }
 
 // run is Run with what the signals tell.
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"os"
 	"path/filepath"
-	"syscall"
 	"testing"
 	"time"
 
@@ -53,16 +51,4 @@
 		Entry("of eight seconds", 8*time.Second, 7500*time.Millisecond),
 		Entry("of a short one, of which a reserve of half a second would be too much", 3*time.Second, 2750*time.Millisecond),
 	)
-
-	It("is noted by its instant", func() {
-		stop := told(syscall.SIGUSR1)
-		before := time.Now()
-		process, err := os.FindProcess(os.Getpid())
-		Expect(err).NotTo(HaveOccurred())
-		Expect(process.Signal(syscall.SIGUSR1)).To(Succeed())
-		var at time.Time
-		Eventually(stop).Should(Receive(&at))
-		Expect(at).To(BeTemporally(">=", before))
-		Expect(at).To(BeTemporally("<=", time.Now()))
-	})
 })
--- /dev/null
+++ b/internal/signals/signals.go
@@ -0,0 +1,60 @@
+// Package signals holds the signals by which a process of ours is told to stop or to read its files again, from before
+// other packages are initialised.
+//
+// Their default action ends a process. A start takes milliseconds, on a small machine tens of them, and a SIGHUP that
+// says that a settings file has changed must not end the process in the midst of it. So they are held from the first;
+// a command that serves takes them with Stop and Reload, and any other calls Release, so that they end it as usual.
+package signals
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// The signals that are held. One that comes again before it is taken counts once.
+var (
+	stop   = held(syscall.SIGTERM, syscall.SIGINT)
+	reload = held(syscall.SIGHUP)
+)
+
+func held(list ...os.Signal) chan os.Signal {
+	came := make(chan os.Signal, 1)
+	signal.Notify(came, list...)
+	return came
+}
+
+// Reload tells of each SIGHUP.
+func Reload() <-chan os.Signal { return reload }
+
+// Stop gives the instant at which the first SIGTERM or SIGINT came, whatever its reader does meanwhile. It is called once.
+func Stop() <-chan time.Time { return instant(stop) }
+
+// instant notes when the first signal comes.
+func instant(came <-chan os.Signal) <-chan time.Time {
+	at := make(chan time.Time, 1)
+	go func() {
+		<-came
+		at <- time.Now()
+	}()
+	return at
+}
+
+// Release gives the signals their usual action back; one that has come already takes it now.
+func Release() {
+	signal.Reset(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case s := <-stop:
+		raise(s)
+	case s := <-reload:
+		raise(s)
+	default:
+	}
+}
+
+func raise(s os.Signal) {
+	if self, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = self.Signal(s) // it may be ignored, as under nohup
+	}
+}
--- /dev/null
+++ b/internal/signals/signals_test.go
@@ -0,0 +1,83 @@
+package signals
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// childVariable tells the test's program what to do as a process of its own.
+const childVariable = "SIGNALS_TEST_CHILD"
+
+// The child is told by main: before that its packages are initialised, this one among the first.
+func TestMain(m *testing.M) {
+	switch os.Getenv(childVariable) {
+	case "serve":
+		raise(syscall.SIGHUP) // as if it came in the midst of the start
+		<-Reload()
+		os.Stdout.WriteString("reloads\n")
+		<-Stop()
+		os.Stdout.WriteString("stops\n")
+	case "released":
+		raise(syscall.SIGHUP)
+		for len(reload) == 0 { // it is told by the runtime a moment later
+			runtime.Gosched()
+		}
+		Release()
+		select {} // SIGHUP ends it
+	default:
+		os.Exit(m.Run())
+	}
+}
+
+func TestSignals(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Signals")
+}
+
+func child(what string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), childVariable+"="+what)
+	return cmd
+}
+
+var _ = Describe("The signals of a process", func() {
+	It("are held while it starts, and told to a command that serves", func() {
+		cmd := child("serve")
+		out, err := cmd.StdoutPipe()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(cmd.Start()).To(Succeed())
+		lines := bufio.NewScanner(out)
+		Expect(lines.Scan()).To(BeTrue())
+		Expect(lines.Text()).To(Equal("reloads"))
+		Expect(cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Expect(lines.Scan()).To(BeTrue())
+		Expect(lines.Text()).To(Equal("stops"))
+		Expect(cmd.Wait()).To(Succeed())
+	})
+
+	It("have their usual action where they are released, also those that came before", func() {
+		err := child("released").Run()
+		var ended *exec.ExitError
+		Expect(err).To(BeAssignableToTypeOf(ended))
+		Expect(err.(*exec.ExitError).Sys().(syscall.WaitStatus).Signal()).To(Equal(syscall.SIGHUP))
+	})
+
+	It("are noted by their instant", func() {
+		came := make(chan os.Signal, 1)
+		at := instant(came)
+		before := time.Now()
+		came <- syscall.SIGTERM
+		var noted time.Time
+		Eventually(at).Should(Receive(&noted))
+		Expect(noted).To(BeTemporally(">=", before))
+		Expect(noted).To(BeTemporally("<=", time.Now()))
+	})
+})
