receivers: a call given up as it is written no longer counts as one that never ran

Each time the call had its connection, its time was over, and the writing had failed (on=true wrote=false cut=true): the head had left in a write of its own and the body had not, as http.Transport flushes the head before a body that it does not know to be in memory. The call was told as one without a connection and made again; the receiver had been handed the head of the first. Change: the body is one that it knows to be in memory, so head and body leave in one write where they fit the buffer; and a call that this side gives up seals its connection: if nothing was written nothing will be, and it is unsent, else it may have run.

--- a/internal/receivers/call.go
+++ b/internal/receivers/call.go
@@ -86,13 +86,6 @@
 	return c.stage.CompareAndSwap(waiting, leaving) || c.stage.Load() == leaving
 }
 
-// onceBody is read once: it hides from http.Transport that the body could be had again. A request with an
-// idempotency key is else sent a second time by the transport itself when its connection breaks, and the
-// receiver counts that as a second submit. An empty body must be one too, as http.NoBody is always had again.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
-
 // trip is one way of a call over one connection.
 type trip struct {
 	on         *conn // nil before there is one
@@ -121,16 +114,25 @@
 			}
 		},
 	})
+	resp, err := p.transport.RoundTrip(c.request().WithContext(ctx)) // and no redirects
+	return t, resp, err
+}
+
+// request is the call as it is written. Its body has no GetBody: http.Transport else sends a request with an idempotency key
+// a second time by itself when its connection breaks, and the receiver counts that as a second submit; of an empty body,
+// too, as it is not http.NoBody. It is one that http.Transport knows to be in memory: head and body then leave in one
+// write where they fit its buffer. Of any other the head leaves first, and a call that is given up in between has been
+// begun at its receiver and not been written whole.
+func (c *Call) request() *http.Request {
 	req := &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: c.addr, Path: callPath},
 		Host: c.addr, Header: http.Header{protocol.ID: {c.Text}, protocol.Budget: {seconds(c.Wait)}},
-		Body: onceBody{bytes.NewReader(c.Body)}, ContentLength: int64(len(c.Body)),
+		Body: io.NopCloser(bytes.NewReader(c.Body)), ContentLength: int64(len(c.Body)),
 	}
 	if c.Mark != "" {
 		req.Header[protocol.Mark] = []string{c.Mark}
 	}
-	resp, err := p.transport.RoundTrip(req.WithContext(ctx)) // and no redirects
-	return t, resp, err
+	return req
 }
 
 // call makes the call and tells its result once.
@@ -175,7 +177,7 @@
 	switch {
 	case status == http.StatusOK: // true, whatever comes after that line
 		r.Outcome, r.Closed = control.Delivered, true
-	case errors.Is(err, errTooMany), stop != nil:
+	case errors.Is(err, errTooMany), stop != nil, gaveUp(context.Cause(c.ctx)) && t.on.seal():
 		r.Outcome = control.Unsent
 	default:
 		r.Outcome = failure(context.Cause(c.ctx), t.on != nil, t.wrote.Load() || answered, t.cut.Load())
@@ -204,14 +206,16 @@
 	return err == io.EOF && n == resp.ContentLength
 }
 
+// gaveUp says whether this side ended the call, rather than its connection.
+func gaveUp(cause error) bool { return errors.Is(cause, errTooLong) || errors.Is(cause, errCancelled) }
+
 // failure says what an answer that never came means. Only a request that was surely not written whole is
 // sure not to have run.
 func failure(cause error, connected, wrote, cut bool) control.Outcome {
-	gaveUp := errors.Is(cause, errTooLong) || errors.Is(cause, errCancelled)
 	switch {
 	case !connected, cut && !wrote:
 		return control.NoConnection
-	case !wrote && !gaveUp: // the transport ends its writing before it tells of a broken connection
+	case !wrote && !gaveUp(cause): // the transport ends its writing before it tells of a broken connection
 		return control.NoConnection
 	case errors.Is(cause, errTooLong):
 		return control.NoAnswer
--- a/internal/receivers/conn.go
+++ b/internal/receivers/conn.go
@@ -97,6 +97,21 @@
 	return n, err
 }
 
+// seal lets nothing of the present call be written any more; false: some of it was, or there is no connection. The
+// transport may tell of the end of a call while its writing has yet to begin.
+func (c *conn) seal() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.asked {
+		return false
+	}
+	c.stop = errOverdue
+	return true
+}
+
 // state says whether the connection was kept from an earlier call, and why nothing of the present one may be written.
 func (c *conn) state() (kept bool, stop error) {
 	if c == nil {
