--- a/internal/referee/tierrules/planned.go
+++ b/internal/referee/tierrules/planned.go
@@ -1,7 +1,9 @@
 package tierrules
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -50,10 +52,27 @@
 		if r.Answer != nil && r.Answer.Complete || j.excused(r, t) {
 			continue
 		}
-		j.breach(Lost, r.Ended, r, "read whole, and its connection ends without a complete answer %.3fs after SIGTERM", (r.Ended - t.From).Seconds())
+		j.breach(Lost, r.Ended, r, "%s sent %.3fs after SIGTERM is read whole, and its connection ends without a complete answer %.3fs after it; %s",
+			r.Class, (r.Sent - t.From).Seconds(), (r.Ended - t.From).Seconds(), j.way(r, t))
 	}
 }
 
+// way says how far a request came: its runs and its answer, on the clock of a stop.
+func (j *judge) way(r *Request, t *Trouble) string {
+	var way []string
+	for _, run := range j.runs[r.ID] {
+		way = append(way, fmt.Sprintf("%s runs it from %.3fs to %.3fs (status %d, %d events, whole %v, broke off %v)", run.Instance,
+			(run.Began - t.From).Seconds(), (run.Ended - t.From).Seconds(), run.Status, len(run.Events), run.Complete, run.BrokeOff))
+	}
+	if len(way) == 0 {
+		way = append(way, "no receiver runs it")
+	}
+	if r.Answer != nil {
+		way = append(way, fmt.Sprintf("its answer has status %d and %d events", r.Answer.Status, len(r.Answer.Events)))
+	}
+	return strings.Join(way, "; ")
+}
+
 // plannedStop is the stop of the machine during which the request ended, with no unplanned trouble near. Stops of other
 // machines are planned as well and excuse nothing.
 func (j *judge) plannedStop(r *Request) *Trouble {
