--- a/internal/tierlab/soak_test.go
+++ b/internal/tierlab/soak_test.go
@@ -53,3 +53,13 @@
 		Eventually(func() *process { return c.choose(0) }).Should(BeNil())
 	})
 })
+
+var _ = DescribeTable("The time that a request names is what the referee judges by",
+	func(left, named time.Duration) {
+		k := &call{route: textRoute}
+		Expect(k.request("m", left).Deadline).To(Equal(named))
+		Expect(k.headers("1", left).Get("Emberquay-Deadline-Ms")).To(Equal(fmt.Sprint(named.Milliseconds())))
+	},
+	Entry("rounded down", 2565900*time.Microsecond, 2565*time.Millisecond),
+	Entry("a millisecond at least", 300*time.Microsecond, time.Millisecond),
+)
