--- a/internal/tierlab/client.go
+++ b/internal/tierlab/client.go
@@ -187,7 +187,9 @@
 
 // told is the time that a request names: whole milliseconds. The tier ends it by that, a part of a millisecond before its
 // client would.
-func told(left time.Duration) time.Duration { return max(time.Millisecond, left.Truncate(time.Millisecond)) }
+func told(left time.Duration) time.Duration {
+	return max(time.Millisecond, left.Truncate(time.Millisecond))
+}
 
 func (k *call) headers(id string, left time.Duration) http.Header {
 	header := k.header.Clone()
