Proxy: an answer that has begun has its request's whole time, not an attempt's

An attempt at a request that another receiver may run is bounded by 15 usual calls, so that a silent receiver does not take all of its time; a proxy that has just started takes the mean of the service's calls, here of short turns, for a kind that it has not seen, and the bound stood for the rest of the answer, however steadily it came. Change: with the first event, and with the head of a long answer, the connection's deadline becomes the request's. Test with an attempt's bound of 50 ms: unexpected EOF before.

--- a/internal/proxy/outbound/exchange.go
+++ b/internal/proxy/outbound/exchange.go
@@ -44,6 +44,9 @@
 	whole      bool
 }
 
+// Extend gives the rest of the answer until another deadline than the exchange had.
+func (a *Answer) Extend(deadline time.Time) { a.connection.SetDeadline(deadline) }
+
 // Exchange sends the request to the receiver at the address and reads the head of the answer. Until the answer is
 // closed, the end of ctx or the deadline ends its connection. An error says through Sent whether any of it may have left.
 func (p *Pool) Exchange(ctx context.Context, address string, request *Request, deadline time.Time) (*Answer, error) {
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -80,6 +80,7 @@
 // cut: the announced length or the end of the chunks is missing then.
 func (v *visit) passLong(send *dispatch.Send, answer *outbound.Answer, read []byte, began time.Time, first time.Duration) (ending, bool) {
 	v.head(answer, answer.Length)
+	answer.Extend(v.deadline)
 	v.proxy.admission.started(v.ticket)
 	v.flusher.SetWriteDeadline(v.deadline.Add(writeSlack))
 	defer v.flusher.SetWriteDeadline(time.Time{})
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -26,6 +26,9 @@
 		}
 		if first == 0 {
 			first = time.Since(began)
+			// The attempt was bounded so that another receiver could run the request. One that is at work is no reason to
+			// end the answer sooner than its request.
+			answer.Extend(v.deadline)
 		}
 		if resumed && event.HasID && event.ID <= v.lastID {
 			continue // it was passed on from the receiver before
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"io"
+	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"emberquay/admission/dispatch"
 )
 
 var _ = Describe("A stream", func() {
@@ -173,3 +177,52 @@
 		Expect(f.seen()).To(HaveLen(1))
 	})
 })
+
+// impatient bounds each attempt more tightly than the request: as a dispatcher does that takes calls of a kind that it has
+// not seen yet for as short as others.
+type impatient struct{ dispatcher }
+
+const attemptBound = 50 * time.Millisecond
+
+func (d impatient) Arrive(now dispatch.Instant, r dispatch.Request) dispatch.Effects {
+	effects := d.dispatcher.Arrive(now, r)
+	for i := range effects.Sends {
+		effects.Sends[i].Timeout = attemptBound
+	}
+	return effects
+}
+
+// becomeImpatient puts it in, from the goroutine that owns the dispatcher.
+type becomeImpatient struct{}
+
+func (becomeImpatient) apply(a *admission, now dispatch.Instant) dispatch.Effects {
+	a.dispatcher = impatient{a.dispatcher}
+	return a.dispatcher.Tick(now)
+}
+
+// The soak's finding: a proxy that had just started broke off streams that came event by event, as its bound for an attempt
+// was 15 times the mean of shorter calls.
+var _ = Describe("An answer that has begun", func() {
+	It("has the whole time of its request, not that of an attempt", func() {
+		release := make(chan struct{})
+		p, _ := startService("plain", 1, func(_ int, r received) {
+			r.beginStream()
+			r.chunk(event(1, "a"))
+			<-release
+			r.chunk(event(2, "b"))
+			r.endStream()
+		})
+		finish := sync.OnceFunc(func() { close(release) })
+		DeferCleanup(finish)
+		p.admission.tell(becomeImpatient{})
+		c := p.dial()
+		c.send("POST /resume/x", "body", "Emberquay-Request-Id: 1")
+		response := c.head()
+		bound := time.Now().Add(2 * attemptBound)
+		Eventually(func() bool { return time.Now().After(bound) }).Should(BeTrue())
+		finish()
+		body, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal(event(1, "a") + event(2, "b")))
+	})
+})
