--- a/internal/proxy/lifecycle_test.go
+++ b/internal/proxy/lifecycle_test.go
@@ -40,6 +40,15 @@
 	})
 })
 
+// dialError says why a client cannot connect; nil: it can.
+func (p *plane) dialError() error {
+	connection, err := net.Dial("tcp", p.Proxy.front.listener.Addr().String())
+	if err == nil {
+		connection.Close()
+	}
+	return err
+}
+
 // ample is waited at most for what comes at once.
 const ample = 10 * time.Second
 
@@ -86,13 +95,7 @@
 		Expect(response.Close).To(BeTrue())
 
 		close(notice)
-		Eventually(func() error {
-			connection, err := net.Dial("tcp", p.Proxy.front.listener.Addr().String())
-			if err == nil {
-				connection.Close()
-			}
-			return err
-		}).Should(HaveOccurred())
+		Eventually(p.dialError).Should(HaveOccurred())
 		// A connection at rest is closed, with what is in hand served on.
 		idle.SetReadDeadline(time.Now().Add(ample))
 		_, err := idle.Read(make([]byte, 1))
@@ -174,13 +177,7 @@
 			go p.Shutdown(over)
 			Eventually(func() int { return readinessOf(p, "/api/readiness") }).Should(Equal(503))
 			close(notice)
-			Eventually(func() error {
-				connection, err := net.Dial("tcp", p.Proxy.front.listener.Addr().String())
-				if err == nil {
-					connection.Close()
-				}
-				return err
-			}).Should(HaveOccurred())
+			Eventually(p.dialError).Should(HaveOccurred())
 
 			answered := make(chan error, 1)
 			go func() {
