--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -64,7 +64,7 @@
 	for {
 		select {
 		case at := <-stop:
-			logger.Info("stopping")
+			logger.WithField("since_signal_ms", time.Since(at).Milliseconds()).Info("stopping")
 			shutdown(plane, at.Add(stopTime(node.Bounds.Grace)))
 			logger.Info("stopped")
 			return nil
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -50,7 +50,7 @@
 		return v.passStream(send, answer, began)
 	case v.begun:
 		// A stream goes on only as a stream.
-		return v.ended(send, began, first, dispatch.ErrorAnswer, cut)
+		return v.ended(send, began, first, dispatch.ErrorAnswer, v.cut(cutNoStream))
 	}
 	return v.passPlain(send, answer, began, first)
 }
@@ -124,11 +124,11 @@
 	case isTimeout(err):
 		outcome.Kind = dispatch.TimedOut
 	default:
-		v.proxy.attempts.broke(string(send.Instance), v.id, err)
+		v.proxy.failures.broke(string(send.Instance), v.id, err)
 	}
 	if v.begun && v.unnamed {
 		v.proxy.admission.finished(send, outcome)
-		return cut, true
+		return v.cut(cutUnresumable), true
 	}
 	if !time.Now().Before(v.deadline) {
 		v.proxy.admission.finished(send, outcome)
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -53,7 +53,7 @@
 		defer v.flusher.SetWriteDeadline(time.Time{})
 	}
 	if _, err := v.writer.Write(body); err != nil && len(body) > 0 {
-		return cut, true
+		return v.unwritten(err), true
 	}
 	return complete, true
 }
@@ -85,19 +85,19 @@
 	v.flusher.SetWriteDeadline(v.deadline.Add(writeSlack))
 	defer v.flusher.SetWriteDeadline(time.Time{})
 	if _, err := v.writer.Write(read); err != nil {
-		return v.ended(send, began, first, dispatch.Cancelled, cut)
+		return v.ended(send, began, first, dispatch.Cancelled, v.unwritten(err))
 	}
 	buffer := make([]byte, copyBuffer)
 	for {
 		n, err := answer.Body.Read(buffer)
 		if _, failed := v.writer.Write(buffer[:n]); failed != nil && n > 0 {
-			return v.ended(send, began, first, dispatch.Cancelled, cut)
+			return v.ended(send, began, first, dispatch.Cancelled, v.unwritten(failed))
 		}
 		switch {
 		case err == io.EOF:
 			return v.ended(send, began, first, answerKind(answer.Status), complete)
 		case err != nil:
-			return v.ended(send, began, first, v.brokenKind(err), cut)
+			return v.ended(send, began, first, v.brokenKind(err), v.cut(v.brokenCause()))
 		}
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,7 +22,7 @@
 	pool      *outbound.Pool
 	admission *admission
 	reporter  *reporter
-	attempts  attemptLog
+	failures  failureLog
 	front     *front
 	readiness net.Listener
 
@@ -57,7 +57,7 @@
 		memory:     memory{limit: options.BodyMemory},
 		pool:       outbound.NewPool(outbound.Options{MaxOpen: options.MaxReceivers}),
 		spread:     newSpread(options.Seed),
-		attempts:   attemptLog{logger: options.Logger},
+		failures:   failureLog{logger: options.Logger},
 		configured: make(chan struct{}),
 		finished:   make(chan struct{}),
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -34,7 +34,7 @@
 			continue // it was passed on from the receiver before
 		}
 		if err := v.passEvent(answer, &event, reader.Buffered()); err != nil {
-			return v.ended(send, began, first, dispatch.Cancelled, cut)
+			return v.ended(send, began, first, dispatch.Cancelled, v.unwritten(err))
 		}
 	}
 }
@@ -74,7 +74,7 @@
 		v.head(answer, -1)
 	}
 	if v.turn != nil && v.turn.retained && !v.commit() {
-		return cut, true
+		return v.cut(cutUncommitted), true
 	}
 	v.flusher.SetWriteDeadline(time.Time{})
 	return complete, true
--- a/internal/proxy/turn_test.go
+++ b/internal/proxy/turn_test.go
@@ -185,6 +185,19 @@
 		Entry("a part of a kept turn", 503, "Budget: 100", "Emberquay-Token-Usage: 10,10", "Last-Event-Id: 4"),
 	)
 
+	It("whose answer is cut is logged with the reason, one line a second", func() {
+		p, _ := startService("model", 1, streamOf(event(1, "x")))
+		p.stores.commit = func(context.Context, storeclient.Turn) error { return context.DeadlineExceeded }
+		for range 3 {
+			Expect(p.ask("POST /turn/x", "new", turnFields...).err).To(HaveOccurred())
+		}
+		Expect(p.logs.Entries).To(HaveLen(1))
+		line := p.logs.Entries[0]
+		Expect(line.Message).To(Equal("an answer was cut"))
+		Expect(line.Fields).To(And(HaveKeyWithValue("cause", string(cutUncommitted)), HaveKeyWithValue("begun", true)))
+		Expect(line.Fields).To(HaveKeyWithValue("last_event", uint64(1)))
+	})
+
 	It("that makes a handler panic costs its connection only", func() {
 		p, _ := startService("model", 1, streamOf(event(1, "x")))
 		var calls atomic.Int32
--- a/internal/proxy/visit.go
+++ b/internal/proxy/visit.go
@@ -259,6 +259,14 @@
 	return v.answer(http.StatusServiceUnavailable, 0)
 }
 
+// unresumedCause is why a stream that has begun ends without another receiver.
+func (v *visit) unresumedCause() cutCause {
+	if cause := v.brokenCause(); cause != cutByReceiver {
+		return cause
+	}
+	return cutUnresumed
+}
+
 // refuse answers as the dispatcher says, but never promises that nothing ran where something may have.
 func (v *visit) refuse(r dispatch.Refuse) ending {
 	status := r.Status
@@ -277,10 +285,37 @@
 	return false
 }
 
+// cut ends the answer before it is complete, for a reason that is logged where the client still waits.
+func (v *visit) cut(cause cutCause) ending {
+	if !v.clientGone() {
+		v.proxy.failures.cut(v, cause)
+	}
+	return cut
+}
+
+// unwritten ends an answer that could not be written: the client has gone, or did not read in time.
+func (v *visit) unwritten(err error) ending {
+	if isTimeout(err) {
+		return v.cut(cutWriteTimeout)
+	}
+	return cut
+}
+
+// brokenCause is why an answer that has begun cannot go on, and no other receiver may take it up.
+func (v *visit) brokenCause() cutCause {
+	switch {
+	case v.givenUp():
+		return cutByStop
+	case !time.Now().Before(v.deadline):
+		return cutByTime
+	}
+	return cutByReceiver
+}
+
 // answer gives an answer of our own. Where part of a receiver's answer has gone out, only the cut is left.
 func (v *visit) answer(status int, retryAfter time.Duration) ending {
 	if v.begun {
-		return cut
+		return v.cut(v.unresumedCause())
 	}
 	v.begun = true
 	header := v.writer.Header()
