--- a/cmd/emberquay/node_test.go
+++ b/cmd/emberquay/node_test.go
@@ -112,7 +112,7 @@
 	DeferCleanup(func() {
 		ended, end := context.WithCancel(context.Background())
 		end()
-		plane.Shutdown(ended)
+		plane.Shutdown(ended, time.Now())
 	})
 }
 
--- a/internal/controlplane/alone_test.go
+++ b/internal/controlplane/alone_test.go
@@ -69,7 +69,7 @@
 func end(plane *Plane) {
 	short, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	plane.Shutdown(short)
+	plane.Shutdown(short, time.Now())
 }
 
 // call is one of the calls that a control plane serves.
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -3,7 +3,7 @@
 //
 //	plane, err := controlplane.Start(node, logger)
 //	...
-//	plane.Shutdown(ctx)
+//	plane.Shutdown(ctx, signalled)
 //
 // It owns the table of the receivers whose heartbeats come here; the control state is owned by the replica, what
 // is spread by the cluster.
@@ -177,7 +177,7 @@
 func (p *Plane) now() time.Duration { return p.base.Uptime() }
 
 // Shutdown tells the others, answers what has been asked, and ends. It returns when all is done or ctx ends.
-func (p *Plane) Shutdown(ctx context.Context) {
+func (p *Plane) Shutdown(ctx context.Context, _ time.Time) {
 	p.mutex.Lock()
 	p.ended = true
 	p.mutex.Unlock()
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -3,7 +3,7 @@
 //
 //	plane, err := dataplane.Start(node, logger)
 //	...
-//	plane.Shutdown(ctx) // serves what has been read
+//	plane.Shutdown(ctx, signalled) // serves what has been read
 //
 // It owns nothing itself: the configuration, the receivers and the stores' view come from the cluster's table
 // and are handed to those who work by them, from the one goroutine in which the cluster calls its watchers.
@@ -191,9 +191,9 @@
 }
 
 // Shutdown lets the platform notice, serves what has been read and ends, when ctx ends at the latest.
-func (p *Plane) Shutdown(ctx context.Context) {
+func (p *Plane) Shutdown(ctx context.Context, signalled time.Time) {
 	p.stop()
-	p.proxy.Shutdown(ctx)
+	p.proxy.Shutdown(ctx, signalled)
 	p.base.Leave(ctx)
 	p.close()
 }
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -38,8 +38,9 @@
 
 // Plane is what runs.
 type Plane interface {
-	// Shutdown serves what has been begun and ends the plane; it returns when ctx ends at the latest.
-	Shutdown(ctx context.Context)
+	// Shutdown serves what has been begun and ends the plane; it returns when ctx ends at the latest. The process was
+	// told to stop at the instant signalled, which is past, and longer so where the signal came during the start.
+	Shutdown(ctx context.Context, signalled time.Time)
 	// SetSeeds tells the internal addresses of other machines' control planes.
 	SetSeeds(addresses []string)
 }
@@ -65,7 +66,7 @@
 		select {
 		case at := <-stop:
 			logger.WithField("since_signal_ms", time.Since(at).Milliseconds()).Info("stopping")
-			shutdown(plane, at.Add(stopTime(node.Bounds.Grace)))
+			shutdown(plane, at, stopTime(node.Bounds.Grace))
 			logger.Info("stopped")
 			return nil
 		case <-reload:
@@ -84,10 +85,10 @@
 	return grace - min(graceReserve, time.Duration(graceReserveShare*float64(grace)))
 }
 
-func shutdown(plane Plane, end time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+func shutdown(plane Plane, signalled time.Time, allowed time.Duration) {
+	ctx, cancel := context.WithDeadline(context.Background(), signalled.Add(allowed))
 	defer cancel()
-	plane.Shutdown(ctx)
+	plane.Shutdown(ctx, signalled)
 }
 
 func readAgain(path string, plane Plane, logger log.Interface) {
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -19,13 +19,17 @@
 	RunSpecs(t, "Lifecycle")
 }
 
-// recordingPlane notes until when it may take to end.
+// recordingPlane notes when it was told to stop, and until when it may take to end.
 type recordingPlane struct {
-	deadline time.Time
-	bounded  bool
+	deadline  time.Time
+	bounded   bool
+	signalled time.Time
 }
 
-func (p *recordingPlane) Shutdown(ctx context.Context) { p.deadline, p.bounded = ctx.Deadline() }
+func (p *recordingPlane) Shutdown(ctx context.Context, signalled time.Time) {
+	p.deadline, p.bounded = ctx.Deadline()
+	p.signalled = signalled
+}
 
 func (p *recordingPlane) SetSeeds([]string) {}
 
@@ -47,6 +51,7 @@
 			Expect(run(nowhere(), node(grace), quiet, func() (Plane, error) { return plane, nil }, stop, nil)).To(Succeed())
 			Expect(plane.bounded).To(BeTrue())
 			Expect(plane.deadline).To(Equal(signalled.Add(allowed)))
+			Expect(plane.signalled).To(Equal(signalled))
 		},
 		Entry("of eight seconds", 8*time.Second, 7500*time.Millisecond),
 		Entry("of a short one, of which a reserve of half a second would be too much", 3*time.Second, 2750*time.Millisecond),
--- a/internal/proxy/doc.go
+++ b/internal/proxy/doc.go
@@ -10,7 +10,7 @@
 //	plane.SetReceivers(receivers)
 //	plane.SetReady(true)
 //	...
-//	plane.Shutdown(ctx) // serves what has been read, then Run returns
+//	plane.Shutdown(ctx, signalled) // serves what has been read, then Run returns
 //
 // Invariants: a request sees one configuration, taken as it arrives, and none older than one that was used before. What
 // may have run is never refused, and is sent again only where its route allows that. An answer goes out as complete only
--- a/internal/proxy/lifecycle_test.go
+++ b/internal/proxy/lifecycle_test.go
@@ -83,7 +83,7 @@
 
 		ended := make(chan struct{})
 		go func() {
-			p.Shutdown(context.Background())
+			p.Shutdown(context.Background(), time.Now())
 			close(ended)
 		}()
 		Eventually(func() int { return readinessOf(p, "/api/readiness") }).Should(Equal(503))
@@ -129,7 +129,7 @@
 		Expect(response.Close).To(BeFalse())
 		ended := make(chan struct{})
 		go func() {
-			p.Shutdown(context.Background())
+			p.Shutdown(context.Background(), time.Now())
 			close(ended)
 		}()
 		Eventually(func() bool { p.clients.mu.Lock(); defer p.clients.mu.Unlock(); return p.clients.retiring }).Should(BeTrue())
@@ -174,7 +174,7 @@
 
 			over, end := context.WithTimeout(context.Background(), 15*time.Second) // less than a route's time-out
 			defer end()
-			go p.Shutdown(over)
+			go p.Shutdown(over, time.Now())
 			Eventually(func() int { return readinessOf(p, "/api/readiness") }).Should(Equal(503))
 			close(notice)
 			Eventually(p.dialError).Should(HaveOccurred())
@@ -231,7 +231,7 @@
 		Eventually(p.clients.requestsInHand).Should(Equal(3))
 		over, end := context.WithTimeout(context.Background(), 15*time.Second) // less than a route's time-out
 		defer end()
-		go p.Shutdown(over)
+		go p.Shutdown(over, time.Now())
 		Eventually(p.noticeOver.Load).Should(BeTrue())
 		rest := "/unsafe/x HTTP/1.1\r\nHost: " + host + "\r\nEmberquay-Request-Id: %d\r\nEmberquay-Deadline-Ms: %d\r\nContent-Length: 1\r\n\r\nx"
 		fmt.Fprintf(long, rest, 2, 20000)
@@ -273,7 +273,7 @@
 
 		over, cancel := context.WithCancel(context.Background())
 		cancel()
-		p.Shutdown(over)
+		p.Shutdown(over, time.Now())
 		Expect(<-p.ended).NotTo(HaveOccurred())
 		_, err := io.ReadAll(begun.Body)
 		Expect(err).To(HaveOccurred(), "a stream that is cut must not look complete")
@@ -289,8 +289,8 @@
 		p := startPlane(nil)
 		over, cancel := context.WithCancel(context.Background())
 		cancel()
-		p.Shutdown(over)
-		p.Shutdown(over)
+		p.Shutdown(over, time.Now())
+		p.Shutdown(over, time.Now())
 		Expect(<-p.ended).NotTo(HaveOccurred())
 	})
 })
--- a/internal/proxy/plane_test.go
+++ b/internal/proxy/plane_test.go
@@ -74,7 +74,7 @@
 	DeferCleanup(func() {
 		ended, cancel := context.WithCancel(context.Background())
 		cancel()
-		p.Shutdown(ended)
+		p.Shutdown(ended, time.Now())
 	})
 	return p
 }
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -36,8 +36,9 @@
 var errStopping = errors.New("the proxy stops")
 
 // Shutdown stops the data plane: it is not ready at once, goes on accepting until the platform has noticed, and serves
-// what has been read. It returns when nothing is left in hand, or when ctx ends; Run returns then.
-func (p *Proxy) Shutdown(ctx context.Context) {
+// what has been read. It returns when nothing is left in hand, or when ctx ends; Run returns then. The process was told to
+// stop at the instant signalled.
+func (p *Proxy) Shutdown(ctx context.Context, signalled time.Time) {
 	p.draining.Store(true)
 	p.awaitNotice(ctx, p.endBy(ctx))
 	p.front.stopAccepting()
--- a/internal/storeplane/plane.go
+++ b/internal/storeplane/plane.go
@@ -3,7 +3,7 @@
 //
 //	plane, err := storeplane.Start(node, logger)
 //	...
-//	plane.Shutdown(ctx)
+//	plane.Shutdown(ctx, signalled)
 //
 // The store's disk is a member of the store view, which the control state holds; a disk that is not in it
 // registers until it is. The view comes back through the cluster's table.
@@ -176,7 +176,7 @@
 }
 
 // Shutdown tells the others and ends. All that was acknowledged is on the disk.
-func (p *Plane) Shutdown(ctx context.Context) {
+func (p *Plane) Shutdown(ctx context.Context, _ time.Time) {
 	p.base.Leave(ctx)
 	p.close()
 }
