--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -57,3 +59,30 @@
 		Entry("of a short one, of which a reserve of half a second would be too much", 3*time.Second, 2750*time.Millisecond),
 	)
 })
+
+// seedsPlane notes the seeds that it is told, and the end.
+type seedsPlane struct {
+	seeds chan []string
+	ended chan struct{}
+}
+
+func (p *seedsPlane) Shutdown(context.Context, time.Time) { close(p.ended) }
+
+func (p *seedsPlane) SetSeeds(seeds []string) { p.seeds <- seeds }
+
+// A settings file on a disk that answers nothing is a pipe that nobody writes to here.
+func TestAStopDoesNotWaitForSettings(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	g.Expect(syscall.Mkfifo(path, 0o600)).To(Succeed())
+	plane := &seedsPlane{seeds: make(chan []string, 1), ended: make(chan struct{})}
+	stop, reload := make(chan time.Time, 1), make(chan os.Signal)
+	node := &settings.Node{}
+	node.Bounds.Grace = 8 * time.Second
+	go func() {
+		_ = run(path, node, &log.Logger{Handler: discard.New()}, func() (Plane, error) { return plane, nil }, stop, reload)
+	}()
+	reload <- syscall.SIGHUP
+	stop <- time.Now()
+	g.Eventually(plane.ended).Should(BeClosed())
+}
--- a/internal/proxy/lifecycle_test.go
+++ b/internal/proxy/lifecycle_test.go
@@ -208,6 +208,27 @@
 		}, func(c *client) { io.WriteString(c, lateRequest[20:]) }),
 	)
 
+	// A stop may be begun late: behind the start, or on a machine without processor time.
+	It("counts its notice from the signal, whenever it is begun", func() {
+		p := startPlane(func(o *Options) { o.Notice = time.Hour })
+		asked, release := make(chan struct{}), make(chan struct{})
+		f := startFleet("plain", 1, func(_ int, r received) {
+			close(asked)
+			<-release
+			r.answer(200, "done")
+		})
+		DeferCleanup(sync.OnceFunc(func() { close(release) }))
+		p.SetConfiguration(configuration(1, usualLimits))
+		p.SetReceivers(f.listed)
+		holding := p.dial()
+		holding.send("POST /unsafe/held", "body", "Emberquay-Request-Id: 1")
+		<-asked
+		over, end := context.WithTimeout(context.Background(), ample)
+		defer end()
+		go p.Shutdown(over, time.Now().Add(-2*time.Hour))
+		Eventually(p.dialError).Should(HaveOccurred())
+	})
+
 	It("refuses what it has no time for once the notice is over, and serves what has time", func() {
 		asked, release := make(chan struct{}, 1), make(chan struct{})
 		f := startFleet("plain", 2, func(_ int, r received) {
