A stop's times run from the signal, and nothing that reads a disk is in its way

Cause: the notice was counted from the call of Shutdown; behind a start, a settings read or for want of processor time it began late, and the proxy went on taking requests more than 3 s after SIGTERM whose deadlines lay past its end. Settings are followed by a goroutine of their own; whether a request has time is decided by the clock.

--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -41,7 +41,8 @@
 	// Shutdown serves what has been begun and ends the plane; it returns when ctx ends at the latest. The process was
 	// told to stop at the instant signalled, which is past, and longer so where the signal came during the start.
 	Shutdown(ctx context.Context, signalled time.Time)
-	// SetSeeds tells the internal addresses of other machines' control planes.
+	// SetSeeds tells the internal addresses of other machines' control planes. It may come from another goroutine than
+	// Shutdown, and after it.
 	SetSeeds(addresses []string)
 }
 
@@ -59,16 +60,37 @@
 		return err
 	}
 	logger.Info("started")
+	stopping := make(chan struct{})
+	go followSettings(path, plane, logger, reload, stopping)
+	at := <-stop
+	close(stopping)
+	logger.WithField("since_signal_ms", time.Since(at).Milliseconds()).Info("stopping")
+	shutdown(plane, at, stopTime(node.Bounds.Grace))
+	logger.Info("stopped")
+	return nil
+}
+
+// stopTime is how long after the signal a plane may take to end.
+func stopTime(grace time.Duration) time.Duration {
+	return grace - min(graceReserve, time.Duration(graceReserveShare*float64(grace)))
+}
+
+func shutdown(plane Plane, signalled time.Time, allowed time.Duration) {
+	ctx, cancel := context.WithDeadline(context.Background(), signalled.Add(allowed))
+	defer cancel()
+	plane.Shutdown(ctx, signalled)
+}
+
+// followSettings reads the settings file again when it has changed, until the process is told to stop. It has a goroutine
+// of its own: a disk may answer nothing for longer than a stop has time.
+func followSettings(path string, plane Plane, logger log.Interface, reload <-chan os.Signal, stopping <-chan struct{}) {
 	watch := newFileWatch(path)
 	ticker := time.NewTicker(fileInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case at := <-stop:
-			logger.WithField("since_signal_ms", time.Since(at).Milliseconds()).Info("stopping")
-			shutdown(plane, at, stopTime(node.Bounds.Grace))
-			logger.Info("stopped")
-			return nil
+		case <-stopping:
+			return
 		case <-reload:
 			watch.changed()
 			readAgain(path, plane, logger)
@@ -80,17 +102,6 @@
 	}
 }
 
-// stopTime is how long after the signal a plane may take to end.
-func stopTime(grace time.Duration) time.Duration {
-	return grace - min(graceReserve, time.Duration(graceReserveShare*float64(grace)))
-}
-
-func shutdown(plane Plane, signalled time.Time, allowed time.Duration) {
-	ctx, cancel := context.WithDeadline(context.Background(), signalled.Add(allowed))
-	defer cancel()
-	plane.Shutdown(ctx, signalled)
-}
-
 func readAgain(path string, plane Plane, logger log.Interface) {
 	node, err := settings.LoadFile(path)
 	if err != nil {
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -60,22 +60,19 @@
 	)
 })
 
-// seedsPlane notes the seeds that it is told, and the end.
-type seedsPlane struct {
-	seeds chan []string
-	ended chan struct{}
-}
+// endingPlane tells of its end.
+type endingPlane struct{ ended chan struct{} }
 
-func (p *seedsPlane) Shutdown(context.Context, time.Time) { close(p.ended) }
+func (p endingPlane) Shutdown(context.Context, time.Time) { close(p.ended) }
 
-func (p *seedsPlane) SetSeeds(seeds []string) { p.seeds <- seeds }
+func (p endingPlane) SetSeeds([]string) {}
 
 // A settings file on a disk that answers nothing is a pipe that nobody writes to here.
 func TestAStopDoesNotWaitForSettings(t *testing.T) {
 	g := NewWithT(t)
 	path := filepath.Join(t.TempDir(), "settings.toml")
 	g.Expect(syscall.Mkfifo(path, 0o600)).To(Succeed())
-	plane := &seedsPlane{seeds: make(chan []string, 1), ended: make(chan struct{})}
+	plane := endingPlane{ended: make(chan struct{})}
 	stop, reload := make(chan time.Time, 1), make(chan os.Signal)
 	node := &settings.Node{}
 	node.Bounds.Grace = 8 * time.Second
--- a/internal/proxy/lifecycle_test.go
+++ b/internal/proxy/lifecycle_test.go
@@ -253,7 +253,7 @@
 		over, end := context.WithTimeout(context.Background(), 15*time.Second) // less than a route's time-out
 		defer end()
 		go p.Shutdown(over, time.Now())
-		Eventually(p.noticeOver.Load).Should(BeTrue())
+		Eventually(func() bool { stop := p.stop.Load(); return stop != nil && !time.Now().Before(stop.noticeOver) }).Should(BeTrue())
 		rest := "/unsafe/x HTTP/1.1\r\nHost: " + host + "\r\nEmberquay-Request-Id: %d\r\nEmberquay-Deadline-Ms: %d\r\nContent-Length: 1\r\n\r\nx"
 		fmt.Fprintf(long, rest, 2, 20000)
 		refused := long.result()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -36,9 +36,8 @@
 	finished chan struct{}
 	once     sync.Once
 
-	draining   atomic.Bool               // the process has been told to stop
-	noticeOver atomic.Bool               // and the platform has had its time to notice
-	end        atomic.Pointer[time.Time] // when what is in hand has to have ended; nil: no stop, or one without a bound
+	draining atomic.Bool               // the process has been told to stop
+	stop     atomic.Pointer[stopTimes] // nil: it has not
 }
 
 // limitsBefore hold until a configuration is known.
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -10,7 +10,7 @@
 	"emberquay/admission/dispatch"
 )
 
-// A stop has a timetable, counted from the signal:
+// A stop has a timetable, counted from the signal, also where the stop is begun later:
 //
 //	0                       not ready; answers that begin tell their clients to close
 //	Notice                  no new connection; those at rest are closed, others with the end of their answer;
@@ -40,7 +40,8 @@
 // stop at the instant signalled.
 func (p *Proxy) Shutdown(ctx context.Context, signalled time.Time) {
 	p.draining.Store(true)
-	p.awaitNotice(ctx, p.endBy(ctx))
+	p.stop.Store(p.timetable(ctx, signalled))
+	p.awaitNotice(ctx)
 	p.front.stopAccepting()
 	p.clients.retire()
 	p.clientsLog().Info("the notice is over")
@@ -48,17 +49,22 @@
 	p.finish()
 }
 
-// endBy fixes when what is in hand has to have ended, and tells those who decide by it; the zero time: never.
-func (p *Proxy) endBy(ctx context.Context) time.Time {
+// stopTimes are the instants of a stop.
+type stopTimes struct {
+	noticeOver time.Time
+	end        time.Time // when what is in hand has to have ended; the zero time: never
+}
+
+// timetable fixes the instants of a stop, and tells the dispatcher of its end.
+func (p *Proxy) timetable(ctx context.Context, signalled time.Time) *stopTimes {
 	deadline, bounded := ctx.Deadline()
 	if !bounded {
-		return time.Time{}
+		return &stopTimes{noticeOver: signalled.Add(p.options.Notice)}
 	}
-	whole := max(0, time.Until(deadline))
+	whole := max(0, deadline.Sub(signalled))
 	end := deadline.Add(-min(lastAnswersTime, share(whole, lastAnswersShare)))
-	p.end.Store(&end)
 	p.admission.tell(stopBegun{end: p.admission.instant(end)})
-	return end
+	return &stopTimes{noticeOver: signalled.Add(min(p.options.Notice, share(end.Sub(signalled), noticeShare))), end: end}
 }
 
 func share(whole time.Duration, part float64) time.Duration {
@@ -66,32 +72,38 @@
 }
 
 // awaitNotice waits until the platform has noticed that no clients should come.
-func (p *Proxy) awaitNotice(ctx context.Context, end time.Time) {
-	length := p.options.Notice
-	if !end.IsZero() {
-		length = min(length, share(time.Until(end), noticeShare))
-	}
-	notice := time.NewTimer(length)
+func (p *Proxy) awaitNotice(ctx context.Context) {
+	notice := time.NewTimer(time.Until(p.stop.Load().noticeOver))
 	defer notice.Stop()
 	select {
 	case <-notice.C:
 	case <-p.options.notice:
 	case <-ctx.Done():
 	}
-	p.noticeOver.Store(true)
+	p.endNotice()
+}
+
+// endNotice has the notice over by now.
+func (p *Proxy) endNotice() {
+	stop := *p.stop.Load()
+	if now := time.Now(); now.Before(stop.noticeOver) {
+		stop.noticeOver = now
+		p.stop.Store(&stop)
+	}
 }
 
-// hasTimeFor says whether a request with that deadline is sure to have ended before the process does.
+// hasTimeFor says whether a request with that deadline is sure to have ended before the process does. It looks at the
+// clock: on a machine without processor time the end of the notice may be late to be acted on.
 func (p *Proxy) hasTimeFor(deadline time.Time) bool {
-	end := p.end.Load()
-	return !p.noticeOver.Load() || end == nil || !deadline.After(*end)
+	stop := p.stop.Load()
+	return stop == nil || stop.end.IsZero() || time.Now().Before(stop.noticeOver) || !deadline.After(stop.end)
 }
 
 // drain serves what is in hand until the end, and then gives it up.
 func (p *Proxy) drain(ctx context.Context) {
 	serving, cancel := ctx, context.CancelFunc(func() {})
-	if end := p.end.Load(); end != nil {
-		serving, cancel = context.WithDeadline(ctx, *end)
+	if end := p.stop.Load().end; !end.IsZero() {
+		serving, cancel = context.WithDeadline(ctx, end)
 	}
 	defer cancel()
 	if p.clients.drained(serving) {
