Referee: LOST beside SIGHUP and changes too, from kept connections at any time, turns in five tries

The referee judged LOST round stops only. The time of a route is that of any configuration that may be in force.

--- a/internal/referee/tierrules/history.go
+++ b/internal/referee/tierrules/history.go
@@ -27,6 +27,14 @@
 	Troubles []Trouble
 	Crashed  []Crash
 	Starts   []Start
+	Loads    []Load
+}
+
+// Load is how full the receivers of turns were together at an instant.
+type Load struct {
+	At    time.Duration
+	Taken int // running and queued
+	Slots int
 }
 
 // Kind is what may be repeated of a route.
@@ -52,7 +60,7 @@
 	Method    string
 	Body      []byte        // what the client sent; a turn's new input
 	Deadline  time.Duration // that the client granted, from Sent
-	Timeout   time.Duration // of the route
+	Timeout   time.Duration // of the route as the client knows it
 	Retention time.Duration
 	LastEvent uint64 // the stream is taken up behind it
 	Attempts  int    // the route's max_attempts
@@ -62,7 +70,9 @@
 	Most     int64 // tokens that the turn may generate
 	Chunk    int64 // tokens in an event
 	Previous string
+	Finish   time.Duration // the instant of the program's aim; 0: none
 
+	Kept   bool // its connection had brought a request before
 	Sent   time.Duration
 	Whole  time.Duration // its last byte was written; 0: it was not
 	Ended  time.Duration // its answer, or the connection, ended
@@ -156,7 +166,8 @@
 type Route struct {
 	Authority  string
 	PathPrefix string
-	Services   []string // with a weight above 0
+	Services   []string      // with a weight above 0
+	Timeout    time.Duration // 0: not told
 }
 
 // Read is the configuration as the operator read it.
--- a/internal/referee/tierrules/planned.go
+++ b/internal/referee/tierrules/planned.go
@@ -1,9 +1,7 @@
 package tierrules
 
 import (
-	"fmt"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -35,84 +33,6 @@
 
 const statusMisdirected = 421
 
-// afterGrace is for how long behind the grace of a stop its connections count.
-const afterGrace = time.Second
-
-// losses judges LOST round planned stops: a request that was read whole gets a whole answer.
-func (j *judge) losses() {
-	for _, r := range j.Requests {
-		if r.Whole == 0 || r.GaveUp {
-			continue
-		}
-		t := j.plannedStop(r)
-		if t == nil {
-			continue
-		}
-		j.checked(Lost)
-		if r.Answer != nil && r.Answer.Complete || j.excused(r, t) {
-			continue
-		}
-		j.breach(Lost, r.Ended, r, "%s sent %.3fs after SIGTERM is read whole, and its connection ends without a complete answer %.3fs after it; %s",
-			r.Class, (r.Sent - t.From).Seconds(), (r.Ended - t.From).Seconds(), j.way(r, t))
-	}
-}
-
-// way says how far a request came: its runs and its answer, on the clock of a stop.
-func (j *judge) way(r *Request, t *Trouble) string {
-	way := []string{fmt.Sprintf("its time is over at %.4fs, it ends at %.4fs", (r.limit() - t.From).Seconds(), (r.Ended - t.From).Seconds())}
-	for _, run := range j.runs[r.ID] {
-		way = append(way, fmt.Sprintf("%s runs it from %.3fs to %.3fs (status %d, %d events, whole %v, broke off %v)", run.Instance,
-			(run.Began-t.From).Seconds(), (run.Ended-t.From).Seconds(), run.Status, len(run.Events), run.Complete, run.BrokeOff))
-	}
-	if len(j.runs[r.ID]) == 0 {
-		way = append(way, "no receiver runs it")
-	}
-	if r.Answer != nil {
-		way = append(way, fmt.Sprintf("its answer has status %d and %d events", r.Answer.Status, len(r.Answer.Events)))
-	}
-	return strings.Join(way, "; ")
-}
-
-// plannedStop is the stop of the machine during which the request ended, with no unplanned trouble near. Stops of other
-// machines are planned as well and excuse nothing.
-func (j *judge) plannedStop(r *Request) *Trouble {
-	at := slices.IndexFunc(j.Troubles, func(t Trouble) bool {
-		return t.What == Terminated && t.Machine == r.Machine && r.Whole >= t.From-r.Deadline && r.Ended >= t.From && r.Ended <= t.From+j.Bounds.Grace+afterGrace
-	})
-	if at < 0 {
-		return nil
-	}
-	for i, t := range j.Troubles {
-		if i != at && t.What != Reloaded && t.What != Terminated && t.From <= r.Ended && t.To > r.Sent-j.Bounds.Contact {
-			return nil
-		}
-	}
-	return &j.Troubles[at]
-}
-
-// limit is when the request's time is over, by its client or its route.
-func (r *Request) limit() time.Duration { return r.Sent + min(r.Deadline, r.Timeout) }
-
-// lateSending is how long after a stop's signal a request may be sent whose receiver may be at work until the end.
-const lateSending = 3 * time.Second
-
-// excused says whether a request round a stop may end without an answer: its time was over, it was not read, its receiver
-// broke off, or it came early and its receiver was still at work in the last sixth of the grace.
-func (j *judge) excused(r *Request, t *Trouble) bool {
-	if r.Ended >= r.limit() {
-		return true
-	}
-	runs := j.runs[r.ID]
-	if len(runs) == 0 {
-		return r.Ended <= r.Whole+j.Bounds.LossSlack
-	}
-	early := r.Sent <= t.From+lateSending
-	lastSixth := t.From + j.Bounds.Grace*5/6
-	return slices.ContainsFunc(runs, func(run *Run) bool {
-		return run.BrokeOff || early && (run.Ended == 0 || run.Ended >= lastSixth)
-	})
-}
-
 // recovery judges RECOVER after a final fault: of the requests sent later than the bound a quarter is served, if it was
 // before.
 func (j *judge) recovery() {
--- a/internal/referee/tierrules/programs.go
+++ b/internal/referee/tierrules/programs.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// programs judges what concerns turns: the tokens of BUDGET, the bodies of UNASKED, the 404 of LOST.
+// programs judges what concerns turns: the tokens of BUDGET, the bodies of UNASKED, the turns that are forgotten or not
+// continued of LOST.
 func (j *judge) programs() {
 	j.budgets()
 	for _, r := range j.Requests {
@@ -16,6 +17,7 @@
 		j.chain(r)
 		j.forgotten(r)
 	}
+	j.unreached()
 }
 
 // budgets adds up what the clients of each program received.
@@ -103,3 +105,63 @@
 }
 
 func retentionOf(r *Request) time.Duration { return r.Retention }
+
+const (
+	// unreachedTries is after how many tries a turn has to have reached a receiver.
+	unreachedTries = 5
+	// fewFirst is the least number of first turns by which the tier's other service is told.
+	fewFirst = 10
+)
+
+// turnKey names a turn over all of its tries.
+type turnKey struct{ program, previous, input string }
+
+// unreached judges LOST: a turn that continues one answered whole reaches a receiver within unreachedTries tries at
+// machines in touch before its program's aim, while the receivers are under half full and nine tenths of first turns reach
+// one.
+func (j *judge) unreached() {
+	tries := map[turnKey][]*Request{}
+	for _, r := range j.Requests {
+		p := j.requests[r.Previous]
+		if !r.Retained || p == nil || !p.success() || r.Sent >= p.Ended+retentionOf(p) || r.Finish > 0 && r.Ended > r.Finish {
+			continue
+		}
+		key := turnKey{program: r.Program, previous: r.Previous, input: string(r.Body)}
+		if j.reached(r) || j.disturbed(r) || !j.touchThrough(r.Machine, r.Sent, r.Ended) {
+			delete(tries, key)
+			continue
+		}
+		tries[key] = append(tries[key], r)
+		if all := tries[key]; len(all) == unreachedTries && j.firstReach(all[0].Sent, r.Ended) && j.halfFree(all[0].Sent, r.Ended) {
+			j.breach(Lost, r.Ended, r, "a turn that continues %s reaches no receiver in %d tries since %.3fs", r.Previous, unreachedTries, all[0].Sent.Seconds())
+		}
+	}
+}
+
+// reached says whether a receiver had the request, be it to turn it away.
+func (j *judge) reached(r *Request) bool { return len(j.runs[r.ID])+len(j.turned[r.ID]) > 0 }
+
+// firstReach says whether nine tenths of the first turns of a span reached a receiver.
+func (j *judge) firstReach(from, to time.Duration) bool {
+	all, reached := 0, 0
+	for _, r := range j.Requests {
+		if !r.Retained || r.Previous != "" || r.Sent < from || r.Sent > to {
+			continue
+		}
+		all++
+		if j.reached(r) {
+			reached++
+		}
+	}
+	return all >= fewFirst && 10*reached >= 9*all
+}
+
+// halfFree says whether the receivers of turns were under half full throughout a span.
+func (j *judge) halfFree(from, to time.Duration) bool {
+	for _, l := range j.Loads {
+		if l.At >= from && l.At <= to && 2*l.Taken >= l.Slots {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/referee/tierrules/tierrules_test.go
+++ b/internal/referee/tierrules/tierrules_test.go
@@ -110,6 +110,35 @@
 	d.withoutRuns(r)
 }
 
+// cutAgain adds a request from a kept connection that is passed on, and whose connection is closed without an answer.
+func (d *day) cutAgain(id string, sent time.Duration) {
+	r, _ := d.plain(id, tierrules.Safe, sent)
+	r.Answer, r.Kept = nil, true
+}
+
+// refusedAgain adds a turn that continues another and is refused so many times, beside first turns that are served.
+func (d *day) refusedAgain(times int) {
+	for i := range 10 {
+		first, _ := d.turn(fmt.Sprint("first", i), "", 7000*ms+time.Duration(i)*50*ms, "new\n")
+		first.Program = first.ID
+	}
+	for i := range times {
+		r, _ := d.turn(fmt.Sprint("again", i), "second", 7000*ms+time.Duration(i)*100*ms, "three\n")
+		d.unanswered(r)
+		d.answered(r, 503)
+	}
+}
+
+// requests finds the request of a numbered id.
+func (d *day) requests(id string, no int) *tierrules.Request {
+	for _, r := range d.Requests {
+		if r.ID == fmt.Sprint(id, no) {
+			return r
+		}
+	}
+	return nil
+}
+
 func (d *day) withoutRuns(r *tierrules.Request) {
 	var kept []*tierrules.Run
 	for _, run := range d.Runs {
@@ -198,6 +227,59 @@
 		d.text.Ended, d.textRun.Ended, d.textRun.Complete = 8500*ms, 8500*ms, false
 		d.text.Answer.Complete = false
 	}),
+	Entry("cut after a SIGHUP that its request came long after", func(d *day) {
+		d.strike("m1", tierrules.Reloaded, 3000*ms, false)
+		d.read.Answer = nil
+	}),
+	Entry("cut beside a change, and no oftener than at other times", func(d *day) {
+		d.change("newer", 3, 5, 5000*ms, 200, routes("alfa")...)
+		d.order.Answer = nil
+		d.cutAgain("again", 20000*ms)
+	}),
+	Entry("cut beside a change that was refused", func(d *day) {
+		d.change("refused", 3, 5, 5000*ms, 412, routes("alfa")...)
+		d.order.Answer = nil
+	}),
+	Entry("cut beside a change after seven tenths of its time", func(d *day) {
+		d.change("newer", 3, 5, 5000*ms, 200, routes("alfa")...)
+		d.order.Answer = nil
+		d.order.Ended = d.order.Sent + 1401*ms
+	}),
+	Entry("cut beside a change at the end of the time that a newer configuration gives its route", func(d *day) {
+		list := routes("alfa")
+		list[1].Timeout = 90 * ms
+		d.change("newer", 3, 5, 5000*ms, 200, list...)
+		d.order.Answer = nil
+	}),
+	Entry("cut beside a change by a receiver that crashed", func(d *day) {
+		d.change("newer", 3, 5, 5000*ms, 200, routes("alfa")...)
+		d.order.Answer = nil
+		d.Crashed = []tierrules.Crash{{Instance: "i-1", At: d.order.Ended}}
+	}),
+	Entry("three requests from kept connections closed without an answer", func(d *day) {
+		for i := range 3 {
+			d.cutAgain(fmt.Sprint("again", i), 20000*ms)
+		}
+	}),
+	Entry("a turn that reaches no receiver in four tries", func(d *day) { d.refusedAgain(4) }),
+	Entry("a turn that reaches no receiver while they are half full", func(d *day) {
+		d.refusedAgain(5)
+		d.Loads = []tierrules.Load{{At: 7100 * ms, Taken: 8, Slots: 16}}
+	}),
+	Entry("a turn that reaches no receiver, as first ones do not", func(d *day) {
+		d.refusedAgain(5)
+		for i := range 2 {
+			first := d.requests("first", i)
+			d.unanswered(first)
+			d.answered(first, 503)
+		}
+	}),
+	Entry("a turn that reaches no receiver by its program's aim", func(d *day) {
+		d.refusedAgain(5)
+		for _, r := range d.Requests {
+			r.Finish = 7450 * ms
+		}
+	}),
 	Entry("a 404 to a turn that is beyond its retention", func(d *day) {
 		d.unanswered(d.second)
 		d.answered(d.second, 404)
@@ -293,6 +375,37 @@
 		d.text.Ended, d.textRun.Ended, d.textRun.Complete = 8200*ms, 8200*ms, false
 		d.text.Answer.Complete = false
 	}),
+	Entry("cut after a SIGHUP", tierrules.Lost, func(d *day) {
+		d.strike("m1", tierrules.Reloaded, 4000*ms, false)
+		d.read.Answer = nil
+	}),
+	Entry("never passed on after a SIGHUP", tierrules.Lost, func(d *day) {
+		d.strike("m1", tierrules.Reloaded, 4000*ms, false)
+		d.unanswered(d.read)
+		d.read.Ended = 5500 * ms
+	}),
+	Entry("cut beside a change, at other times never", tierrules.Lost, func(d *day) {
+		d.change("newer", 3, 5, 5000*ms, 200, routes("alfa")...)
+		d.order.Answer = nil
+	}),
+	Entry("cut beside a change whose fate is open", tierrules.Lost, func(d *day) {
+		d.change("newer", 3, 5, 5000*ms, 0, routes("alfa")...)
+		d.order.Answer = nil
+	}),
+	Entry("cut beside a change over three times as often as at other times", tierrules.Lost, func(d *day) {
+		d.change("newer", 3, 5, 5000*ms, 200, routes("alfa")...)
+		d.order.Answer = nil
+		d.cutAgain("again", 20000*ms)
+		for i := range 20 {
+			d.plain(fmt.Sprint("served", i), tierrules.Safe, 20000*ms)
+		}
+	}),
+	Entry("four requests from kept connections closed without an answer, at any time", tierrules.Lost, func(d *day) {
+		for i := range 4 {
+			d.cutAgain(fmt.Sprint("again", i), 20000*ms)
+		}
+	}),
+	Entry("a turn that reaches no receiver in five tries", tierrules.Lost, func(d *day) { d.refusedAgain(5) }),
 	Entry("a turn that is forgotten", tierrules.Lost, func(d *day) {
 		d.unanswered(d.second)
 		d.answered(d.second, 404)
--- a/internal/tierlab/client.go
+++ b/internal/tierlab/client.go
@@ -33,6 +33,7 @@
 	budget   int64
 	most     int64
 	previous string
+	finish   time.Time // of its program; the zero time: none
 }
 
 // client is one that keeps a connection to each machine, and goes on using the last until its machine ends it, as clients
@@ -124,8 +125,12 @@
 		return nil, 0, true
 	}
 	r = k.request(machine.machine, left)
+	r.Kept = !conn.rested.IsZero()
 	c.lab.record.see(func(now time.Duration, h *tierrules.History) {
 		r.Sent = now
+		if !k.finish.IsZero() {
+			r.Finish = now + time.Until(k.finish)
+		}
 		h.Requests = append(h.Requests, r)
 	})
 	_ = conn.SetDeadline(time.Now().Add(left))
--- a/internal/tierlab/configuration.go
+++ b/internal/tierlab/configuration.go
@@ -91,7 +91,7 @@
 func (c configuration) judged() []tierrules.Route {
 	var list []tierrules.Route
 	for _, r := range c.routes {
-		list = append(list, tierrules.Route{Authority: authority, PathPrefix: r.prefix, Services: []string{r.service}})
+		list = append(list, tierrules.Route{Authority: authority, PathPrefix: r.prefix, Services: []string{r.service}, Timeout: r.timeout})
 	}
 	return list
 }
--- a/internal/tierlab/program.go
+++ b/internal/tierlab/program.go
@@ -228,7 +228,7 @@
 	n.program.headers(header, n.session)
 	body := slices.Concat(n.history, input)
 	return &call{class: "turn", route: n.program.lab.turnRoute(), path: n.session, method: http.MethodPost, body: body, deadline: turnDeadline, header: header,
-		program: n.program.name, budget: n.program.budget, most: int64(most), previous: n.last}
+		program: n.program.name, budget: n.program.budget, most: int64(most), previous: n.last, finish: n.program.finish}
 }
 
 func (p *program) headers(header http.Header, session string) {
--- a/internal/tierlab/recording.go
+++ b/internal/tierlab/recording.go
@@ -89,17 +89,19 @@
 			return
 		case <-tick.C:
 			now := l.record.now()
-			l.lookAtLoad(now, now-last-loadLook)
+			turns := l.lookAtLoad(now, now-last-loadLook)
+			l.record.see(func(_ time.Duration, h *tierrules.History) { h.Loads = append(h.Loads, turns) })
 			last = now
 		}
 	}
 }
 
-// lookAtLoad takes down the load, and by how much this look is late.
-func (l *lab) lookAtLoad(now, late time.Duration) {
+// lookAtLoad takes down the load, and by how much this look is late. It gives the load of the receivers of turns together.
+func (l *lab) lookAtLoad(now, late time.Duration) tierrules.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.late = max(l.late, late)
+	turns := tierrules.Load{At: now}
 	for _, r := range l.receivers {
 		if r.over.Load() {
 			continue
@@ -107,7 +109,12 @@
 		load := r.load()
 		load.At, load.Instance, load.Service = now, r.id, r.service
 		l.seen.Loads = append(l.seen.Loads, load)
+		if r.service == modelService {
+			turns.Slots += load.Slots
+			turns.Taken += load.Running + load.Queued
+		}
 	}
+	return turns
 }
 
 // load is what the receiver has in hand.
