--- a/internal/referee/tierrules/history.go
+++ b/internal/referee/tierrules/history.go
@@ -192,6 +192,7 @@
 	What     What
 	From, To time.Duration
 	Core     bool // the machine belongs to the core, or stores
+	Apart    bool // it struck another process of the machine than the one that takes clients' requests
 }
 
 // What was done.
--- a/internal/referee/tierrules/losses.go
+++ b/internal/referee/tierrules/losses.go
@@ -118,7 +118,7 @@
 
 func (j *judge) during(r *Request, relates func(*Request, *Trouble) bool) *Trouble {
 	for i := range j.Troubles {
-		if t := &j.Troubles[i]; t.Machine == r.Machine && relates(r, t) {
+		if t := &j.Troubles[i]; t.Machine == r.Machine && !t.Apart && relates(r, t) {
 			return t
 		}
 	}
--- a/internal/referee/tierrules/tierrules_test.go
+++ b/internal/referee/tierrules/tierrules_test.go
@@ -280,6 +280,12 @@
 			r.Finish = 7450 * ms
 		}
 	}),
+	Entry("cut during the stop of another process of the machine", func(d *day) {
+		d.strike("m1", tierrules.Terminated, 5050*ms, false)
+		d.Troubles[0].Apart = true
+		d.read.Answer = nil
+		d.readRun.Began = 5000 * ms
+	}),
 	Entry("a 404 to a turn that is beyond its retention", func(d *day) {
 		d.unanswered(d.second)
 		d.answered(d.second, 404)
--- a/internal/tierlab/acts.go
+++ b/internal/tierlab/acts.go
@@ -87,13 +87,17 @@
 	l.setReceiver(place, next)
 }
 
-// struck notes a trouble that begins now; its end is told by what it gives.
-func (l *lab) struck(machine string, what tierrules.What, core bool) (over func()) {
+// struck notes a trouble of a process that begins now; its end is told by what it gives.
+func (l *lab) struck(p *process, what tierrules.What) (over func()) {
+	return l.noteTrouble(tierrules.Trouble{Machine: p.machine, What: what, Core: p.core(), Apart: p.role != proxyRole})
+}
+
+func (l *lab) noteTrouble(t tierrules.Trouble) (over func()) {
 	at := 0
 	l.record.see(func(now time.Duration, h *tierrules.History) {
 		at = len(h.Troubles)
-		h.Troubles = append(h.Troubles, tierrules.Trouble{
-			Machine: machine, What: what, From: now, To: now + time.Hour, Core: core})
+		t.From, t.To = now, now+time.Hour
+		h.Troubles = append(h.Troubles, t)
 	})
 	return func() {
 		l.record.see(func(now time.Duration, h *tierrules.History) { h.Troubles[at].To = now })
@@ -110,7 +114,7 @@
 	if s.What == tierworld.Wipe {
 		what = tierrules.Wiped
 	}
-	over := l.struck(p.machine, what, p.core())
+	over := l.struck(p, what)
 	p.kill()
 	if s.What == tierworld.Wipe {
 		l.wipe(p)
@@ -134,7 +138,7 @@
 
 // freeze stops a process where it is, and wakes it.
 func (l *lab) freeze(ctx context.Context, s tierworld.Strike, p *process) {
-	over := l.struck(p.machine, tierrules.Frozen, p.core())
+	over := l.struck(p, tierrules.Frozen)
 	p.signal(syscall.SIGSTOP, false)
 	sleep(ctx, s.Lasts())
 	p.signal(syscall.SIGCONT, false)
@@ -143,7 +147,7 @@
 
 // restart stops a process as planned. Clients that come in the meantime go to other proxies.
 func (l *lab) restart(ctx context.Context, s tierworld.Strike, p *process) {
-	over := l.struck(p.machine, tierrules.Terminated, p.core())
+	over := l.struck(p, tierrules.Terminated)
 	p.stop(ctx)
 	sleep(ctx, s.Lasts())
 	l.again(p)
@@ -152,7 +156,7 @@
 
 // reload changes a process's settings file: its bytes differ, its meaning does not.
 func (l *lab) reload(p *process) {
-	l.struck(p.machine, tierrules.Reloaded, false)()
+	l.struck(p, tierrules.Reloaded)()
 	if _, err := p.write(false); err != nil {
 		l.record.crashed(fmt.Sprintf("settings cannot be written: %v", err))
 	}
@@ -174,7 +178,7 @@
 
 // killAll kills every process at the same moment, and starts all of them again: the day's final fault.
 func (l *lab) killAll(ctx context.Context, s tierworld.Strike) {
-	over := l.struck("", tierrules.Final, true)
+	over := l.noteTrouble(tierrules.Trouble{What: tierrules.Final, Core: true})
 	all := l.all()
 	exits := make([]chan struct{}, 0, len(all))
 	for _, p := range all {
