--- a/internal/tierlab/acts.go
+++ b/internal/tierlab/acts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 
@@ -30,6 +31,8 @@
 		l.operator.remove(ctx)
 	case tierworld.ChangeIdle:
 		l.operator.otherIdle(ctx)
+	case tierworld.ChangeTime:
+		l.operator.otherTimeout(ctx)
 	case tierworld.Race:
 		l.operator.race(ctx)
 	case tierworld.Invalid:
@@ -46,8 +49,12 @@
 		l.freeze(ctx, s, l.processAt(s))
 	case tierworld.Restart:
 		l.restart(ctx, s, l.processAt(s))
+	case tierworld.RestartAll:
+		l.restartMachine(ctx, s)
 	case tierworld.Reload:
 		l.reload(l.processAt(s))
+	case tierworld.Rewrite:
+		l.rewrite(l.processAt(s))
 	case tierworld.Retire:
 		l.retire(ctx, l.processAt(s))
 	case tierworld.KillAll:
@@ -154,13 +161,29 @@
 	over()
 }
 
-// reload changes a process's settings file: its bytes differ, its meaning does not.
+// restartMachine stops all processes of a proxy's machine at the same moment, as the platform does.
+func (l *lab) restartMachine(ctx context.Context, s tierworld.Strike) {
+	var all sync.WaitGroup
+	for _, p := range l.all() {
+		if p.machine == l.proxies[s.No].machine {
+			all.Go(func() { l.restart(ctx, s, p) })
+		}
+	}
+	all.Wait()
+}
+
+// reload changes a process's settings file and tells it so.
 func (l *lab) reload(p *process) {
 	l.struck(p, tierrules.Reloaded)()
+	l.rewrite(p)
+	p.reload()
+}
+
+// rewrite changes a process's settings file: its bytes differ, its meaning does not.
+func (l *lab) rewrite(p *process) {
 	if _, err := p.write(false); err != nil {
 		l.record.crashed(fmt.Sprintf("settings cannot be written: %v", err))
 	}
-	p.reload()
 }
 
 // retire has a store emptied and takes its machine away, disk and all. An emptied store is missed by nobody,
--- a/internal/tierlab/configuration.go
+++ b/internal/tierlab/configuration.go
@@ -17,6 +17,8 @@
 	retention    = 60 * time.Second
 	idleTimeout  = 15 * time.Second // the least that the configuration has
 	longerIdle   = 20 * time.Second
+	// shorterTimeout is a time-out of streams that ends some of them.
+	shorterTimeout = 2 * time.Second
 )
 
 // route is one of the configuration, as operator and clients know it.
@@ -83,6 +85,15 @@
 	return next
 }
 
+// withOtherTimeout gives the route of streams with the other of its two time-outs.
+func (c configuration) withOtherTimeout() route {
+	other := textRoute
+	if c.routes[slices.IndexFunc(c.routes, func(o route) bool { return o.name == textRoute.name })].timeout == textRoute.timeout {
+		other.timeout = shorterTimeout
+	}
+	return other
+}
+
 func (c configuration) has(name string) bool {
 	return slices.ContainsFunc(c.routes, func(o route) bool { return o.name == name })
 }
--- a/internal/tierlab/lab.go
+++ b/internal/tierlab/lab.go
@@ -219,6 +219,11 @@
 			return err
 		}
 	}
+	if share := l.shape.Tier.ProcessorShare; share > 0 {
+		for _, p := range l.proxies {
+			go p.ration(ctx, share)
+		}
+	}
 	go l.watchFronts(ctx)
 	within, cancel := context.WithTimeout(ctx, readyWithin)
 	defer cancel()
--- a/internal/tierlab/machine.go
+++ b/internal/tierlab/machine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -198,6 +199,21 @@
 	}
 }
 
+// quotaPeriod is in which a process's share of the processor is used up at full speed.
+const quotaPeriod = 100 * time.Millisecond
+
+// ration lets the process run for a share of each period, until ctx ends.
+func (p *process) ration(ctx context.Context, share float64) {
+	runs := time.Duration(share * float64(quotaPeriod))
+	sleep(ctx, time.Duration(rand.Int64N(int64(quotaPeriod)))) // not all at the same moments
+	for ctx.Err() == nil {
+		sleep(ctx, runs)
+		p.signal(syscall.SIGSTOP, false)
+		sleep(ctx, quotaPeriod-runs)
+		p.signal(syscall.SIGCONT, false)
+	}
+}
+
 // kill ends it at once.
 func (p *process) kill() { <-p.signal(syscall.SIGKILL, true) }
 
--- a/internal/tierlab/operator.go
+++ b/internal/tierlab/operator.go
@@ -140,6 +140,13 @@
 	o.replace(ctx, "idle timeout changed", current.withOtherIdle(current.version+4))
 }
 
+// otherTimeout changes for how long a stream may last that arrives from then on.
+func (o *operator) otherTimeout(ctx context.Context) {
+	current := o.now()
+	next := current.with(current.version+2, current.withOtherTimeout())
+	o.take(ctx, o.order("time-out changed", current.version, next, upsertBody(next.version, current.withOtherTimeout()), true, false), next)
+}
+
 func (o *operator) remove(ctx context.Context) {
 	current := o.now()
 	next := current.without(current.version+1, addedRoute.name)
--- a/internal/tierworld/soak.go
+++ b/internal/tierworld/soak.go
@@ -13,6 +13,15 @@
 	// soakRough is one in how many seeds meets unplanned trouble too: such trouble excuses what it strikes, so most days
 	// are of planned work alone.
 	soakRough = 3
+	// soakRationed is one in how many of the others has proxies with a share of a processor, soakShare.
+	soakRationed = 5
+	soakShare    = 0.35
+	// soakFinal is one in how many seeds ends with the final fault, soakRetire one in how many has a store emptied.
+	soakFinal  = 4
+	soakRetire = 7
+	// finalSpan is the end of a day that the final fault takes, from the last planned work on, in seconds; finalAt is when
+	// in it the fault strikes.
+	finalSpan, finalAt = 15.0, 4.0
 )
 
 // Soak draws a day of planned work that comes in series and overlaps: processes are told to stop, also while they stop or
@@ -31,14 +40,25 @@
 	w.Receivers.Alfa.Count, w.Receivers.Beta.Count, w.Receivers.Model.Count = 6, 4, 12
 	w.Receivers.Model.Slots = 12
 	s := soak{world: w, chance: rand.New(rand.NewPCG(seed, soakStream))}
-	s.series(0.3, 1.5, s.change)
+	s.until = seconds
+	if seed%soakFinal == 0 && seconds >= 2*finalSpan {
+		s.until = seconds - finalSpan
+		w.Trouble = append(w.Trouble, Trouble{What: KillAll, AtS: s.until + finalAt, ForS: 1})
+	}
+	s.series(0.1, 1, s.change)
 	s.series(0.3, 1.7, s.reload)
 	s.series(0.3*2*restartTakes/proxies, 1.7*2*restartTakes/proxies, s.restartProxy)
 	s.series(restartTakes, 2*restartTakes, s.restartKeeper)
 	s.series(3, 9, s.replaceReceiver)
 	s.series(4, 12, s.load)
-	if seed%soakRough == 0 {
+	switch {
+	case seed%soakRough == 0:
 		s.series(4, 10, s.unplanned)
+	case seed%soakRationed == 1:
+		w.Tier.ProcessorShare = soakShare
+	}
+	if seed%soakRetire == 0 {
+		w.Trouble = append(w.Trouble, Trouble{What: Retire, On: Store, No: 0, AtS: s.between(1, s.until/2)})
 	}
 	return w
 }
@@ -47,14 +67,15 @@
 type soak struct {
 	world  *World
 	chance *rand.Rand
+	until  float64 // planned work ends by then
 }
 
-// series adds troubles at intervals drawn between two bounds, in seconds, as long as one of them ends within the day.
+// series adds troubles at intervals drawn between two bounds, in seconds, as long as one of them ends in time.
 func (s *soak) series(least, most float64, draw func() Trouble) {
 	for at := s.between(least/2, most); ; at += s.between(least, most) {
 		t := draw()
 		t.AtS = at
-		if at+t.ForS >= s.world.Seconds {
+		if at+t.ForS >= s.until {
 			return
 		}
 		s.world.Trouble = append(s.world.Trouble, t)
@@ -64,13 +85,17 @@
 func (s *soak) between(least, most float64) float64 { return least + (most-least)*s.chance.Float64() }
 
 func (s *soak) change() Trouble {
-	kinds := []What{AddRoute, RemoveRoute, MoveRoute, ChangeIdle, ChangeIdle, Race, Invalid, Repeat}
+	kinds := []What{AddRoute, RemoveRoute, MoveRoute, ChangeIdle, ChangeIdle, ChangeTime, Race, Invalid, Repeat}
 	return Trouble{What: kinds[s.chance.IntN(len(kinds))]}
 }
 
 func (s *soak) reload() Trouble {
 	role, count := s.role()
-	return Trouble{What: Reload, On: role, No: s.chance.IntN(count)}
+	what := Reload
+	if s.chance.IntN(4) == 0 {
+		what = Rewrite
+	}
+	return Trouble{What: what, On: role, No: s.chance.IntN(count)}
 }
 
 func (s *soak) role() (name string, count int) {
@@ -86,7 +111,11 @@
 
 // restartProxy may choose one that stops or starts just now: then signals come in series.
 func (s *soak) restartProxy() Trouble {
-	return Trouble{What: Restart, On: Proxy, No: s.chance.IntN(s.world.Tier.Proxies), ForS: s.between(0.05, 1)}
+	what := Restart
+	if s.chance.IntN(3) == 0 {
+		what = RestartAll
+	}
+	return Trouble{What: what, On: Proxy, No: s.chance.IntN(s.world.Tier.Proxies), ForS: s.between(0.05, 1)}
 }
 
 // restartKeeper stops one of those that keep disks, one after the other.
--- a/internal/tierworld/soak_test.go
+++ b/internal/tierworld/soak_test.go
@@ -39,6 +39,30 @@
 		}
 	})
 
+	It("stops whole machines, rewrites settings without a word and changes time-outs as well", func() {
+		for seed := range uint64(50) {
+			w := tierworld.Soak(seed, 60, tierworld.SoakTier())
+			Expect(count(w, tierworld.RestartAll, tierworld.Proxy)).To(BeNumerically(">=", 1))
+			Expect(count(w, tierworld.Rewrite, tierworld.Proxy) + count(w, tierworld.Rewrite, tierworld.Store) +
+				count(w, tierworld.Rewrite, tierworld.ControlPlane)).To(BeNumerically(">=", 1))
+			Expect(count(w, tierworld.ChangeTime, "")).To(BeNumerically(">=", 1))
+		}
+	})
+
+	It("has proxies with a share of a processor, an emptied store and the final fault on some seeds only", func() {
+		for seed, wanted := range map[uint64]struct {
+			share          float64
+			finals, retire int
+		}{1: {share: 0.35}, 2: {}, 4: {finals: 1}, 7: {retire: 1}, 6: {}, 16: {share: 0.35, finals: 1}} {
+			w := tierworld.Soak(seed, 60, tierworld.SoakTier())
+			Expect(w.Tier.ProcessorShare).To(Equal(wanted.share))
+			Expect(count(w, tierworld.KillAll, "")).To(Equal(wanted.finals))
+			Expect(count(w, tierworld.Retire, tierworld.Store)).To(Equal(wanted.retire))
+		}
+		short := tierworld.Soak(4, 20, tierworld.SoakTier())
+		Expect(count(short, tierworld.KillAll, "")).To(BeZero(), "it has no time to recover")
+	})
+
 	It("meets unplanned trouble on some seeds only", func() {
 		unplanned := func(seed uint64) int {
 			w := tierworld.Soak(seed, 60, tierworld.SoakTier())
--- a/internal/tierworld/world.go
+++ b/internal/tierworld/world.go
@@ -32,6 +32,8 @@
 	ControlPlanes int `toml:"control_planes" range:"3 9"`
 	Stores        int `toml:"stores" range:"3 12"`
 	Proxies       int `toml:"proxies" range:"1 120"`
+	// ProcessorShare is of each tenth of a second how much a proxy runs, at full speed; then it stands still.
+	ProcessorShare float64 `toml:"processor_share,omitempty" range:"0 1" comment:"of each tenth of a second, for a proxy; 0: all of it"`
 }
 
 // Receivers are those of each service.
