--- a/cmd/quaylab/soak.go
+++ b/cmd/quaylab/soak.go
@@ -32,6 +32,8 @@
 	ControlPlanes int `help:"Control planes." default:"3"`
 	Stores        int `help:"Stores." default:"3"`
 	Proxies       int `help:"Proxies." default:"3"`
+
+	ProcessorShare float64 `help:"So much of each tenth of a second a proxy runs, on every day; 0: as the seed has it." default:"0"`
 }
 
 // Run plays the days and says which broke a rule, with what a person needs to play it again.
@@ -90,7 +92,11 @@
 
 // day plays one and prints a line, and more of one that broke a rule or could not be played.
 func (c *tierSoakCmd) day(ctx context.Context, program string, seed uint64, tier tierworld.Tier) soakDay {
-	options := tierlab.Options{Program: program, Day: tierlab.DayOf(tierworld.Soak(seed, c.Seconds, tier))}
+	world := tierworld.Soak(seed, c.Seconds, tier)
+	if c.ProcessorShare > 0 {
+		world.Tier.ProcessorShare = c.ProcessorShare
+	}
+	options := tierlab.Options{Program: program, Day: tierlab.DayOf(world)}
 	if c.Logs != "" {
 		options.Dir = filepath.Join(c.Logs, fmt.Sprintf("seed-%d", seed))
 	}
