--- a/internal/tierlab/receiver.go
+++ b/internal/tierlab/receiver.go
@@ -176,9 +176,12 @@
 	return run
 }
 
-// ended notes how it ended.
+// ended notes how it ended. What a receiver that ends has not finished it breaks off itself.
 func (r *receiver) ended(run *tierrules.Run, complete bool) {
-	r.lab.record.see(func(now time.Duration, _ *tierrules.History) { run.Ended, run.Complete = now, complete })
+	r.lab.record.see(func(now time.Duration, _ *tierrules.History) {
+		run.Ended, run.Complete = now, complete
+		run.BrokeOff = run.BrokeOff || !complete && r.over.Load()
+	})
 }
 
 // fate is what becomes of a request by the day's strikes on its receiver.
--- a/internal/tierlab/soak_test.go
+++ b/internal/tierlab/soak_test.go
@@ -54,6 +54,21 @@
 	})
 })
 
+var _ = DescribeTable("A receiver breaks off itself what it has not finished when it ends",
+	func(over, complete, broke bool) {
+		l := newLab(Options{Day: Short()}, &network{block: firstBlock})
+		DeferCleanup(l.launch.Close)
+		r := l.newReceiver(0, firstService)
+		r.over.Store(over)
+		run := &tierrules.Run{}
+		r.ended(run, complete)
+		Expect(run.BrokeOff).To(Equal(broke))
+	},
+	Entry("as it ends", true, false, true),
+	Entry("which was whole", true, true, false),
+	Entry("not where its caller cut it", false, false, false),
+)
+
 var _ = DescribeTable("The time that a request names is what the referee judges by",
 	func(left, named time.Duration) {
 		k := &call{route: textRoute}
