--- a/internal/lifecycle/settings_test.go
+++ b/internal/lifecycle/settings_test.go
@@ -90,7 +90,7 @@
 		synctest.Wait()
 		g.Expect(plane.seeds).NotTo(Receive())
 
-		write("10.1.0.4444444") // nor without a signal
+		write("10.1.0.4444444")        // nor without a signal
 		<-time.After(2 * fileInterval) // on the clock of the bubble
 		g.Expect(plane.seeds).NotTo(Receive())
 		write("10.1.0.5")
