--- a/internal/sim/trouble.go
+++ b/internal/sim/trouble.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"emberquay/internal/controlstate"
@@ -120,21 +121,23 @@
 	w.after(from+1400*time.Millisecond, w.ends)
 }
 
-// powerAtAck has all disks be slow, and all machines lose power right after the next change is acknowledged.
-func (t *trouble) powerAtAck() {
+// slowDisksUntil has all disks be slow until what it gives is called for the first time: then the loss strikes, and the
+// trouble ends.
+func (t *trouble) slowDisksUntil(loss func()) (end func()) {
 	w := t.world
-	w.begins(PowerAtAck, "slow disks, then power")
 	w.slowDisks++
-	over := false
-	end := func() {
-		if over {
-			return
-		}
-		over = true
+	return sync.OnceFunc(func() {
 		w.slowDisks--
-		t.kill(w.hosts, time.Second)
+		loss()
 		w.ends()
-	}
+	})
+}
+
+// powerAtAck has all disks be slow, and all machines lose power right after the next change is acknowledged.
+func (t *trouble) powerAtAck() {
+	w := t.world
+	w.begins(PowerAtAck, "slow disks, then power")
+	end := t.slowDisksUntil(func() { t.kill(w.hosts, time.Second) })
 	w.judge.onAck = append(w.judge.onAck, func() { w.after(w.between(0, 5*time.Millisecond), end) })
 	w.after(w.between(time.Second, 3*time.Second), end)
 }
@@ -143,17 +146,7 @@
 func (t *trouble) powerAtGrant() {
 	w := t.world
 	w.begins(PowerAtGrant, "slow disks, then power of the stores")
-	w.slowDisks++
-	over := false
-	end := func() {
-		if over {
-			return
-		}
-		over = true
-		w.slowDisks--
-		t.kill(w.of(storeRole), 300*time.Millisecond)
-		w.ends()
-	}
+	end := t.slowDisksUntil(func() { t.kill(w.of(storeRole), 300*time.Millisecond) })
 	for range 4 {
 		w.runProgram()
 	}
--- a/internal/tierlab/acts.go
+++ b/internal/tierlab/acts.go
@@ -17,28 +17,28 @@
 	retiredLook   = 200 * time.Millisecond
 )
 
+// orders are the troubles that are orders of the operator.
+var orders = map[tierworld.What]func(*operator, context.Context){
+	tierworld.AddRoute:    (*operator).add,
+	tierworld.MoveRoute:   (*operator).move,
+	tierworld.RemoveRoute: (*operator).remove,
+	tierworld.ChangeIdle:  (*operator).otherIdle,
+	tierworld.ChangeTime:  (*operator).otherTimeout,
+	tierworld.Race:        (*operator).race,
+	tierworld.Invalid:     (*operator).invalid,
+	tierworld.Repeat:      (*operator).repeat,
+}
+
 // strike carries out one trouble of the day, to its end.
 func (l *lab) strike(ctx context.Context, s tierworld.Strike) {
 	l.say("%s", s)
 	over := l.mark(s)
 	defer over()
+	if order := orders[s.What]; order != nil {
+		order(l.operator, ctx)
+		return
+	}
 	switch s.What {
-	case tierworld.AddRoute:
-		l.operator.add(ctx)
-	case tierworld.MoveRoute:
-		l.operator.move(ctx)
-	case tierworld.RemoveRoute:
-		l.operator.remove(ctx)
-	case tierworld.ChangeIdle:
-		l.operator.otherIdle(ctx)
-	case tierworld.ChangeTime:
-		l.operator.otherTimeout(ctx)
-	case tierworld.Race:
-		l.operator.race(ctx)
-	case tierworld.Invalid:
-		l.operator.invalid(ctx)
-	case tierworld.Repeat:
-		l.operator.repeat(ctx)
 	case tierworld.Drain:
 		l.replaceReceiver(ctx, s, (*receiver).drain)
 	case tierworld.Crash:
