--- a/internal/tierlab/acts.go
+++ b/internal/tierlab/acts.go
@@ -19,14 +19,14 @@
 
 // orders are the troubles that are orders of the operator.
 var orders = map[tierworld.What]func(*operator, context.Context){
-	tierworld.AddRoute:    (*operator).add,
-	tierworld.MoveRoute:   (*operator).move,
-	tierworld.RemoveRoute: (*operator).remove,
-	tierworld.ChangeIdle:  (*operator).otherIdle,
-	tierworld.ChangeTime:  (*operator).otherTimeout,
-	tierworld.Race:        (*operator).race,
-	tierworld.Invalid:     (*operator).invalid,
-	tierworld.Repeat:      (*operator).repeat,
+	tierworld.AddRoute:      (*operator).add,
+	tierworld.MoveRoute:     (*operator).move,
+	tierworld.RemoveRoute:   (*operator).remove,
+	tierworld.ChangeIdle:    (*operator).otherIdle,
+	tierworld.ChangeTimeout: (*operator).otherTimeout,
+	tierworld.Race:          (*operator).race,
+	tierworld.Invalid:       (*operator).invalid,
+	tierworld.Repeat:        (*operator).repeat,
 }
 
 // strike carries out one trouble of the day, to its end.
@@ -49,7 +49,7 @@
 		l.freeze(ctx, s, l.processAt(s))
 	case tierworld.Restart:
 		l.restart(ctx, s, l.processAt(s))
-	case tierworld.RestartAll:
+	case tierworld.RestartMachine:
 		l.restartMachine(ctx, s)
 	case tierworld.Reload:
 		l.reload(l.processAt(s))
--- a/internal/tierworld/check.go
+++ b/internal/tierworld/check.go
@@ -216,7 +216,7 @@
 		}
 		o := outage{trouble: i + 1, what: t.What, on: t.On, no: t.No, from: span(t.AtS), to: span(t.AtS + t.ForS)}
 		switch t.What {
-		case Restart, RestartAll:
+		case Restart, RestartMachine:
 			o.to += stopTakes
 		case Retire:
 			o.to = w.Length() + stopTakes // for good
--- a/internal/tierworld/soak.go
+++ b/internal/tierworld/soak.go
@@ -85,7 +85,7 @@
 func (s *soak) between(least, most float64) float64 { return least + (most-least)*s.chance.Float64() }
 
 func (s *soak) change() Trouble {
-	kinds := []What{AddRoute, RemoveRoute, MoveRoute, ChangeIdle, ChangeIdle, ChangeTime, Race, Invalid, Repeat}
+	kinds := []What{AddRoute, RemoveRoute, MoveRoute, ChangeIdle, ChangeIdle, ChangeTimeout, Race, Invalid, Repeat}
 	return Trouble{What: kinds[s.chance.IntN(len(kinds))]}
 }
 
@@ -113,7 +113,7 @@
 func (s *soak) restartProxy() Trouble {
 	what := Restart
 	if s.chance.IntN(3) == 0 {
-		what = RestartAll
+		what = RestartMachine
 	}
 	return Trouble{What: what, On: Proxy, No: s.chance.IntN(s.world.Tier.Proxies), ForS: s.between(0.05, 1)}
 }
--- a/internal/tierworld/soak_test.go
+++ b/internal/tierworld/soak_test.go
@@ -42,10 +42,10 @@
 	It("stops whole machines, rewrites settings without a word and changes time-outs as well", func() {
 		for seed := range uint64(50) {
 			w := tierworld.Soak(seed, 60, tierworld.SoakTier())
-			Expect(count(w, tierworld.RestartAll, tierworld.Proxy)).To(BeNumerically(">=", 1))
+			Expect(count(w, tierworld.RestartMachine, tierworld.Proxy)).To(BeNumerically(">=", 1))
 			Expect(count(w, tierworld.Rewrite, tierworld.Proxy) + count(w, tierworld.Rewrite, tierworld.Store) +
 				count(w, tierworld.Rewrite, tierworld.ControlPlane)).To(BeNumerically(">=", 1))
-			Expect(count(w, tierworld.ChangeTime, "")).To(BeNumerically(">=", 1))
+			Expect(count(w, tierworld.ChangeTimeout, "")).To(BeNumerically(">=", 1))
 		}
 	})
 
--- a/internal/tierworld/trouble.go
+++ b/internal/tierworld/trouble.go
@@ -7,30 +7,30 @@
 
 // All that can happen.
 const (
-	Kill        What = "kill"
-	Wipe        What = "wipe"
-	Freeze      What = "freeze"
-	Restart     What = "restart"
-	RestartAll  What = "restart_machine"
-	Reload      What = "reload"
-	Rewrite     What = "rewrite"
-	KillAll     What = "kill_all"
-	Retire      What = "retire"
-	Drain       What = "drain"
-	Crash       What = "crash"
-	LoseAnswers What = "lose_answers"
-	Errors      What = "errors"
-	Hang        What = "hang"
-	Slow        What = "slow"
-	Burst       What = "burst"
-	AddRoute    What = "add_route"
-	MoveRoute   What = "move_route"
-	RemoveRoute What = "remove_route"
-	ChangeIdle  What = "change_idle"
-	ChangeTime  What = "change_timeout"
-	Race        What = "race"
-	Invalid     What = "invalid"
-	Repeat      What = "repeat"
+	Kill           What = "kill"
+	Wipe           What = "wipe"
+	Freeze         What = "freeze"
+	Restart        What = "restart"
+	RestartMachine What = "restart_machine"
+	Reload         What = "reload"
+	Rewrite        What = "rewrite"
+	KillAll        What = "kill_all"
+	Retire         What = "retire"
+	Drain          What = "drain"
+	Crash          What = "crash"
+	LoseAnswers    What = "lose_answers"
+	Errors         What = "errors"
+	Hang           What = "hang"
+	Slow           What = "slow"
+	Burst          What = "burst"
+	AddRoute       What = "add_route"
+	MoveRoute      What = "move_route"
+	RemoveRoute    What = "remove_route"
+	ChangeIdle     What = "change_idle"
+	ChangeTimeout  What = "change_timeout"
+	Race           What = "race"
+	Invalid        What = "invalid"
+	Repeat         What = "repeat"
 )
 
 // The roles of processes.
@@ -73,7 +73,7 @@
 		help: "SIGKILL and the data folder is emptied; started again after for_s"},
 	{what: Freeze, on: processes, lasts: true, help: "SIGSTOP, and SIGCONT after for_s"},
 	{what: Restart, on: processes, lasts: true, help: "SIGTERM; started again for_s after it has ended"},
-	{what: RestartAll, on: []string{Proxy}, lasts: true,
+	{what: RestartMachine, on: []string{Proxy}, lasts: true,
 		help: "SIGTERM to all processes of the proxy's machine; each started again for_s after it has ended"},
 	{what: Rewrite, on: processes, help: "the settings file is written anew with the same meaning, and no signal tells of it"},
 	{what: Reload, on: processes, help: "the settings file is written anew with the same meaning, and SIGHUP"},
@@ -98,7 +98,7 @@
 	{what: MoveRoute, help: "the route of orders goes to beta from then on"},
 	{what: RemoveRoute, help: "the added route is taken away"},
 	{what: ChangeIdle, help: "the idle timeout of clients' connections becomes the other of two"},
-	{what: ChangeTime, help: "the time-out of streams becomes the other of two"},
+	{what: ChangeTimeout, help: "the time-out of streams becomes the other of two"},
 	{what: Race, help: "two operators change the same version at the same moment"},
 	{what: Invalid, help: "four configurations that have to be refused"},
 	{what: Repeat, help: "the newest change that was taken is sent once more"},
@@ -115,7 +115,7 @@
 
 // down says whether a process does not serve while the trouble lasts.
 func (w What) down() bool {
-	return w == Kill || w == Wipe || w == Freeze || w == Restart || w == RestartAll || w == KillAll
+	return w == Kill || w == Wipe || w == Freeze || w == Restart || w == RestartMachine || w == KillAll
 }
 
 // sorts are the names of all sorts of trouble.
