--- a/internal/referee/tierrules/config.go
+++ b/internal/referee/tierrules/config.go
@@ -31,6 +31,12 @@
 	return result, 0
 }
 
+// mayBeInForce says whether the change may have been taken: it is valid and was not refused.
+func (c *Change) mayBeInForce() bool {
+	f, _ := c.fate()
+	return f != refused && !c.Invalid
+}
+
 func (c *Change) firstSent() time.Duration {
 	if len(c.Tries) == 0 {
 		return 0
@@ -76,8 +82,7 @@
 	oldest := j.floor(sent - j.Bounds.ConfigApply)
 	var list []*Change
 	for _, c := range j.versions {
-		f, _ := c.fate()
-		if c.Version >= oldest && c.firstSent() <= ended && f != refused && !c.Invalid {
+		if c.Version >= oldest && c.firstSent() <= ended && c.mayBeInForce() {
 			list = append(list, c)
 		}
 	}
@@ -115,10 +120,7 @@
 		j.breach(Misrout, run.Began, r, "service %s runs it, which no configuration allows", run.Service)
 		return
 	}
-	taken := slices.ContainsFunc(j.versions, func(c *Change) bool {
-		f, _ := c.fate()
-		return f != refused && !c.Invalid && c.allows(run)
-	})
+	taken := slices.ContainsFunc(j.versions, func(c *Change) bool { return c.mayBeInForce() && c.allows(run) })
 	if !taken {
 		j.breach(Config, run.Began, r, "service %s runs it, as only a refused configuration allows", run.Service)
 		return
--- a/internal/referee/tierrules/history.go
+++ b/internal/referee/tierrules/history.go
@@ -103,9 +103,12 @@
 
 // success says whether the client takes the answer as a whole 2xx.
 func (r *Request) success() bool {
-	return r.Answer != nil && r.Answer.Complete && r.Answer.Status/100 == 2
+	return r.whole() && r.Answer.Status/100 == 2
 }
 
+// whole says whether an answer came to its end, be it the receiver's or the tier's own.
+func (r *Request) whole() bool { return r.Answer != nil && r.Answer.Complete }
+
 // status is that of the answer, 0 where none came.
 func (r *Request) status() int {
 	if r.Answer == nil {
--- a/internal/referee/tierrules/losses.go
+++ b/internal/referee/tierrules/losses.go
@@ -61,9 +61,6 @@
 	}
 }
 
-// whole says whether an answer came to its end, be it the receiver's or the tier's own.
-func (r *Request) whole() bool { return r.Answer != nil && r.Answer.Complete }
-
 // relation says how the end of a request lies to the work beside it.
 func (w plannedWork) relation(r *Request) string {
 	switch {
@@ -139,10 +136,10 @@
 // ended.
 func (j *judge) besideChange(r *Request) *Change {
 	for _, c := range j.versions {
-		f, ended := c.fate()
-		if f == refused || c.Invalid || len(c.Tries) == 0 {
+		if !c.mayBeInForce() || len(c.Tries) == 0 {
 			continue
 		}
+		f, ended := c.fate()
 		if f == open {
 			ended = c.Tries[len(c.Tries)-1].Ended
 		}
--- a/internal/tierlab/configuration.go
+++ b/internal/tierlab/configuration.go
@@ -85,8 +85,8 @@
 	return next
 }
 
-// withOtherTimeout gives the route of streams with the other of its two time-outs.
-func (c configuration) withOtherTimeout() route {
+// otherTimeout gives the route of streams with the other of its two time-outs.
+func (c configuration) otherTimeout() route {
 	other := textRoute
 	if c.routes[slices.IndexFunc(c.routes, func(o route) bool { return o.name == textRoute.name })].timeout == textRoute.timeout {
 		other.timeout = shorterTimeout
--- a/internal/tierlab/operator.go
+++ b/internal/tierlab/operator.go
@@ -143,8 +143,9 @@
 // otherTimeout changes for how long a stream may last that arrives from then on.
 func (o *operator) otherTimeout(ctx context.Context) {
 	current := o.now()
-	next := current.with(current.version+2, current.withOtherTimeout())
-	o.take(ctx, o.order("time-out changed", current.version, next, upsertBody(next.version, current.withOtherTimeout()), true, false), next)
+	changed := current.otherTimeout()
+	next := current.with(current.version+2, changed)
+	o.take(ctx, o.order("time-out changed", current.version, next, upsertBody(next.version, changed), true, false), next)
 }
 
 func (o *operator) remove(ctx context.Context) {
