--- a/cmd/emberquay/main.go
+++ b/cmd/emberquay/main.go
@@ -11,7 +11,6 @@
 	"emberquay/control"
 	"emberquay/internal/delivery/config"
 	"emberquay/internal/delivery/directory"
-	"emberquay/internal/delivery/options"
 	"emberquay/internal/signals"
 )
 
@@ -36,17 +35,17 @@
 	With   string `help:"A file of our own (TOML) with what the configuration does not know." type:"path"`
 }
 
-func (w where) read() (*config.Config, *options.Options, error) {
+func (w where) read() (*config.Config, *config.Options, error) {
 	conf, err := config.Read(w.Config, os.Getenv)
 	if err != nil {
 		return nil, nil, err
 	}
-	own, err := options.Read(w.With)
+	own, err := config.ReadOptions(w.With)
 	return conf, own, err
 }
 
 // checked reads both and looks whether the settings and the list make sense.
-func (w where) checked() (*config.Config, *options.Options, error) {
+func (w where) checked() (*config.Config, *config.Options, error) {
 	conf, own, err := w.read()
 	if err != nil {
 		return nil, nil, err
--- a/cmd/emberquay/serve.go
+++ b/cmd/emberquay/serve.go
@@ -17,7 +17,6 @@
 	"emberquay/internal/delivery/directory"
 	"emberquay/internal/delivery/ledger"
 	"emberquay/internal/delivery/notices"
-	"emberquay/internal/delivery/options"
 	"emberquay/internal/delivery/protocol"
 	"emberquay/internal/delivery/receivers"
 	"emberquay/internal/delivery/sender"
@@ -133,7 +132,7 @@
 const lockWait = time.Second
 
 // openLedger opens the folder that lasts.
-func openLedger(conf *config.Config, own *options.Options) (*ledger.Ledger, error) {
+func openLedger(conf *config.Config, own *config.Options) (*ledger.Ledger, error) {
 	opt := ledger.Options{Room: conf.Limits.DiskBytes, Power: own.Ledger.Durability == "power"}
 	for began := time.Now(); ; time.Sleep(50 * time.Millisecond) {
 		l, err := ledger.Open(vfs.OS{}, conf.State, opt)
--- a/internal/lab/sim/control.go
+++ b/internal/lab/sim/control.go
@@ -8,7 +8,7 @@
 	"emberquay/internal/tier/cluster/core"
 	"emberquay/internal/tier/cluster/records"
 	"emberquay/internal/tier/controlstate"
-	"emberquay/internal/tier/storeview"
+	"emberquay/internal/tier/storewire"
 )
 
 type gossipEntry = gossip.Entry
@@ -249,7 +249,7 @@
 	}
 	stores := state.Stores()
 	if stores.Epoch > 0 && r.older(core.StoresKey, stores.Epoch) {
-		if entry, err := storeview.Entry(stores); err == nil {
+		if entry, err := storewire.ViewEntry(stores); err == nil {
 			r.life.core.Publish(w.clock(), entry)
 		}
 	}
--- a/internal/lab/sim/edge.go
+++ b/internal/lab/sim/edge.go
@@ -7,7 +7,6 @@
 	"emberquay/internal/tier/cluster/core"
 	"emberquay/internal/tier/cluster/records"
 	"emberquay/internal/tier/routing"
-	"emberquay/internal/tier/storeview"
 	"emberquay/internal/tier/storewire"
 )
 
@@ -31,7 +30,7 @@
 	case entry.Key == core.ConfigurationKey:
 		e.configure(entry)
 	case entry.Key == core.StoresKey:
-		if view, err := storeview.Read(entry); err == nil {
+		if view, err := storewire.ReadViewEntry(entry); err == nil {
 			e.adopt(storewire.ViewOf(view))
 		}
 	case strings.HasPrefix(entry.Key, core.ReceiverPrefix):
--- a/internal/lab/sim/store.go
+++ b/internal/lab/sim/store.go
@@ -11,7 +11,6 @@
 	"emberquay/coordination/placement"
 	"emberquay/internal/tier/cluster/core"
 	"emberquay/internal/tier/controlstate"
-	"emberquay/internal/tier/storeview"
 	"emberquay/internal/tier/storewire"
 )
 
@@ -191,7 +190,7 @@
 	if e.Key != core.StoresKey {
 		return
 	}
-	if stores, err := storeview.Read(e); err == nil {
+	if stores, err := storewire.ReadViewEntry(e); err == nil {
 		t.adopt(storewire.ViewOf(stores))
 	}
 }
--- a/internal/tier/controlplane/deadstores.go
+++ b/internal/tier/controlplane/deadstores.go
@@ -6,7 +6,7 @@
 
 	"emberquay/internal/tier/cluster"
 	"emberquay/internal/tier/controlstate"
-	"emberquay/internal/tier/storeview"
+	"emberquay/internal/tier/storewire"
 )
 
 const (
@@ -82,7 +82,7 @@
 	if !known {
 		return controlstate.StoreView{}
 	}
-	view, err := storeview.Read(entry)
+	view, err := storewire.ReadViewEntry(entry)
 	if err != nil {
 		return controlstate.StoreView{}
 	}
--- a/internal/tier/controlplane/plane.go
+++ b/internal/tier/controlplane/plane.go
@@ -27,7 +27,7 @@
 	"emberquay/internal/tier/registration"
 	"emberquay/internal/tier/replica"
 	"emberquay/internal/tier/settings"
-	"emberquay/internal/tier/storeview"
+	"emberquay/internal/tier/storewire"
 	"emberquay/internal/vfs"
 )
 
@@ -155,7 +155,7 @@
 	if known, ok := p.base.Cluster.Get(cluster.StoresKey); view.Epoch == 0 || ok && known.Stamp.Epoch >= view.Epoch {
 		return
 	}
-	entry, err := storeview.Entry(view)
+	entry, err := storewire.ViewEntry(view)
 	if err != nil {
 		p.base.Log.WithError(err).Error("store view not spread")
 		return
--- a/internal/tier/controlplane/stores.go
+++ b/internal/tier/controlplane/stores.go
@@ -6,17 +6,17 @@
 	"github.com/rotisserie/eris"
 
 	"emberquay/internal/tier/controlstate"
-	"emberquay/internal/tier/storeregistration"
+	"emberquay/internal/tier/storewire"
 	"emberquay/internal/tier/transport"
 )
 
 func (p *Plane) registerStores(mux *transport.Mux) {
-	storeregistration.Handle(mux, storeregistration.Register, p.registerStore)
-	storeregistration.Handle(mux, storeregistration.Retired, p.storeRetired)
+	storewire.HandleStoreNews(mux, storewire.RegisterStore, p.registerStore)
+	storewire.HandleStoreNews(mux, storewire.StoreRetired, p.storeRetired)
 }
 
 // registerStore has a disk taken into the store view.
-func (p *Plane) registerStore(ctx context.Context, n storeregistration.News) (storeregistration.Answer, error) {
+func (p *Plane) registerStore(ctx context.Context, n storewire.StoreNews) (storewire.StoreNewsAnswer, error) {
 	return p.storeOrder(ctx, controlstate.Command{
 		Kind:      controlstate.RegisterStore,
 		Store:     controlstate.StoreMember{ID: n.ID, Node: n.Node, Zone: n.Zone, Address: n.Address},
@@ -26,16 +26,16 @@
 }
 
 // storeRetired notes that nothing is left on a store's disk that is not elsewhere.
-func (p *Plane) storeRetired(ctx context.Context, n storeregistration.News) (storeregistration.Answer, error) {
+func (p *Plane) storeRetired(ctx context.Context, n storewire.StoreNews) (storewire.StoreNewsAnswer, error) {
 	return p.storeOrder(ctx, controlstate.Command{Kind: controlstate.RetireCompleted, Node: n.Node, StoreID: n.ID})
 }
 
-func (p *Plane) storeOrder(ctx context.Context, c controlstate.Command) (storeregistration.Answer, error) {
+func (p *Plane) storeOrder(ctx context.Context, c controlstate.Command) (storewire.StoreNewsAnswer, error) {
 	result, err := p.propose(ctx, c)
 	if err != nil {
-		return storeregistration.Answer{}, err
+		return storewire.StoreNewsAnswer{}, err
 	}
-	return storeregistration.Answer{Status: result.Status, Reason: result.Message}, nil
+	return storewire.StoreNewsAnswer{Status: result.Status, Reason: result.Message}, nil
 }
 
 // propose hands a command to the chain and reads its result. An error leaves its fate open.
--- a/internal/tier/dataplane/plane.go
+++ b/internal/tier/dataplane/plane.go
@@ -24,7 +24,6 @@
 	"emberquay/internal/tier/routing"
 	"emberquay/internal/tier/settings"
 	"emberquay/internal/tier/storeclient"
-	"emberquay/internal/tier/storeview"
 	"emberquay/internal/tier/storewire"
 	"emberquay/internal/tier/transport"
 )
@@ -133,7 +132,7 @@
 }
 
 func (p *Plane) takeStores(entry cluster.Entry) {
-	view, err := storeview.Read(entry)
+	view, err := storewire.ReadViewEntry(entry)
 	if err != nil {
 		p.base.Log.WithError(err).Error("store view cannot be read")
 		return
--- a/internal/tier/storeplane/plane.go
+++ b/internal/tier/storeplane/plane.go
@@ -23,8 +23,6 @@
 	"emberquay/internal/tier/planes"
 	"emberquay/internal/tier/settings"
 	"emberquay/internal/tier/store"
-	"emberquay/internal/tier/storeregistration"
-	"emberquay/internal/tier/storeview"
 	"emberquay/internal/tier/storewire"
 	"emberquay/internal/tier/transport"
 	"emberquay/internal/vfs"
@@ -83,7 +81,7 @@
 }
 
 func (p *Plane) takeView(entry cluster.Entry) {
-	view, err := storeview.Read(entry)
+	view, err := storewire.ReadViewEntry(entry)
 	if err != nil {
 		p.base.Log.WithError(err).Error("store view cannot be read")
 		return
@@ -119,7 +117,7 @@
 
 // register asks a control node once; false: this disk was emptied and taken away, and stays out.
 func (p *Plane) register() bool {
-	answer, err := p.callControl(storeregistration.Register)
+	answer, err := p.callControl(storewire.RegisterStore)
 	switch {
 	case err != nil:
 		p.base.Log.WithError(err).Debug("not registered yet")
@@ -134,7 +132,7 @@
 
 // reportRetired tells the control state that nothing is left here that is not elsewhere.
 func (p *Plane) reportRetired() {
-	answer, err := p.callControl(storeregistration.Retired)
+	answer, err := p.callControl(storewire.StoreRetired)
 	if err != nil {
 		p.base.Log.WithError(err).Warn("the end of the retirement is not told yet")
 		return
@@ -142,14 +140,14 @@
 	p.base.Log.WithField("status", answer.Status).Info("retirement completed")
 }
 
-func (p *Plane) callControl(method transport.Method) (storeregistration.Answer, error) {
+func (p *Plane) callControl(method transport.Method) (storewire.StoreNewsAnswer, error) {
 	ctx, cancel := context.WithTimeout(p.stopped, controlTimeout)
 	defer cancel()
-	news := storeregistration.News{
+	news := storewire.StoreNews{
 		ID: p.store.ID(), Node: p.base.Settings.Name, Zone: p.base.Settings.Zone,
 		Address: p.base.Address, Bootstrap: p.base.Settings.Bootstrap,
 	}
-	return storeregistration.Call(ctx, p.base.Client, p.nextControl(), method, news)
+	return storewire.TellControlPlane(ctx, p.base.Client, p.nextControl(), method, news)
 }
 
 // nextControl gives the address of a control node, another one each time: the live ones, or else the seeds.
--- a/internal/tier/storewire/doc.go
+++ b/internal/tier/storewire/doc.go
@@ -1,5 +1,5 @@
 // Package storewire holds what stores and their clients say to each other: messages, their avro schemas, the list of
-// stores (View), and the two ends of a call:
+// stores (View) and how it is spread, how a store tells the control planes of itself, and the two ends of a call:
 //
 //	storewire.Register(mux, server)                 // server implements Server
 //	caller := storewire.NewCaller(transport.NewClient())
--- a/internal/tier/storeview/storeview_test.go
+++ b/internal/tier/storewire/entry_test.go
@@ -1,28 +1,21 @@
-package storeview_test
+package storewire_test
 
 import (
-	"testing"
-
 	"emberquay/internal/tier/controlstate"
-	"emberquay/internal/tier/storeview"
+	"emberquay/internal/tier/storewire"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-func TestStoreView(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "store view")
-}
-
 var _ = Describe("a store view", func() {
 	It("comes out of its entry as it went in, stamped with its epoch", func() {
 		view := controlstate.StoreView{Epoch: 7, Tolerance: 1, Members: []controlstate.StoreMember{
 			{ID: "s1", Node: "store-a-1", Zone: "a", Address: "10.1.0.1:7382", Retiring: true}, {ID: "s2", Node: "store-b-1", Zone: "b", Address: "10.2.0.1:7382", Replaced: true},
 		}}
-		entry, err := storeview.Entry(view)
+		entry, err := storewire.ViewEntry(view)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(entry.Stamp.Epoch).To(BeEquivalentTo(7))
-		Expect(storeview.Read(entry)).To(Equal(view))
+		Expect(storewire.ReadViewEntry(entry)).To(Equal(view))
 	})
 })
