Chain: a node that only forwards asks for the view 100 ms after a call went unanswered

Cause: after a head was lost, each order that came in at a forwarding control plane waited 400 ms more, once there was a next view: its call had gone to the dead head, and it asked one address in turn for another view, once a second or with its resend.

--- a/coordination/chain/calls.go
+++ b/coordination/chain/calls.go
@@ -10,6 +10,11 @@
 // callAgainAfter is how long a call may be without an answer before it is sent again: a change takes the chain's syncs.
 const callAgainAfter = 400 * time.Millisecond
 
+// lostAfter is how long the oldest call of a node that is no member may be without an answer before all members of the view
+// it knows are asked for a newer one, and again each time it has passed: whoever the call went to may be gone, and nothing
+// else tells such a node. A change takes some 40 ms on a machine with a whole core.
+const lostAfter = 100 * time.Millisecond
+
 // noState is the Have of a Read whose sender has no committed state.
 const noState = -1
 
@@ -17,7 +22,8 @@
 type calls struct {
 	last    int64
 	pending map[int64]*call
-	turn    int // of the addresses asked for a view
+	turn    int           // of the addresses asked for a view
+	asked   time.Duration // when all members were last asked for a view
 }
 
 // call is a command or read of this process. It is sent again, under the same id, until it is answered or withdrawn: the
@@ -119,6 +125,27 @@
 	n.send(Peer{Address: all[n.calls.turn%len(all)]}, Ask{Epoch: n.View().Epoch})
 }
 
+// findView asks all members for a newer view while a call of a node that is none of them has no answer.
+func (n *Node) findView() {
+	if n.member() || n.now-n.calls.asked < lostAfter {
+		return
+	}
+	for _, c := range n.calls.pending {
+		if n.now-c.sent >= lostAfter {
+			n.calls.asked = n.now
+			n.askForView()
+			return
+		}
+	}
+}
+
+func (n *Node) askForView() {
+	known := n.View()
+	for _, m := range known.Members {
+		n.sendMember(m, Ask{Epoch: known.Epoch})
+	}
+}
+
 // resendCalls sends calls again that got no answer; whoever they went to may be gone, so others are asked as well.
 func (n *Node) resendCalls() {
 	late := false
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -295,6 +295,7 @@
 	n.follow()
 	n.resendAppend()
 	n.resendConfirm()
+	n.findView()
 	n.resendCalls()
 	n.reconfigure()
 	return n.finish()
