Chain: a first start that a loss of power interrupted goes on by itself

Cause: first members that lost power within their first sync came back with an identity and no view, or with nothing and another name, and waited for each other for ever: 10 of the 27 mixtures of three such disks.

An identity of a first member names the others; such a node asks all first members and begins once each has answered that it is unbegun too or that nothing was ever done in the first view. Where no disk holds an identity nothing tells a first start from new machines that reach nobody: it is made again.

Tests, failing before: the 27 mixtures (chain); power lost at each of the 48 calls on a disk in the first minute, three variants of what is left each, and all mixtures of three starts interrupted at any call (replica on the memory file system).

--- a/coordination/chain/adopt.go
+++ b/coordination/chain/adopt.go
@@ -81,6 +81,7 @@
 		n.recent = slices.Clone(s.Recent)
 	}
 	n.leaveView()
+	n.beginning = beginning{}
 	n.view, n.known = next, next
 	n.acceptor = view.Acceptor[Proposal]{}
 	n.sequence, n.committed, n.last = s.Sequence, committed, nil
--- a/coordination/chain/members.go
+++ b/coordination/chain/members.go
@@ -17,6 +17,7 @@
 	n.expireJoining()
 	if !n.member() {
 		n.askToJoin()
+		n.inquire()
 		return
 	}
 	if n.leaving {
@@ -159,6 +160,7 @@
 	}
 	n.leaveView()
 	n.rememberMembers()
+	n.beginning = beginning{}
 	n.self.ID = n.newID()
 	n.persist(Identity{Member: n.self, Known: n.remembered})
 	n.view = view.View{}
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -106,6 +106,8 @@
 
 	leaving bool // this process is about to stop
 
+	beginning beginning
+
 	queue  []proposed // head
 	flight flight     // head
 
@@ -158,6 +160,9 @@
 	}
 	n.self.ID, n.remembered = d.Member.ID, d.Known
 	if d.View.Epoch == 0 {
+		if wasUnbegun(d) {
+			n.awaitBeginning(firstMembers(d))
+		}
 		return nil
 	}
 	recent, last, err := d.restore(n.machine)
@@ -178,35 +183,17 @@
 
 // startEmpty begins as a first member at the first start of the whole system, and as a new one at any other.
 func (n *Node) startEmpty() error {
-	if first, ok := n.firstView(); ok {
-		n.self.ID = FirstID(n.settings.Address)
-		n.persist(Identity{Member: n.self})
-		n.view, n.known = first, first
-		state := State{Epoch: 1, Full: true, Snapshot: n.machine.Snapshot()}
-		n.persist(Adoption{View: first, State: state})
-		n.meetMembers()
-		n.noteCommitted()
+	if seeds := sortedDistinct(n.settings.Seeds); n.settings.Bootstrap && slices.Contains(seeds, n.self.Address) {
+		first := firstView(seeds)
+		n.beginFirst(first)
 		return first.Validate()
 	}
 	n.self.ID = n.newID()
 	n.persist(Identity{Member: n.self})
+	n.awaitBeginning(nil)
 	return nil
 }
 
-// firstView is the view of the first start; false for a node that is not one of the seeds.
-func (n *Node) firstView() (view.View, bool) {
-	if !n.settings.Bootstrap {
-		return view.View{}, false
-	}
-	var members []view.Member
-	found := false
-	for _, address := range sortedDistinct(n.settings.Seeds) {
-		members = append(members, view.Member{ID: FirstID(address), Address: address})
-		found = found || address == n.settings.Address
-	}
-	return view.First(members), found
-}
-
 // FirstID is the id of the first member at an address: all know it without a message.
 func FirstID(address string) view.MemberID {
 	return view.MemberID(max(int64(xxhash.Sum64String(address)>>1), 1))
@@ -253,6 +240,10 @@
 		n.onAdopt(e.From, m)
 	case Join:
 		n.onJoin(e.From, m)
+	case Inquire:
+		n.onInquire(e.From, m)
+	case Untouched:
+		n.onUntouched(e.From, m)
 	case Prepare:
 		n.onPrepare(e.From, m)
 	case Promise:
--- a/internal/tier/replica/wire.go
+++ b/internal/tier/replica/wire.go
@@ -86,6 +86,8 @@
 	as[chain.Message](record[chain.ReadResult]("ReadResult", "ID", commandID, "Verdict", number, "Epoch", long,
 		"Sequence", long, "Full", boolean, "Snapshot", data)),
 	as[chain.Message](record[chain.Leave]("Leave", "Epoch", long)),
+	as[chain.Message](record[chain.Inquire]("Inquire", "Nonce", long)),
+	as[chain.Message](record[chain.Untouched]("Untouched", "Nonce", long, "Members", texts)),
 }
 
 // seal makes an envelope ready for the wire.
