Retire.Start: a copy of a refused order is not carried out on stores that came later

Cause: a refusal of Retire.Start (404, 409) was not remembered; a copy under way to another control plane was carried out once a store of that name had come, or enough of them, bounded by 256 outcomes only.

Change: a control plane reads the newest state when the order comes in and names the epoch of its store view; on any other view the order is neither carried out nor refused but answered 503, and the operator sends it again. A refusal depends on the view alone. No memory, no change of formats.

--- a/internal/lab/sim/trouble.go
+++ b/internal/lab/sim/trouble.go
@@ -312,7 +312,6 @@
 		return
 	}
 	h := pick(w, stores)
-	command := controlstate.Command{Kind: controlstate.RetireStore, Node: h.name, DeadlineSeconds: 10}
 	w.trace("%s is to be emptied", h.name)
 	if w.one(2) {
 		t.powerAtRemoval(h)
@@ -321,10 +320,21 @@
 		if l.replica == nil {
 			return
 		}
-		l.replica.propose(command, func(result controlstate.Result, open bool) { reply(result.Status) })
+		l.replica.read(func(state *controlstate.State, open bool) {
+			if open {
+				reply(controlstate.StatusUnknown)
+				return
+			}
+			l.replica.propose(retirement(h.name, state), func(result controlstate.Result, open bool) { reply(result.Status) })
+		})
 	}, func(int) {})
 }
 
+// retirement is the order to empty a store's machine, as a control plane that read this state brings it in.
+func retirement(node string, state *controlstate.State) controlstate.Command {
+	return controlstate.Command{Kind: controlstate.RetireStore, Base: state.Stores().Epoch, HasBase: true, Node: node, DeadlineSeconds: 10}
+}
+
 // add starts a further machine.
 func (w *world) add(r role, first bool) *host {
 	no := len(w.hosts)
--- a/internal/tier/controlplane/operator.go
+++ b/internal/tier/controlplane/operator.go
@@ -62,7 +62,15 @@
 		refuse(w, http.StatusBadRequest, "the body is not JSON")
 		return
 	}
-	p.order(w, r, controlstate.Command{Kind: controlstate.RetireStore, Node: r.PathValue("node"), DeadlineSeconds: order.DeadlineSeconds})
+	ctx, cancel := context.WithTimeout(r.Context(), orderTimeout) // of the reading and the order together
+	defer cancel()
+	state, err := p.readState(ctx)
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, "the control state cannot be read now")
+		return
+	}
+	p.order(w, r.WithContext(ctx), controlstate.Command{Kind: controlstate.RetireStore, Base: state.Stores().Epoch, HasBase: true,
+		Node: r.PathValue("node"), DeadlineSeconds: order.DeadlineSeconds})
 }
 
 // order proposes a command and answers with its result. Where the fate is open the answer is a 503, which the
--- a/internal/tier/controlstate/command.go
+++ b/internal/tier/controlstate/command.go
@@ -15,7 +15,7 @@
 	ReplaceConfiguration Kind = 1 // Base, HasBase, Body
 	ModifyConfiguration  Kind = 2 // Base, HasBase, Body
 	RegisterStore        Kind = 3 // Store, Bootstrap, Tolerance
-	RetireStore          Kind = 4 // Node, DeadlineSeconds
+	RetireStore          Kind = 4 // Base, HasBase, Node, DeadlineSeconds
 	RetireCompleted      Kind = 5 // Node, StoreID
 	RemoveStore          Kind = 6 // StoreID
 )
@@ -43,7 +43,9 @@
 type Command struct {
 	Kind Kind
 
-	Base    uint64 // the version that the change builds on; 0 for the first
+	// Base is the version that a change of the configuration builds on, 0 for the first; of RetireStore the epoch of the
+	// store view when the order came in.
+	Base    uint64
 	HasBase bool   // the caller named one
 	Body    []byte // as the operator sent it
 
--- a/internal/tier/controlstate/stores.go
+++ b/internal/tier/controlstate/stores.go
@@ -129,13 +129,19 @@
 	}
 }
 
-// retire begins to empty a machine.
+// retire begins to empty a machine. An order is carried out or refused only on the view that was there when it came in: a
+// refusal depends on the view alone, so a copy that was on its way when another was refused can't be carried out on a later
+// one. It gets no clear answer, and the operator sends it again.
 func (s *State) retire(c Command) (Result, bool) {
 	at := s.memberAt(c.Node)
 	state := s.Retirement(c.Node)
 	if state == RetirementRunning || at < 0 && state == RetirementCompleted {
 		return s.storeResult(StatusOK, ""), false
 	}
+	if c.HasBase && c.Base != s.stores.Epoch {
+		reason := fmt.Sprintf("the stores have changed since the order came in: epoch %d, then %d", s.stores.Epoch, c.Base)
+		return s.storeResult(StatusUnknown, reason), false
+	}
 	if at < 0 {
 		return s.storeResult(StatusNotFound, fmt.Sprintf("there is no store on node %q", c.Node)), false
 	}
@@ -157,6 +163,10 @@
 // complete ends the retirement of a machine whose store has nothing left that is not elsewhere.
 func (s *State) complete(c Command) (Result, bool) {
 	at := s.retirementOf(c.Node)
+	if c.HasBase && c.Base != s.stores.Epoch {
+		reason := fmt.Sprintf("the stores have changed since the order came in: epoch %d, then %d", s.stores.Epoch, c.Base)
+		return s.storeResult(StatusUnknown, reason), false
+	}
 	if at < 0 {
 		return s.storeResult(StatusNotFound, fmt.Sprintf("node %q is not being emptied", c.Node)), false
 	}
--- a/internal/tier/controlstate/stores_test.go
+++ b/internal/tier/controlstate/stores_test.go
@@ -197,6 +197,28 @@
 		unchanged(state, retire("node-3"), controlstate.StatusConflict)
 	})
 
+	It("is neither begun nor refused by a copy that came in before the stores changed", func() {
+		for name, c := range map[string]struct {
+			state   *controlstate.State
+			node    string
+			refusal int
+			change  func(*controlstate.State)
+		}{
+			"unknown, then there": {withStores(3), "node-4", controlstate.StatusNotFound, func(s *controlstate.State) { taken(s, register(store(4))) }},
+			"too few, then more":  {withStores(2), "node-1", controlstate.StatusConflict, func(s *controlstate.State) { taken(s, register(store(3))) }},
+		} {
+			order := retire(c.node)
+			order.Base, order.HasBase = c.state.Stores().Epoch, true
+			unchanged(c.state, order, c.refusal)
+			c.change(c.state)
+			unchanged(c.state, order, controlstate.StatusUnknown) // the copy
+			order.Base = c.state.Stores().Epoch
+			taken(c.state, order)
+			unchanged(c.state, order, controlstate.StatusOK) // it comes again
+			Expect(c.state.Retirement(c.node)).To(Equal(controlstate.RetirementRunning), name)
+		}
+	})
+
 	It("does not come back with the disk that was emptied", func() {
 		state := withStores(3)
 		taken(state, retire("node-2"))
