Proxy: one that stops goes on telling receivers' reports until it leaves

Cause: the context that ends the sending of reports ended at the signal, while the others take this proxy for the one that asks some receivers until it leaves: up to the length of a stop they went by their own calls there.

Change: reports are told until the plane is closed. Test with a neighbour in the cluster, failing before.

--- a/internal/tier/dataplane/plane.go
+++ b/internal/tier/dataplane/plane.go
@@ -46,7 +46,9 @@
 	proxy   *proxy.Proxy
 	reports *reportSpreader
 	stop    context.CancelFunc
-	stopped context.Context
+	stopped context.Context // done once the process is told to stop
+	end     context.CancelFunc
+	ended   context.Context // done once nothing is served any more
 
 	receivers  *receiverList
 	assignment *assignment
@@ -59,7 +61,8 @@
 // Start joins the others and serves; the plane is ready once it knows the configuration and the receivers.
 func Start(node *settings.Node, logger log.Interface) (*Plane, error) {
 	stopped, stop := context.WithCancel(context.Background())
-	p := &Plane{base: planes.NewBase(node, settings.Proxy, logger), stop: stop, stopped: stopped,
+	ended, end := context.WithCancel(context.Background())
+	p := &Plane{base: planes.NewBase(node, settings.Proxy, logger), stop: stop, stopped: stopped, end: end, ended: ended,
 		receivers: newReceiverList(), assignment: newAssignment(node.Name)}
 	p.feed = newFeed(p.feedReceivers)
 	if err := p.open(); err != nil {
@@ -84,7 +87,7 @@
 	node := p.base.Settings
 	p.stores = storeclient.New(storeclient.Options{Caller: storewire.NewCaller(p.base.Client), Zone: node.Zone})
 	var err error
-	p.reports = newReportSpreader(p.base.Client, p.base.Cluster, p.stopped)
+	p.reports = newReportSpreader(p.base.Client, p.base.Cluster, p.ended)
 	p.proxy, err = proxy.New(proxy.Options{
 		Front: node.Listen.Front, Readiness: node.Listen.Readiness,
 		Stores: p.stores, Logger: p.base.Log, Zone: node.Zone,
@@ -189,7 +192,8 @@
 	return known
 }
 
-// Shutdown lets the platform notice, serves what has been read and ends, when ctx ends at the latest.
+// Shutdown lets the platform notice, serves what has been read and ends, when ctx ends at the latest. Until the others know
+// that this proxy leaves, it is the one that asks some receivers for their reports, and goes on telling them.
 func (p *Plane) Shutdown(ctx context.Context, signalled time.Time) {
 	p.stop()
 	p.proxy.Shutdown(ctx, signalled)
@@ -203,6 +207,7 @@
 
 func (p *Plane) close() {
 	p.stop()
+	p.end()
 	p.feed.close()
 	if p.stores != nil {
 		p.stores.Close()
--- a/internal/tier/dataplane/reports_test.go
+++ b/internal/tier/dataplane/reports_test.go
@@ -1,14 +1,109 @@
 package dataplane
 
 import (
+	"context"
 	"fmt"
 	"math"
+	"net"
 	"slices"
 	"testing"
+	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"emberquay/admission/dispatch"
 	"emberquay/internal/tier/cluster"
+	"emberquay/internal/tier/cluster/records"
+	"emberquay/internal/tier/nodestatus"
+	"emberquay/internal/tier/planes"
+	"emberquay/internal/tier/settings"
+	"emberquay/internal/tier/transport"
 )
 
+// patience bounds a test that waits for other goroutines.
+const patience = 20 * time.Second
+
+// freePort is a port of the address that nobody listens on.
+func freePort(t *testing.T, ip string) int {
+	t.Helper()
+	l, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// neighbour is a proxy's place in the cluster that tells of the reports which come to it. It finds the plane by its seed.
+func neighbour(t *testing.T, plane *settings.Node) <-chan records.ReportRecord {
+	t.Helper()
+	port := plane.InternalPorts[0] - int(settings.ControlPlane)
+	node := &settings.Node{Name: "neighbour", IP: "127.0.0.2", Zone: "a", InternalPorts: [2]int{port, port + 2}, Seeds: []string{plane.IP + ":1"}}
+	base := planes.NewBase(node, settings.Proxy, &log.Logger{Handler: discard.Default})
+	t.Cleanup(base.Close)
+	came := make(chan records.ReportRecord, 1)
+	transport.Receive(base.Mux, reportMethod, reportCodec, func(_ context.Context, r records.ReportRecord) { came <- r })
+	if err := base.Join(); err != nil {
+		t.Fatal(err)
+	}
+	if err := base.Serve(func(context.Context, *nodestatus.Status) error { return nil }); err != nil {
+		t.Fatal(err)
+	}
+	return came
+}
+
+// knows waits until a plane knows another live proxy.
+func knows(t *testing.T, p *Plane) {
+	t.Helper()
+	found := make(chan struct{}, 1)
+	p.Cluster().WatchNodes(func(n cluster.Node) {
+		if n.Name == "neighbour" && n.Live() {
+			select {
+			case found <- struct{}{}:
+			default:
+			}
+		}
+	})
+	select {
+	case <-found:
+	case <-time.After(patience):
+		t.Fatal("the neighbour is not known")
+	}
+}
+
+// A proxy that stopped went on being the one that asks receivers for reports, and told them to nobody from the signal on.
+func TestAStoppingProxyGoesOnTellingReports(t *testing.T) {
+	port := freePort(t, "127.0.0.1")
+	node := &settings.Node{Name: "stopping", IP: "127.0.0.1", Zone: "a", InternalPorts: [2]int{port, port + 2}}
+	node.Listen.Front, node.Listen.Readiness = "127.0.0.1:0", "127.0.0.1:0"
+	node.Limits.MemoryMB, node.Limits.MaxFDs = 128, 1000
+	plane, err := Start(node, &log.Logger{Handler: discard.Default})
+	if err != nil {
+		t.Fatal(err)
+	}
+	reports := neighbour(t, node)
+	knows(t, plane)
+	ctx, cancel := context.WithCancel(t.Context())
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		plane.Shutdown(ctx, time.Now())
+	}()
+	<-plane.stopped.Done()
+	plane.ShareReport("r1", dispatch.Report{Running: 3})
+	select {
+	case r := <-reports:
+		if r.Instance != "r1" || r.Running != 3 {
+			t.Errorf("told %+v", r)
+		}
+	case <-gone:
+		t.Error("the proxy has ended and told no report")
+	}
+	cancel()
+	<-gone
+}
+
 func TestReportsGoToTheOtherLiveProxiesOnly(t *testing.T) {
 	nodes := []cluster.Node{
 		{Name: "self", Role: cluster.Proxy, Address: "10.1.0.1:1", State: cluster.Alive},
