Signals: SIGHUP is ignored until the Go runtime has its handlers

Cause: the default action of SIGHUP ended a process that got it in its first 2 to 3 ms, before any Go code runs.

Change: a constructor of the C library's start ignores it (the runtime unblocks SIGHUP, but honours that it is ignored until a channel is notified); no settings have been read by then, so nothing is missed. Release gives back the action of before.

Ruled out: blocking it (the runtime never leaves a signal blocked that ends a Go program). Test failing before.

--- /dev/null
+++ b/internal/signals/c_test.go
@@ -0,0 +1,5 @@
+//go:build cgo
+
+package signals
+
+const linkedAgainstC = true
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -3,7 +3,9 @@
 //
 // Their default action ends a process. A start takes milliseconds, on a small machine tens of them, and a SIGHUP that
 // says that a settings file has changed must not end the process in the midst of it. So they are held from the first;
-// a command that serves takes them with Stop and Reload, and any other calls Release, so that they end it as usual.
+// a command that serves takes them with Stop and Reload, and any other calls Release, so that they end it as usual. Where
+// the program is linked against the C library, SIGHUP is ignored before the Go runtime begins: no settings have been read by
+// then. One that comes while the dynamic linker still loads the program ends it.
 package signals
 
 import (
@@ -44,6 +46,7 @@
 // Release gives the signals their usual action back; one that has come already takes it now.
 func Release() {
 	signal.Reset(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	restoreEarly()
 	select {
 	case s := <-stop:
 		raise(s)
--- a/internal/signals/signals_test.go
+++ b/internal/signals/signals_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"os"
 	"os/exec"
+	"os/signal"
 	"runtime"
 	"syscall"
 	"testing"
@@ -25,6 +26,10 @@
 		os.Stdout.WriteString("reloads\n")
 		<-Stop()
 		os.Stdout.WriteString("stops\n")
+	case "unread":
+		signal.Reset(syscall.SIGHUP) // back to what the runtime found
+		raise(syscall.SIGHUP)
+		os.Stdout.WriteString("starts")
 	case "released":
 		raise(syscall.SIGHUP)
 		for len(reload) == 0 { // it is told by the runtime a moment later
@@ -63,6 +68,15 @@
 		Expect(cmd.Wait()).To(Succeed())
 	})
 
+	It("include a SIGHUP that comes before the runtime begins: it is ignored then", func() {
+		if !linkedAgainstC {
+			Skip("nothing runs before the runtime without C")
+		}
+		out, err := child("unread").Output()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(out)).To(Equal("starts"))
+	})
+
 	It("have their usual action where they are released, also those that came before", func() {
 		err := child("released").Run()
 		var ended *exec.ExitError
