Metrics: each role tells its figures at the address of the settings, in Prometheus' form

Cause: metrics of the settings was not served.

Change: metrics = PORT/PATH is read and checked; internal/tier/metrics answers there with client_golang, by the look that also answers node status, off where the setting is absent. Figures of all roles, control, store and proxy; refusals by reason (a refusal now names one), attempts, queue, allowance, phase of a stop, timers' lateness. Labels: role, state, reason.

A test of the proxy's status that failed hung for 600 s: its release was registered before the service whose end waits for the answer. It is released first now. The test compares all of a status, the new figures too.

--- a/admission/dispatch/conformance_test.go
+++ b/admission/dispatch/conformance_test.go
@@ -209,9 +209,9 @@
 		s.end("1", Outcome{Kind: TimedOut})
 		s.end("2", Outcome{Kind: Broken})
 		Expect(s.sends).To(HaveLen(3))
-		Expect(*s.refusal("0")).To(Equal(Refuse{Request: "0", Status: StatusBadGateway, Executed: true}))
-		Expect(*s.refusal("1")).To(Equal(Refuse{Request: "1", Status: StatusGatewayTimeout, Executed: true}))
-		Expect(*s.refusal("2")).To(Equal(Refuse{Request: "2", Status: StatusBadGateway, Executed: true}))
+		Expect(*s.refusal("0")).To(Equal(Refuse{Request: "0", Status: StatusBadGateway, Executed: true, Reason: Unrepeatable}))
+		Expect(*s.refusal("1")).To(Equal(Refuse{Request: "1", Status: StatusGatewayTimeout, Executed: true, Reason: Unrepeatable}))
+		Expect(*s.refusal("2")).To(Equal(Refuse{Request: "2", Status: StatusBadGateway, Executed: true, Reason: Unrepeatable}))
 	}),
 )
 
--- a/admission/dispatch/dispatch.go
+++ b/admission/dispatch/dispatch.go
@@ -131,7 +131,7 @@
 	s := d.service(r.Service)
 	s.hold(q)
 	if !d.admits(s, q) {
-		d.giveUp(s, q, defaultPause)
+		d.giveUp(s, q, defaultPause, NotAdmitted)
 	}
 	d.settle(s)
 	return d.done()
--- a/admission/dispatch/messages.go
+++ b/admission/dispatch/messages.go
@@ -134,6 +134,24 @@
 	Status     int // 503 where it has not run and never will; 502 or 504 where it may have run
 	RetryAfter time.Duration
 	Executed   bool // it may have run
+	Reason     Reason
+}
+
+// Reason says why a request was refused.
+type Reason int
+
+// The reasons.
+const (
+	TooLate      Reason = iota // no receiver could answer it within its time
+	Overloaded                 // its kind, or a more urgent one, would wait longer than its objective bears
+	NotAdmitted                // a program that begins, beyond the share that is admitted
+	Unrepeatable               // its last call failed, and it may not go again
+	Reasons                    // their number
+)
+
+// String is the reason as metrics have it.
+func (r Reason) String() string {
+	return [...]string{"too_late", "overloaded", "not_admitted", "unrepeatable"}[r]
 }
 
 // The statuses of refusals.
--- a/admission/dispatch/outcome.go
+++ b/admission/dispatch/outcome.go
@@ -57,7 +57,7 @@
 	case q.mayGoAgain():
 		s.hold(q)
 	default:
-		d.giveUp(s, q, max(0, b.waitUntil.Sub(d.now)))
+		d.giveUp(s, q, max(0, b.waitUntil.Sub(d.now)), Unrepeatable)
 	}
 	d.settle(s)
 	return d.done()
--- a/admission/dispatch/queue.go
+++ b/admission/dispatch/queue.go
@@ -93,7 +93,7 @@
 	for i := 0; i < len(s.queue) && len(free) > 0; {
 		q := s.queue[i]
 		if d.hopeless(s, q) {
-			d.giveUp(s, q, 0)
+			d.giveUp(s, q, 0, TooLate)
 			continue
 		}
 		b := d.choose(s, q, free)
@@ -152,7 +152,7 @@
 		wait := o.wait(i)
 		none := o.usable == 0 && d.now >= q.arrived.Add(q.TargetLatency/heldFree)
 		if none || d.late(s, q, wait) || !d.hasReceiver(s, q) && o.usable > 0 {
-			d.giveUp(s, q, wait)
+			d.giveUp(s, q, wait, TooLate)
 			continue
 		}
 		i++
@@ -179,7 +179,7 @@
 		if least == nil {
 			return
 		}
-		d.giveUp(s, least, max(o.gap, o.wait(len(s.queue)-1)-least.mayWaitUntil.Sub(least.arrived)))
+		d.giveUp(s, least, max(o.gap, o.wait(len(s.queue)-1)-least.mayWaitUntil.Sub(least.arrived)), Overloaded)
 	}
 }
 
@@ -221,9 +221,9 @@
 
 // giveUp answers a request at once. What has not run is told when to come back; what may have run is not told
 // that it has not.
-func (d *Dispatcher) giveUp(s *service, q *request, wait time.Duration) {
+func (d *Dispatcher) giveUp(s *service, q *request, wait time.Duration, reason Reason) {
 	s.unhold(q)
-	refusal := Refuse{Request: q.ID, Status: q.failure, Executed: q.mayHaveRun}
+	refusal := Refuse{Request: q.ID, Status: q.failure, Executed: q.mayHaveRun, Reason: reason}
 	if !q.mayHaveRun {
 		refusal.Status = StatusServiceUnavailable
 		spread := 1 + retrySpread*d.chance.Unit()
--- /dev/null
+++ b/internal/tier/metrics/collector.go
@@ -0,0 +1,161 @@
+package metrics
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"emberquay/internal/lateness"
+	"emberquay/internal/tier/nodestatus"
+)
+
+const namespace = "emberquay"
+
+// collector makes metrics of one look at the process.
+type collector struct {
+	collect  Collect
+	lateness *lateness.Monitor
+}
+
+func newCollector(collect Collect, monitor *lateness.Monitor) collector {
+	return collector{collect: collect, lateness: monitor}
+}
+
+// describe makes the description of a metric; its name has the parts that are not empty.
+func describe(subsystem, name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName(namespace, subsystem, name), help, labels, nil)
+}
+
+// The metrics. Of those with a subsystem only the process's own role has any.
+var (
+	up                   = describe("", "up", "Whether the process could look at itself in time.")
+	uptime               = describe("", "uptime_seconds", "Time since the start.")
+	timerLateness        = describe("", "timer_lateness_seconds", "By how much the process's timers were late at the worst, over the last 10 to 20 s.")
+	configurationVersion = describe("", "configuration_version", "Version of the operator's configuration that is in force here; 0: none yet.")
+	nodes                = describe("", "nodes", "Processes of the tier that are known here.", "role", "state")
+	receivers            = describe("", "receivers", "Receivers that are known here.", "state")
+
+	controlMember     = describe("control", "member", "Whether this replica is a member of the view.")
+	controlEpoch      = describe("control", "view_epoch", "Epoch of the view.")
+	controlMembers    = describe("control", "view_members", "Members that vote.")
+	controlChain      = describe("control", "chain_length", "Members of the chain: the disks on which a change is before it is acknowledged.")
+	controlStoreEpoch = describe("control", "store_view_epoch", "Epoch of the store view as known here; 0: none.")
+
+	storeComplete     = describe("store", "complete", "Whether the store lacks nothing that was acknowledged as far as it knows.")
+	storeRetiring     = describe("store", "retiring", "Whether the store is being emptied.")
+	storeMember       = describe("store", "member", "Whether the store is a member of the view by which it works.")
+	storeEpoch        = describe("store", "view_epoch", "Epoch of that view; 0: none.")
+	storeMembers      = describe("store", "view_members", "Stores of that view.")
+	storeTurns        = describe("store", "turns", "Turns that are kept.")
+	storeTurnBytes    = describe("store", "turn_bytes", "Size of the turns that are kept, on the disk.")
+	storePrograms     = describe("store", "programs", "Programs of which budgets are kept.")
+	storeReservations = describe("store", "reservations", "Reservations of all programs, settled ones too.")
+	storeRingBytes    = describe("store", "ring_bytes", "Size of all segments that the ring may have.")
+	storeFreeBytes    = describe("store", "ring_free_bytes", "Size of the segments that hold nothing.")
+
+	proxyReady     = describe("proxy", "ready", "Whether clients may come.")
+	proxyInHand    = describe("proxy", "requests_in_hand", "Requests that were read and are not answered.")
+	proxyRequests  = describe("proxy", "requests_total", "Requests that came to admission.")
+	proxyRefusals  = describe("proxy", "refusals_total", "Requests that admission refused with the wait, or ended after a call that failed.", "reason")
+	proxyAttempts  = describe("proxy", "attempts_total", "Calls to receivers that admission let go.")
+	proxyQueue     = describe("proxy", "queue_length", "Requests that are held.")
+	proxyOut       = describe("proxy", "calls_out", "Calls to receivers that are out.")
+	proxyAllowance = describe("proxy", "allowance", "Calls that all receivers together may get now, as learnt here.")
+	proxyStopPhase = describe("proxy", "stop_phase", "0: serving; 1: told to stop and accepting; 2: serving what has been read.")
+)
+
+// Describe tells nothing: which metrics there are depends on the role.
+func (c collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect looks at the process once.
+func (c collector) Collect(metrics chan<- prometheus.Metric) {
+	ctx, cancel := context.WithTimeout(context.Background(), collectTimeout)
+	defer cancel()
+	status, err := c.collect(ctx)
+	out := sink{metrics}
+	out.gauge(up, flag(err == nil))
+	out.gauge(timerLateness, c.lateness.Worst().Seconds())
+	if err != nil {
+		return
+	}
+	out.common(status)
+	if status.Control != nil {
+		out.control(*status.Control)
+	}
+	if status.Store != nil {
+		out.store(*status.Store)
+	}
+	if status.Proxy != nil {
+		out.proxy(*status.Proxy)
+	}
+}
+
+// sink takes metrics.
+type sink struct{ metrics chan<- prometheus.Metric }
+
+func (s sink) gauge(d *prometheus.Desc, value float64, labels ...string) {
+	s.metrics <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
+}
+
+func (s sink) counter(d *prometheus.Desc, value float64, labels ...string) {
+	s.metrics <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, value, labels...)
+}
+
+func flag(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+func (s sink) common(status nodestatus.Status) {
+	s.gauge(uptime, float64(status.UptimeMillis)/1000)
+	s.gauge(configurationVersion, float64(status.Configuration))
+	for _, n := range status.Nodes {
+		s.gauge(nodes, float64(n.Alive), n.Role, "alive")
+		s.gauge(nodes, float64(n.Known-n.Alive), n.Role, "gone")
+	}
+	s.gauge(receivers, float64(status.Receivers.Ready), "ready")
+	s.gauge(receivers, float64(status.Receivers.Draining), "draining")
+	s.gauge(receivers, float64(status.Receivers.Silent), "silent")
+}
+
+func (s sink) control(c nodestatus.Control) {
+	s.gauge(controlMember, flag(c.Member))
+	s.gauge(controlEpoch, float64(c.Epoch))
+	s.gauge(controlMembers, float64(len(c.Members)))
+	s.gauge(controlChain, float64(len(c.Chain)))
+	s.gauge(controlStoreEpoch, float64(c.StoreEpoch))
+}
+
+func (s sink) store(now nodestatus.Store) {
+	s.gauge(storeComplete, flag(now.Complete))
+	s.gauge(storeRetiring, flag(now.Retiring))
+	s.gauge(storeMember, flag(now.Member))
+	s.gauge(storeEpoch, float64(now.Epoch))
+	s.gauge(storeMembers, float64(now.Members))
+	s.gauge(storeTurns, float64(now.Turns))
+	s.gauge(storeTurnBytes, float64(now.TurnBytes))
+	s.gauge(storePrograms, float64(now.Programs))
+	s.gauge(storeReservations, float64(now.Entries))
+	s.gauge(storeRingBytes, float64(now.RingBytes))
+	s.gauge(storeFreeBytes, float64(now.FreeBytes))
+}
+
+func (s sink) proxy(p nodestatus.Proxy) {
+	s.gauge(proxyReady, flag(p.Ready))
+	s.gauge(proxyInHand, float64(p.InHand))
+	s.counter(proxyRequests, float64(p.Arrived))
+	figures := p.Figures
+	if figures == nil {
+		return
+	}
+	for _, refused := range figures.Refusals {
+		s.counter(proxyRefusals, float64(refused.Count), refused.Reason)
+	}
+	s.counter(proxyAttempts, float64(figures.Attempts))
+	s.gauge(proxyQueue, float64(figures.Queued))
+	s.gauge(proxyOut, float64(figures.Out))
+	s.gauge(proxyAllowance, float64(figures.Allowance))
+	s.gauge(proxyStopPhase, float64(figures.StopPhase))
+}
--- /dev/null
+++ b/internal/tier/metrics/metrics_test.go
@@ -0,0 +1,124 @@
+package metrics_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
+
+	"emberquay/internal/tier/metrics"
+	"emberquay/internal/tier/nodestatus"
+	"emberquay/internal/tier/settings"
+)
+
+func TestMetrics(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "metrics")
+}
+
+// freeAddress is one that nobody listens on.
+func freeAddress() string {
+	GinkgoHelper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func serve(at settings.Metrics, status nodestatus.Status, fault error) error {
+	server, err := metrics.Serve(at, func(context.Context) (nodestatus.Status, error) { return status, fault }, &log.Logger{Handler: discard.Default})
+	DeferCleanup(server.Close)
+	return err
+}
+
+// told serves a status and gives what is told of it.
+func told(status nodestatus.Status, fault error) string {
+	GinkgoHelper()
+	at := settings.Metrics{Address: freeAddress(), Path: "/figures"}
+	Expect(serve(at, status, fault)).To(Succeed())
+	answer, err := http.Get("http://" + at.Address + at.Path)
+	Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	Expect(answer.StatusCode).To(Equal(http.StatusOK))
+	text, err := io.ReadAll(answer.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
+// whole has something of each role; a process has one of them only.
+func whole() nodestatus.Status {
+	return nodestatus.Status{
+		Name: "front-1", UptimeMillis: 2500, Configuration: 14, Nodes: []nodestatus.Nodes{{Role: "proxy", Known: 5, Alive: 4}},
+		Receivers: nodestatus.Receivers{Ready: 8, Draining: 1},
+		Control:   &nodestatus.Control{Member: true, Epoch: 3, Members: make([]nodestatus.Member, 4), Chain: []int64{1, 2, 3}, StoreEpoch: 2},
+		Store:     &nodestatus.Store{Complete: true, Turns: 7, TurnBytes: 900, RingBytes: 4000, FreeBytes: 3000},
+		Proxy: &nodestatus.Proxy{Ready: true, InHand: 3, Arrived: 450, Figures: &nodestatus.ProxyFigures{
+			Refusals: []nodestatus.Refusals{{Reason: "too_late", Count: 6}}, Attempts: 470, Queued: 2, Allowance: 31, StopPhase: 1,
+		}},
+	}
+}
+
+var _ = Describe("the metrics of a process", func() {
+	It("are told at the address and path of the settings", func() {
+		text := told(whole(), nil)
+		for _, line := range []string{
+			"emberquay_up 1", "emberquay_uptime_seconds 2.5", "emberquay_configuration_version 14", "emberquay_timer_lateness_seconds 0.025",
+			`emberquay_nodes{role="proxy",state="alive"} 4`, `emberquay_nodes{role="proxy",state="gone"} 1`, `emberquay_receivers{state="ready"} 8`,
+			"emberquay_control_view_members 4", "emberquay_control_chain_length 3", "emberquay_store_turn_bytes 900", "emberquay_store_complete 1",
+			"emberquay_proxy_requests_total 450", `emberquay_proxy_refusals_total{reason="too_late"} 6`, "emberquay_proxy_attempts_total 470",
+			"emberquay_proxy_queue_length 2", "emberquay_proxy_allowance 31", "emberquay_proxy_stop_phase 1", "go_goroutines ",
+		} {
+			Expect(text).To(ContainSubstring("\n" + line))
+		}
+	})
+
+	It("keep to the rules of their names", func() {
+		problems, err := promlint.New(strings.NewReader(told(whole(), nil))).Lint()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(problems).To(BeEmpty())
+	})
+
+	It("have labels of few values only", func() {
+		names := map[string]bool{}
+		for _, found := range regexp.MustCompile(`emberquay_\w+{([^}]*)}`).FindAllStringSubmatch(told(whole(), nil), -1) {
+			for _, label := range strings.Split(found[1], ",") {
+				name, _, _ := strings.Cut(label, "=")
+				names[name] = true
+			}
+		}
+		Expect(names).To(HaveLen(3))
+		Expect(names).To(And(HaveKey("role"), HaveKey("state"), HaveKey("reason")))
+	})
+
+	It("say that the process could not look at itself", func() {
+		text := told(nodestatus.Status{}, errors.New("stopped"))
+		Expect(text).To(ContainSubstring("\nemberquay_up 0"))
+		Expect(text).NotTo(ContainSubstring("emberquay_uptime"))
+	})
+
+	It("are told nowhere else, and not where the settings name no address", func() {
+		Expect(serve(settings.Metrics{}, whole(), nil)).To(Succeed())
+		at := settings.Metrics{Address: freeAddress(), Path: "/figures"}
+		Expect(serve(at, whole(), nil)).To(Succeed())
+		answer, err := http.Get("http://" + at.Address + "/")
+		Expect(err).NotTo(HaveOccurred())
+		answer.Body.Close()
+		Expect(answer.StatusCode).To(Equal(http.StatusNotFound))
+	})
+
+	It("need an address that is free", func() {
+		at := settings.Metrics{Address: freeAddress(), Path: "/"}
+		Expect(serve(at, whole(), nil)).To(Succeed())
+		Expect(serve(at, whole(), nil)).To(MatchError(ContainSubstring("metrics: listen")))
+	})
+})
--- a/internal/tier/nodestatus/messages.go
+++ b/internal/tier/nodestatus/messages.go
@@ -82,6 +82,22 @@
 	InHand  int   `avro:"in_hand" json:"in_hand"` // requests read and not answered
 	Arrived int64 `avro:"arrived" json:"arrived"` // requests that came to admission since the start
 	Refused int64 `avro:"refused" json:"refused"` // of them, those that admission answered
+	// Figures are told at the metrics address alone: the call's messages stay those of earlier builds.
+	Figures *ProxyFigures `avro:"-" json:"-"`
+}
+
+// ProxyFigures are what a data plane's admission has done and holds.
+type ProxyFigures struct {
+	Refusals               []Refusals // by reason
+	Attempts               int64
+	Queued, Out, Allowance int
+	StopPhase              int // 0: serving, 1: told to stop and accepting, 2: serving what has been read
+}
+
+// Refusals counts those for one reason.
+type Refusals struct {
+	Reason string
+	Count  int64
 }
 
 var requests = transport.MustCodec[Request](`{"type":"record","name":"StatusRequest","fields":[]}`)
--- a/internal/tier/planes/planes.go
+++ b/internal/tier/planes/planes.go
@@ -21,6 +21,7 @@
 	"github.com/apex/log"
 
 	"emberquay/internal/tier/cluster"
+	"emberquay/internal/tier/metrics"
 	"emberquay/internal/tier/nodestatus"
 	"emberquay/internal/tier/settings"
 	"emberquay/internal/tier/transport"
@@ -44,6 +45,7 @@
 
 	role    cluster.Role
 	server  *transport.Server // nil before Serve
+	metrics *metrics.Server   // nil before Serve
 	started time.Time
 }
 
@@ -70,13 +72,20 @@
 }
 
 // Serve answers the calls of others: those registered on Mux, and the question for the status, by what the function
-// adds to the part that all roles tell alike. Errors: the address cannot be listened on.
+// adds to the part that all roles tell alike; and tells the process's metrics where the settings name an address for them.
+// Errors: an address cannot be listened on.
 func (b *Base) Serve(add func(context.Context, *nodestatus.Status) error) error {
-	nodestatus.Register(b.Mux, func(ctx context.Context) (nodestatus.Status, error) {
+	collect := func(ctx context.Context) (nodestatus.Status, error) {
 		status := nodestatus.Common(b.Cluster, b.started)
 		err := add(ctx, &status)
 		return status, err
-	})
+	}
+	nodestatus.Register(b.Mux, collect)
+	told, err := metrics.Serve(b.Settings.Metrics, collect, b.Log)
+	if err != nil {
+		return err
+	}
+	b.metrics = told
 	server, err := transport.Listen(b.Address, b.Mux)
 	if err != nil {
 		return err
@@ -106,5 +115,6 @@
 // Close ends all, the own calls too.
 func (b *Base) Close() {
 	b.Disconnect()
+	b.metrics.Close()
 	b.Client.Close()
 }
--- a/internal/tier/planes/planes_test.go
+++ b/internal/tier/planes/planes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -43,6 +44,29 @@
 func nothing(context.Context, *nodestatus.Status) error { return nil }
 
 var _ = Describe("the common part of a plane", func() {
+	It("tells its figures where the settings say so, until it is closed", func() {
+		node := machine(settings.Store)
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		node.Metrics = settings.Metrics{Address: l.Addr().String(), Path: "/metrics"}
+		base := newBase(node, settings.Store)
+		Expect(base.Join()).To(Succeed())
+		Expect(base.Serve(nothing)).To(MatchError(ContainSubstring("metrics: listen")))
+		Expect(l.Close()).To(Succeed())
+		node = machine(settings.Store)
+		node.Metrics = settings.Metrics{Address: l.Addr().String(), Path: "/metrics"}
+		base = newBase(node, settings.Store)
+		Expect(base.Join()).To(Succeed())
+		Expect(base.Serve(nothing)).To(Succeed())
+		answer, err := http.Get("http://" + node.Metrics.Address + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		answer.Body.Close()
+		Expect(answer.StatusCode).To(Equal(http.StatusOK))
+		base.Close()
+		_, err = http.Get("http://" + node.Metrics.Address + "/metrics")
+		Expect(err).To(HaveOccurred())
+	})
+
 	DescribeTable("joins under its role, and answers until it is disconnected",
 		func(ctx SpecContext, kind settings.Kind, role string) {
 			node := machine(kind)
--- a/internal/tier/proxy/admission.go
+++ b/internal/tier/proxy/admission.go
@@ -19,6 +19,7 @@
 	Withdraw(now dispatch.Instant, request dispatch.RequestID) dispatch.Effects
 	Tick(now dispatch.Instant) dispatch.Effects
 	EndBy(now, end dispatch.Instant) dispatch.Effects
+	Stats(now dispatch.Instant) dispatch.Stats
 }
 
 // commandQueue bounds the events that wait for the dispatcher; whoever brings one more waits.
@@ -46,7 +47,7 @@
 
 	// Owned by the goroutine of run.
 	tickets map[dispatch.RequestID]*ticket
-	refused uint64 // requests that it answered
+	counts  Counts
 	timer   *time.Timer
 }
 
@@ -101,13 +102,14 @@
 	for i := range effects.Sends {
 		send := effects.Sends[i]
 		if t := a.tickets[send.Request]; t != nil {
+			a.counts.Attempts++
 			t.decisions <- decision{send: &send}
 		}
 	}
 	for _, refuse := range effects.Refusals {
 		if t := a.tickets[refuse.Request]; t != nil {
 			delete(a.tickets, refuse.Request)
-			a.refused++
+			a.counts.Refused[refuse.Reason]++
 			t.decisions <- decision{refuse: refuse}
 		}
 	}
--- a/internal/tier/proxy/admission_test.go
+++ b/internal/tier/proxy/admission_test.go
@@ -39,7 +39,7 @@
 
 func (s *scripted) Answered(_ dispatch.Instant, id dispatch.RequestID, _ int, o dispatch.Outcome) dispatch.Effects {
 	s.answered = append(s.answered, o)
-	return dispatch.Effects{Refusals: []dispatch.Refuse{{Request: id, Status: 503}}}
+	return dispatch.Effects{Refusals: []dispatch.Refuse{{Request: id, Status: 503, Reason: dispatch.Unrepeatable}}}
 }
 
 func (s *scripted) Withdraw(_ dispatch.Instant, id dispatch.RequestID) dispatch.Effects {
@@ -52,6 +52,8 @@
 	return dispatch.Effects{}
 }
 
+func (s *scripted) Stats(dispatch.Instant) dispatch.Stats { return dispatch.Stats{} }
+
 func (s *scripted) EndBy(dispatch.Instant, dispatch.Instant) dispatch.Effects {
 	return dispatch.Effects{}
 }
--- a/internal/tier/proxy/status.go
+++ b/internal/tier/proxy/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -15,6 +16,36 @@
 	InHand        int    // requests read and not answered
 	Arrived       uint64 // requests that came to admission since the start
 	Refused       uint64 // of them, those that admission answered
+	Phase         Phase
+	Admission     Counts
+	Dispatch      dispatch.Stats
+}
+
+// Counts are what admission has done since the start.
+type Counts struct {
+	Attempts uint64 // calls to receivers
+	Refused  [dispatch.Reasons]uint64
+}
+
+// Phase is how far a data plane is with its stop.
+type Phase int
+
+// The phases.
+const (
+	Serving  Phase = iota
+	Noticing       // told to stop, and still accepting
+	Ending         // no new connections; serving what has been read
+)
+
+// phase says how far the stop is.
+func (p *Proxy) phase() Phase {
+	switch stop := p.stop.Load(); {
+	case stop == nil:
+		return Serving
+	case time.Now().Before(stop.noticeOver):
+		return Noticing
+	}
+	return Ending
 }
 
 // ErrStopped: the data plane has ended.
@@ -26,38 +57,48 @@
 		Ready:   p.takesClients(),
 		InHand:  p.clients.requestsInHand(),
 		Arrived: p.admission.issued.Load(),
+		Phase:   p.phase(),
 	}
 	if snapshot := p.snapshot.Load(); snapshot != nil {
 		status.Configuration = snapshot.Version
 	}
-	var err error
-	status.Refused, err = p.admission.countRefused(ctx)
+	look, err := p.admission.look(ctx)
+	status.Admission, status.Dispatch = look.counts, look.stats
+	for _, refused := range look.counts.Refused {
+		status.Refused += refused
+	}
 	return status, err
 }
 
-// countRefused asks the owner of the dispatcher.
-func (a *admission) countRefused(ctx context.Context) (uint64, error) {
-	answer := make(chan uint64, 1)
+// look is what the owner of the dispatcher tells of it.
+type look struct {
+	counts Counts
+	stats  dispatch.Stats
+}
+
+// look asks the owner of the dispatcher.
+func (a *admission) look(ctx context.Context) (look, error) {
+	answer := make(chan look, 1)
 	select {
-	case a.commands <- refusedAsked{answer: answer}:
+	case a.commands <- lookedAt{answer: answer}:
 	case <-ctx.Done():
-		return 0, eris.Wrap(ctx.Err(), "proxy")
+		return look{}, eris.Wrap(ctx.Err(), "proxy")
 	case <-a.done:
-		return 0, ErrStopped
+		return look{}, ErrStopped
 	}
 	select {
-	case count := <-answer:
-		return count, nil
+	case seen := <-answer:
+		return seen, nil
 	case <-ctx.Done():
-		return 0, eris.Wrap(ctx.Err(), "proxy")
+		return look{}, eris.Wrap(ctx.Err(), "proxy")
 	case <-a.done:
-		return 0, ErrStopped
+		return look{}, ErrStopped
 	}
 }
 
-type refusedAsked struct{ answer chan<- uint64 }
+type lookedAt struct{ answer chan<- look }
 
-func (c refusedAsked) apply(a *admission, _ dispatch.Instant) dispatch.Effects {
-	c.answer <- a.refused
+func (c lookedAt) apply(a *admission, now dispatch.Instant) dispatch.Effects {
+	c.answer <- look{counts: a.counts, stats: a.dispatcher.Stats(now)}
 	return dispatch.Effects{}
 }
--- a/internal/tier/proxy/status_test.go
+++ b/internal/tier/proxy/status_test.go
@@ -21,17 +21,18 @@
 	It("tells the configuration, readiness and the requests in hand", func() {
 		asked, release := make(chan struct{}), make(chan struct{})
 		finish := sync.OnceFunc(func() { close(release) })
-		DeferCleanup(finish)
 		p, _ := startService("plain", 1, func(_ int, r received) {
 			close(asked)
 			<-release
 			r.answer(200, "done")
 		})
+		DeferCleanup(finish) // before the service's own, which waits for its answers
 		p.SetReady(true)
 		c := p.dial()
 		c.send("GET /safe/x", "", "Emberquay-Request-Id: 1")
 		<-asked
-		Expect(statusOf(p)).To(Equal(Status{Configuration: 1, Ready: true, InHand: 1, Arrived: 1}))
+		Expect(statusOf(p)).To(Equal(Status{Configuration: 1, Ready: true, InHand: 1, Arrived: 1,
+			Admission: Counts{Attempts: 1}, Dispatch: dispatch.Stats{Out: 1, Receivers: 1}})) // one is out until the first answer
 		finish()
 		Expect(c.result().status).To(Equal(200))
 		Eventually(func() int { return statusOf(p).InHand }).Should(BeZero())
@@ -57,17 +58,19 @@
 			a.answered((<-t.decisions).send, dispatch.Outcome{Kind: dispatch.Full})
 			<-t.decisions
 		}
-		Expect(a.countRefused(context.Background())).To(Equal(uint64(3)))
+		seen, err := a.look(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seen.counts).To(Equal(Counts{Attempts: 3, Refused: [dispatch.Reasons]uint64{dispatch.Unrepeatable: 3}}))
 	})
 
 	It("ends with its caller, and with the data plane", func() {
 		a := newAdmission(&scripted{})
 		ended, end := context.WithCancel(context.Background())
 		end()
-		_, err := a.countRefused(ended)
+		_, err := a.look(ended)
 		Expect(err).To(MatchError(context.Canceled))
 		a.stop()
-		_, err = a.countRefused(context.Background())
+		_, err = a.look(context.Background())
 		Expect(err).To(MatchError(ErrStopped))
 	})
 })
--- a/internal/tier/settings/parse.go
+++ b/internal/tier/settings/parse.go
@@ -1,7 +1,10 @@
 package settings
 
 import (
+	"net"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -59,6 +62,7 @@
 	if node.HeartbeatInterval == 0 {
 		top.fail("heartbeat_ms", "must be above 0")
 	}
+	node.Metrics = top.metrics("metrics", node.IP)
 	node.Listen = readListen(top.table("listen"), node)
 	node.Limits = readLimits(top.table("limits"))
 	node.Tolerance = readTolerance(top.table("fault_tolerance"))
@@ -69,6 +73,21 @@
 	return node, nil
 }
 
+// metrics reads where figures are told: "PORT/PATH"; the zero value where the key is missing or empty.
+func (t *table) metrics(key, ip string) Metrics {
+	text := t.text(key)
+	if text == "" {
+		return Metrics{}
+	}
+	port, path, _ := strings.Cut(text, "/")
+	number, err := strconv.ParseUint(port, 10, 16)
+	if err != nil || number == 0 || strings.ContainsAny(path, "?# {}") {
+		t.fail(key, "must be PORT/PATH, and %q is not", text)
+		return Metrics{}
+	}
+	return Metrics{Address: net.JoinHostPort(ip, port), Path: "/" + path}
+}
+
 // readListen asks for the addresses of what the role serves; others may be there too.
 func readListen(t *table, node *Node) Listen {
 	front := node.ServesFor(ServesFront)
--- a/internal/tier/settings/settings.go
+++ b/internal/tier/settings/settings.go
@@ -79,12 +79,19 @@
 	HeartbeatInterval time.Duration // between two heartbeats of a receiver
 	Zones             map[string]string
 
+	Metrics   Metrics // zero: not told
 	Listen    Listen
 	Limits    Limits
 	Tolerance Tolerance
 	Bounds    Bounds
 }
 
+// Metrics is where a process tells its figures.
+type Metrics struct {
+	Address string // IP:port, of this machine
+	Path    string // with its leading slash
+}
+
 // Listen are the addresses, IP:port, for what the role serves. Those of what it does not serve may be empty.
 type Listen struct{ Front, Readiness, Control string }
 
