Metrics: closing while the listener begins does not end the process

Cause: the goroutine that serves read the field that Close empties. Found by one run of all tests in which a suite ended with a nil dereference; 100 openings closed at once show it each time. Change: the goroutine has the server of its own.

--- a/internal/tier/metrics/metrics.go
+++ b/internal/tier/metrics/metrics.go
@@ -62,9 +62,10 @@
 	)
 	mux := http.NewServeMux()
 	mux.Handle("GET "+at.Path, promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: mostAtOnce}))
-	s.server = &http.Server{Handler: mux, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout}
+	server := &http.Server{Handler: mux, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout}
+	s.server = server
 	go func() {
-		if err := s.server.Serve(listener); err != http.ErrServerClosed {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
 			logger.WithError(err).Error("the metrics listener ended")
 		}
 	}()
--- a/internal/tier/metrics/metrics_test.go
+++ b/internal/tier/metrics/metrics_test.go
@@ -116,6 +116,16 @@
 		Expect(answer.StatusCode).To(Equal(http.StatusNotFound))
 	})
 
+	It("end at once, also while they begin", func() {
+		for range 100 {
+			at := settings.Metrics{Address: freeAddress(), Path: "/"}
+			server, err := metrics.Serve(at, func(context.Context) (nodestatus.Status, error) { return nodestatus.Status{}, nil }, &log.Logger{Handler: discard.Default})
+			Expect(err).NotTo(HaveOccurred())
+			server.Close()
+			server.Close()
+		}
+	})
+
 	It("need an address that is free", func() {
 		at := settings.Metrics{Address: freeAddress(), Path: "/"}
 		Expect(serve(at, whole(), nil)).To(Succeed())
