--- a/control/control_test.go
+++ b/control/control_test.go
@@ -256,16 +256,16 @@
 	}
 }
 
-// A call that had been answered in 0.3 ms had the next ones given up after 4.5, beside a load that strays by 13.
-func TestATimeOutIsNoShorterThanTheProcessStrays(t *testing.T) {
-	for strays, want := range map[Time]Time{0: 15 * 3, 1000: 1000} {
+// A call that had been answered in 0.3 ms had the next ones given up after 4.5, where the machine was late by 13.
+func TestATimeOutIsNoShorterThanTheProcessIsLate(t *testing.T) {
+	for late, want := range map[Time]Time{0: 15 * 3, 1000: 1000} {
 		w := newWorld(1, nil)
-		w.s.Strays(strays)
+		w.s.ProcessLateness(late)
 		a := w.take("a", "once", 1, "", 8*Second)
 		w.advance(3)
 		w.answer(a, Delivered, 0, 1, 10)
 		b := w.take("b", "once", 1, "", 8*Second)
-		expect(t, w, fmt.Sprint("time-out beside a process that strays by ", strays), b.outUntil-b.outAt, want)
+		expect(t, w, fmt.Sprint("time-out in a process that is late by ", late), b.outUntil-b.outAt, want)
 	}
 }
 
--- a/control/retries.go
+++ b/control/retries.go
@@ -62,7 +62,7 @@
 	if s.callsOut+1 >= s.slots && t.product.repeat != "unsafe" {
 		most = 6
 	}
-	long := max(Time(most*float64(usual)), s.strays)
+	long := max(Time(most*float64(usual)), s.processLateness)
 	if t.product.repeat != "safe" {
 		end = min(end, s.repeatEnd(t), s.now+t.product.window) // no window: no repeat
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -168,37 +168,37 @@
 
 // Sender is one instance of the module.
 type Sender struct {
-	out          Outlet
-	set          Settings
-	now          Time
-	began        Time // when it was first told the time
-	chance       admission.PCG
-	products     map[string]*product
-	texts        map[string]*text
-	keys         map[string]*keyLine
-	receivers    map[ReceiverID]*receiver
-	buckets      map[bucketKey]*bucket
-	destinations map[int64]*destination
-	brands       map[string]*brand
-	crowded      map[string]bool // kinds of receivers of which one has refused a connection
-	opened       map[string]int  // connections made to receivers of a kind
-	gone         []*receiver     // not listed and not forgotten
-	mentions     int             // of destinations, first ones
-	busy         []*destination  // those with texts or calls, by first mention
-	slots        int
-	longestSLA   Time
-	shortestSLA  Time
-	strain       float64 // share of late calls that were refused, at all destinations
-	meanValue    float64 // of late texts
-	callsOut     int
-	askAt        Time // when the list is asked next; 0: not drawn yet, or it comes by itself
-	asks         int  // in a row in vain
-	seq          int64
-	strays       Time // how much longer than usual a call may take by the caller's own doing
-	stale        Time // idle connections have broken after as little; 0: none has
-	staleAt      Time // the last time one did
-	wakeAt       Time // earliest wake asked for and not come; 0 if none
-	marks        int64
+	out             Outlet
+	set             Settings
+	now             Time
+	began           Time // when it was first told the time
+	chance          admission.PCG
+	products        map[string]*product
+	texts           map[string]*text
+	keys            map[string]*keyLine
+	receivers       map[ReceiverID]*receiver
+	buckets         map[bucketKey]*bucket
+	destinations    map[int64]*destination
+	brands          map[string]*brand
+	crowded         map[string]bool // kinds of receivers of which one has refused a connection
+	opened          map[string]int  // connections made to receivers of a kind
+	gone            []*receiver     // not listed and not forgotten
+	mentions        int             // of destinations, first ones
+	busy            []*destination  // those with texts or calls, by first mention
+	slots           int
+	longestSLA      Time
+	shortestSLA     Time
+	strain          float64 // share of late calls that were refused, at all destinations
+	meanValue       float64 // of late texts
+	callsOut        int
+	askAt           Time // when the list is asked next; 0: not drawn yet, or it comes by itself
+	asks            int  // in a row in vain
+	seq             int64
+	processLateness Time // how much longer than usual a call may take by the caller's own doing
+	stale           Time // idle connections have broken after as little; 0: none has
+	staleAt         Time // the last time one did
+	wakeAt          Time // earliest wake asked for and not come; 0 if none
+	marks           int64
 }
 
 func (s *Sender) destination(id int64) *destination {
@@ -235,9 +235,9 @@
 	return len(r.weighed)
 }
 
-// Strays tells how much longer than usual a call may take because the caller's own process gets its processor late; 0
+// ProcessLateness tells how much longer than usual a call may take because the caller's own process gets its processor late; 0
 // until it is told, and where the caller's clock is not that of a machine.
-func (s *Sender) Strays(by Time) { s.strays = by }
+func (s *Sender) ProcessLateness(by Time) { s.processLateness = by }
 
 // Noted takes a note of another sender. None is sent, so none is expected.
 func (s *Sender) Noted(int, []byte) {}
--- a/internal/delivery/sender/sender.go
+++ b/internal/delivery/sender/sender.go
@@ -172,7 +172,7 @@
 			do()
 		}
 		if !s.frozen {
-			s.module.Strays(protocol.Ticks(wakeUps * s.lateness.Worst()))
+			s.module.ProcessLateness(protocol.Ticks(wakeUps * s.lateness.Worst()))
 			s.module.Settle()
 		}
 		s.commit()
