Referee: a request is judged by the stop of the process that took it

Change: of stops in series one before the machine's last start is none of the process that took the request. Two tests, one failing before, one that holds that a process told twice is judged by the first.

--- a/internal/lab/referee/tierrules/losses.go
+++ b/internal/lab/referee/tierrules/losses.go
@@ -122,9 +122,15 @@
 	return nil
 }
 
-// stopped: the request ended during the stop of its machine.
+// stopped: the request ended during the stop of the process that took it. Where stops of a machine come in series, one
+// before its last start was of another process.
 func (j *judge) stopped(r *Request, t *Trouble) bool {
-	return t.What == Terminated && r.Whole >= t.From-r.Deadline && r.Ended >= t.From && r.Ended <= t.From+j.Bounds.Grace+afterGrace
+	return t.What == Terminated && !j.startedBetween(r.Machine, t.From, r.Whole) && r.Whole >= t.From-r.Deadline && r.Ended >= t.From && r.Ended <= t.From+j.Bounds.Grace+afterGrace
+}
+
+// startedBetween says whether a machine's process was started later than one instant and before another.
+func (j *judge) startedBetween(machine string, from, to time.Duration) bool {
+	return slices.ContainsFunc(j.Starts, func(s Start) bool { return s.Machine == machine && s.At > from && s.At < to })
 }
 
 // reloaded: the request was sent before the SIGHUP or soon after it, and ended after it.
--- a/internal/lab/referee/tierrules/tierrules_test.go
+++ b/internal/lab/referee/tierrules/tierrules_test.go
@@ -286,6 +286,15 @@
 		d.read.Answer = nil
 		d.readRun.Began = 5000 * ms
 	}),
+	Entry("cut at the end of a stop, its receiver at work, by a process that was started after an earlier stop", func(d *day) {
+		d.strike("m1", tierrules.Terminated, 3800*ms, false)
+		d.Starts = append(d.Starts, tierrules.Start{Machine: "m1", At: 4500 * ms})
+		d.strike("m1", tierrules.Terminated, 5000*ms, false)
+		d.textRun.Ended, d.textRun.Complete = 8400*ms, false
+		d.text.Sent, d.text.Whole, d.text.Ended = 6900*ms, 6901*ms, 8400*ms
+		d.textRun.Began = 6910 * ms
+		d.text.Answer.Complete = false
+	}),
 	Entry("a 404 to a turn that is beyond its retention", func(d *day) {
 		d.unanswered(d.second)
 		d.answered(d.second, 404)
@@ -375,6 +384,14 @@
 		d.textRun.Began = 8110 * ms
 		d.text.Answer.Complete = false
 	}),
+	Entry("taken long after SIGTERM by a process that was told to stop twice", tierrules.Lost, func(d *day) {
+		d.strike("m1", tierrules.Terminated, 3800*ms, false)
+		d.strike("m1", tierrules.Terminated, 5000*ms, false)
+		d.textRun.Ended, d.textRun.Complete = 8400*ms, false
+		d.text.Sent, d.text.Whole, d.text.Ended = 6900*ms, 6901*ms, 8400*ms
+		d.textRun.Began = 6910 * ms
+		d.text.Answer.Complete = false
+	}),
 	Entry("cut before the last sixth of the grace", tierrules.Lost, func(d *day) {
 		d.strike("m1", tierrules.Terminated, 5000*ms, false)
 		d.text.Timeout, d.text.Deadline = 9000*ms, 9000*ms
