--- /dev/null
+++ b/coordination/chain/foreign_test.go
@@ -0,0 +1,35 @@
+package chain_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// A machine gets the disk of another cluster, whose first members had the same addresses: its member has the id of a member
+// here, and a later view. Nothing of it may be taken over. It is a test of its own, and no spec, so that KNOWN-RED.txt can
+// name it alone.
+func TestADiskOfAnotherClusterIsNotTakenOver(t *testing.T) {
+	RegisterTestingT(t)
+	other := newTrio("a", "b", "c")
+	other.propose("a", 0, 111)
+	other.stop("c") // the others go on in a later view
+	other.pass(3 * time.Second)
+	other.propose("a", 1, 112)
+	foreign := other.disks["a"]
+
+	here := newTrio("a", "b", "c")
+	here.propose("a", 0, 7)
+	here.stop("a")
+	here.disks["a"] = foreign
+	here.start("a", false)
+	here.pass(5 * time.Second)
+	here.read("b")
+	here.pass(time.Second)
+	replies := here.replies["b"]
+	Expect(replies).NotTo(BeEmpty())
+	values, err := parse(replies[len(replies)-1].Snapshot)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(values).To(Equal([]uint64{7}))
+}
