Chain: one way to send to all other members, one to remember them (no change of behaviour)

Heartbeats, the word of a planned end and the question for a view said the same loop; the first member's identity said again what rememberMembers does.

--- a/coordination/chain/begin.go
+++ b/coordination/chain/begin.go
@@ -120,9 +120,9 @@
 func (n *Node) beginFirst(first view.View) {
 	n.beginning = beginning{}
 	n.self.ID = FirstID(n.self.Address)
-	n.remembered = slices.DeleteFunc(memberAddresses(first), func(a string) bool { return a == n.self.Address })
-	n.persist(Identity{Member: n.self, Known: n.remembered})
 	n.view, n.known = first, first
+	n.rememberMembers()
+	n.persist(Identity{Member: n.self, Known: n.remembered})
 	state := State{Epoch: 1, Full: true, Snapshot: n.machine.Snapshot()}
 	n.persist(Adoption{View: first, State: state})
 	n.meetMembers()
--- a/coordination/chain/calls.go
+++ b/coordination/chain/calls.go
@@ -133,19 +133,12 @@
 	for _, c := range n.calls.pending {
 		if n.now-c.sent >= lostAfter {
 			n.calls.asked = n.now
-			n.askForView()
+			n.sendOthers(n.View(), Ask{Epoch: n.View().Epoch})
 			return
 		}
 	}
 }
 
-func (n *Node) askForView() {
-	known := n.View()
-	for _, m := range known.Members {
-		n.sendMember(m, Ask{Epoch: known.Epoch})
-	}
-}
-
 // resendCalls sends calls again that got no answer; whoever they went to may be gone, so others are asked as well.
 func (n *Node) resendCalls() {
 	late := false
--- a/coordination/chain/members.go
+++ b/coordination/chain/members.go
@@ -21,13 +21,17 @@
 		return
 	}
 	if n.leaving {
-		n.tellLeaving()
+		n.sendOthers(n.view, Leave{Epoch: n.view.Epoch})
 		return
 	}
-	beat := Heartbeat{Epoch: n.view.Epoch, Committed: n.committed, Heard: n.heardLately()}
-	for _, m := range n.view.Members {
+	n.sendOthers(n.view, Heartbeat{Epoch: n.view.Epoch, Committed: n.committed, Heard: n.heardLately()})
+}
+
+// sendOthers sends to all members of a view but this one.
+func (n *Node) sendOthers(v view.View, body Message) {
+	for _, m := range v.Members {
 		if m.ID != n.self.ID {
-			n.sendMember(m, beat)
+			n.sendMember(m, body)
 		}
 	}
 }
@@ -40,7 +44,7 @@
 	n.leaving = true
 	if n.settings.Voter && n.member() {
 		n.lastBeat = n.now
-		n.tellLeaving()
+		n.sendOthers(n.view, Leave{Epoch: n.view.Epoch})
 	}
 	return n.finish()
 }
@@ -48,14 +52,6 @@
 // Resigned says whether the chain does without this member. One whose absence would leave too few stays in it.
 func (n *Node) Resigned() bool { return !n.member() || n.view.Position(n.self.ID) < 0 }
 
-func (n *Node) tellLeaving() {
-	for _, m := range n.view.Members {
-		if m.ID != n.self.ID {
-			n.sendMember(m, Leave{Epoch: n.view.Epoch})
-		}
-	}
-}
-
 // onLeave notes that a member is about to stop. Its next heartbeat, of the process that follows, ends that.
 func (n *Node) onLeave(from Peer, m Leave) {
 	if c := n.contacts[from.ID]; c != nil {
