--- /dev/null
+++ b/review/_standins-2/lab/viewrace.go
@@ -0,0 +1,3 @@
+package main
+
+func viewRace(w *World) ([]string, error) { return nil, nil }
