--- a/review/_standins-2/lab/main.go
+++ b/review/_standins-2/lab/main.go
@@ -18,9 +18,12 @@
 
 // cases are the cases by name. Each returns how the rule was broken, if it was.
 var cases = map[string]func(record *Record, trouble bool) ([]string, error){
-	"replaced-store":  replacedStore,
-	"two-stores-down": twoStoresDown,
-	"view-race":       viewRace,
+	"replaced-store":      replacedStore,
+	"two-stores-down":     twoStoresDown,
+	"view-race":           viewRace,
+	"config-storm":        configStorm,
+	"turn-storm":          turnStorm,
+	"large-configuration": largeConfig,
 }
 
 func main() {
