Stores: one that fails leaves the view only once the others hold its records

Cause: a dead store was removed after 2 s whether or not its records were elsewhere, and the quorums of "unknown" and of the comparison counted the present view alone. The three that were left certified among themselves that turns did not exist whose holders were merely down.

Change: FailStore marks a store that is down as Retiring without a retirement: nothing new is placed there, the others copy what belongs at them, and it counts as a possible holder. RemoveStore takes only such a member, on the view on which all active members were asked whether they are settled. At most Tolerance members are marked at a time. Fewer than Copies of all members may be missing from any certain answer; the argument is in the comment of storewire. A store answers as complete only under a view that it knows, and settles its programs before its turns.

Wrong tests, replaced: those that removed an active member (controlstate, store) held the fault to be right; they now mark, compare and then remove, and expect in addition that the removal makes nothing unsure.

--- a/internal/tier/controlplane/plane.go
+++ b/internal/tier/controlplane/plane.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -49,6 +50,8 @@
 	server  *http.Server
 	saver   *entrySaver // nil without a disk
 
+	committedStores atomic.Pointer[committedStores] // nil: no committed state is known yet
+
 	receiverQueue chan func(*registration.Table)
 	closed        chan struct{}
 	stop          context.CancelFunc
@@ -70,7 +73,7 @@
 		return nil, err
 	}
 	go p.runReceivers(ctx)
-	go p.removeDeadStores(ctx)
+	go p.monitorStores(ctx)
 	go p.monitorVoters(ctx)
 	return p, p.startAPI()
 }
@@ -137,6 +140,7 @@
 	if version, body := state.Configuration(); version > 0 {
 		p.publishConfiguration(version, body)
 	}
+	p.committedStores.Store(&committedStores{view: state.Stores(), failed: state.FailedStores()})
 	p.publishStores(state.Stores())
 }
 
--- /dev/null
+++ b/internal/tier/controlplane/storemonitor_test.go
@@ -0,0 +1,100 @@
+package controlplane
+
+import (
+	"testing"
+	"time"
+
+	"emberquay/internal/tier/controlstate"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestControlPlane(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control plane")
+}
+
+func newView(tolerance int, nodes ...string) controlstate.StoreView {
+	view := controlstate.StoreView{Epoch: 7, Tolerance: tolerance}
+	for _, node := range nodes {
+		view.Members = append(view.Members, controlstate.StoreMember{ID: "disk-" + node, Node: node})
+	}
+	return view
+}
+
+// presenceOf returns the presence of machines, of which all others are alive.
+func presenceOf(others map[string]storePresence) func(string) storePresence {
+	return func(node string) storePresence {
+		if presence, named := others[node]; named {
+			return presence
+		}
+		return storeAlive
+	}
+}
+
+func newMonitor() *storeMonitor { return &storeMonitor{} }
+
+func failCommand(view controlstate.StoreView, node string) controlstate.Command {
+	return controlstate.Command{Kind: controlstate.FailStore, StoreID: "disk-" + node, Base: view.Epoch, HasBase: true}
+}
+
+var _ = Describe("the monitor of the stores", func() {
+	DescribeTable("marks a store that is down if the others keep all copies",
+		func(view controlstate.StoreView, marks bool) {
+			monitor, down := newMonitor(), presenceOf(map[string]storePresence{"d": storeDown})
+			Expect(monitor.decide(0, view, nil, down)).To(BeEmpty())
+			Expect(monitor.decide(deadStoreTimeout-time.Millisecond, view, nil, down)).To(BeEmpty())
+			commands := monitor.decide(deadStoreTimeout, view, nil, down)
+			if marks {
+				Expect(commands).To(Equal([]controlstate.Command{failCommand(view, "d")}))
+			} else {
+				Expect(commands).To(BeEmpty())
+			}
+		},
+		Entry("five, one may be lost", newView(1, "a", "b", "c", "d", "e"), true),
+		Entry("four, one may be lost", newView(1, "a", "b", "c", "d"), true),
+		Entry("three, one may be lost", newView(1, "a", "b", "d"), true),
+		Entry("two, one may be lost", newView(1, "a", "d"), false),
+		Entry("five, two may be lost", newView(2, "a", "b", "c", "d", "e"), true),
+		Entry("three, two may be lost", newView(2, "a", "b", "d"), false),
+		Entry("five, none may be lost", newView(0, "a", "b", "c", "d", "e"), false),
+	)
+
+	It("marks one store at a time, and no more than may be lost", func() {
+		view, down := newView(1, "a", "b", "c", "d", "e"), presenceOf(map[string]storePresence{"c": storeDown, "d": storeDown})
+		monitor := newMonitor()
+		monitor.decide(0, view, nil, down)
+		Expect(monitor.decide(deadStoreTimeout, view, nil, down)).To(HaveLen(1))
+		view.Members[2].Retiring = true
+		Expect(monitor.decide(deadStoreTimeout, view, view.Members[2:3], down)).To(BeEmpty())
+	})
+
+	It("starts its timeout anew after the store came back", func() {
+		monitor, view := newMonitor(), newView(1, "a", "b", "c", "d")
+		down := presenceOf(map[string]storePresence{"d": storeDown})
+		monitor.decide(0, view, nil, down)
+		monitor.decide(time.Second, view, nil, presenceOf(nil))
+		monitor.decide(deadStoreTimeout, view, nil, down)
+		Expect(monitor.decide(deadStoreTimeout+time.Second, view, nil, down)).To(BeEmpty())
+	})
+
+	It("restores a failed store that is alive, and not a retiring one", func() {
+		view := newView(1, "a", "b", "c", "d")
+		view.Members[2].Retiring, view.Members[3].Retiring = true, true
+		Expect(newMonitor().decide(0, view, view.Members[3:], presenceOf(nil))).To(Equal([]controlstate.Command{
+			{Kind: controlstate.RestoreStore, StoreID: "disk-d"},
+		}))
+	})
+
+	It("removes failed stores that are gone, and completes the retirement of retiring ones that are gone", func() {
+		view := newView(1, "a", "b", "c", "d", "e")
+		view.Members[2].Retiring, view.Members[3].Retiring, view.Members[4].Retiring = true, true, true
+		failed := view.Members[3:]
+		presence := presenceOf(map[string]storePresence{"a": storeDown, "c": storeDown, "d": storeLeft})
+		Expect(removals(view, failed, presence)).To(Equal([]controlstate.Command{
+			{Kind: controlstate.RetireCompleted, Node: "c", StoreID: "disk-c"},
+			{Kind: controlstate.RemoveStore, StoreID: "disk-d", Base: view.Epoch, HasBase: true},
+		}))
+	})
+})
--- a/internal/tier/controlstate/command.go
+++ b/internal/tier/controlstate/command.go
@@ -17,7 +17,9 @@
 	RegisterStore        Kind = 3 // Store, Bootstrap, Tolerance
 	RetireStore          Kind = 4 // Base, HasBase, Node, DeadlineSeconds
 	RetireCompleted      Kind = 5 // Node, StoreID
-	RemoveStore          Kind = 6 // StoreID
+	RemoveStore          Kind = 6 // StoreID, Base, HasBase
+	FailStore            Kind = 7 // StoreID, Base, HasBase
+	RestoreStore         Kind = 8 // StoreID
 )
 
 // String returns the name of the kind.
@@ -35,6 +37,10 @@
 		return "RetireCompleted"
 	case RemoveStore:
 		return "RemoveStore"
+	case FailStore:
+		return "FailStore"
+	case RestoreStore:
+		return "RestoreStore"
 	}
 	return "command " + strconv.Itoa(int(k))
 }
@@ -43,8 +49,8 @@
 type Command struct {
 	Kind Kind
 
-	// Base is the version that a change of the configuration builds on, 0 for the first one. For RetireStore it is the
-	// epoch of the store view at which the request was received.
+	// Base is the version that a change of the configuration builds on, 0 for the first one. For RetireStore, FailStore and
+	// RemoveStore it is the epoch of the store view on which the request was decided.
 	Base    uint64
 	HasBase bool   // the caller specified a base
 	Body    []byte // as the operator sent it
--- a/internal/tier/controlstate/snapshot_test.go
+++ b/internal/tier/controlstate/snapshot_test.go
@@ -59,6 +59,7 @@
 		before := append([]byte(nil), snapshot...)
 		expectAccepted(state, replace(5, configurationBody(9, "u")))
 		expectAccepted(state, register(store(5)))
+		expectAccepted(state, fail("id-4"))
 		expectAccepted(state, remove("id-4"))
 		Expect(snapshot).To(Equal(before))
 	})
--- a/internal/tier/controlstate/state.go
+++ b/internal/tier/controlstate/state.go
@@ -87,6 +87,10 @@
 		return s.completeRetirement(c)
 	case RemoveStore:
 		return s.removeStore(c)
+	case FailStore:
+		return s.failStore(c)
+	case RestoreStore:
+		return s.restoreStore(c)
 	}
 	return s.refuse(StatusBadRequest, c.Kind.String()+" is not known"), false
 }
--- a/internal/tier/controlstate/stores.go
+++ b/internal/tier/controlstate/stores.go
@@ -18,12 +18,43 @@
 	Node     string // its machine, unique in the view
 	Zone     string
 	Address  string // for internal calls
-	Retiring bool   // its data is being moved to other stores, and it accepts no new data
+	Retiring bool   // its data is being copied to other stores, and it accepts no new data
 
 	Replaced  bool   // it replaced a store of the same node whose disk is lost, and may lack the data of that one
 	JoinEpoch uint64 // the epoch at which it joined; it may lack data written in earlier ones
 }
 
+// ActiveCount returns the number of members that are not retiring.
+func (v *StoreView) ActiveCount() int {
+	count := 0
+	for _, member := range v.Members {
+		if !member.Retiring {
+			count++
+		}
+	}
+	return count
+}
+
+// minActive returns how many active members are needed so that stored data survives the tolerated losses.
+func (v *StoreView) minActive() int { return v.Tolerance + 1 }
+
+// CheckFailure returns why one more store can't be marked as failed while some have failed already; empty if it can. At
+// most Tolerance stores are failed at a time: if more are gone, some data may be on these alone.
+func (v *StoreView) CheckFailure(failed int) (refusal string) {
+	if failed >= v.Tolerance {
+		return fmt.Sprintf("%d stores have failed already, %d may fail at a time", failed, v.Tolerance)
+	}
+	return v.checkDeparture()
+}
+
+// checkDeparture returns why no member may stop being active; empty if one may.
+func (v *StoreView) checkDeparture() (refusal string) {
+	if v.ActiveCount() > v.minActive() {
+		return ""
+	}
+	return fmt.Sprintf("%d stores would be left, %d are needed", v.ActiveCount()-1, v.minActive())
+}
+
 // RetirementState is the progress of a machine's retirement.
 type RetirementState int
 
@@ -138,16 +169,14 @@
 	if state == RetirementRunning || index < 0 && state == RetirementCompleted {
 		return s.storeResult(StatusOK, ""), false
 	}
-	if c.HasBase && c.Base != s.stores.Epoch {
-		reason := fmt.Sprintf("the stores have changed since the order came in: epoch %d then, %d now", c.Base, s.stores.Epoch)
-		return s.storeResult(StatusUnknown, reason), false
+	if result, current := s.checkStoreBase(c); !current {
+		return result, false
 	}
 	if index < 0 {
 		return s.storeResult(StatusNotFound, fmt.Sprintf("there is no store on node %q", c.Node)), false
 	}
-	if s.activeStores() <= s.minActiveStores() {
-		reason := fmt.Sprintf("%d stores would be left, %d are needed", s.activeStores()-1, s.minActiveStores())
-		return s.storeResult(StatusConflict, reason), false
+	if refusal := s.stores.checkDeparture(); refusal != "" {
+		return s.storeResult(StatusConflict, refusal), false
 	}
 	if !s.makeRetirementRoom() {
 		return s.storeResult(StatusConflict, "too many machines are being emptied"), false
@@ -179,21 +208,78 @@
 	return s.storeResult(StatusOK, ""), true
 }
 
-// removeStore removes a permanently lost store from the view. A retirement of its machine continues: its data is on other
-// stores only once they have repaired it, which they report by RetireCompleted.
+// failStore marks a store as failed: it is Retiring without a retirement of its machine. So no new data is placed there and
+// the others copy what it held, while it still counts as a possible holder of all data.
+func (s *State) failStore(c Command) (Result, bool) {
+	index := s.memberIndexByID(c.StoreID)
+	if index < 0 || s.stores.Members[index].Retiring {
+		return s.storeResult(StatusOK, ""), false
+	}
+	if result, current := s.checkStoreBase(c); !current {
+		return result, false
+	}
+	if refusal := s.stores.CheckFailure(len(s.FailedStores())); refusal != "" {
+		return s.storeResult(StatusConflict, refusal), false
+	}
+	s.stores.Members[index].Retiring = true
+	s.stores.Epoch++
+	return s.storeResult(StatusOK, ""), true
+}
+
+// restoreStore makes a failed store active again: it came back with its disk.
+func (s *State) restoreStore(c Command) (Result, bool) {
+	index := s.memberIndexByID(c.StoreID)
+	if index < 0 || !s.hasFailed(s.stores.Members[index]) {
+		return s.storeResult(StatusOK, ""), false
+	}
+	s.stores.Members[index].Retiring = false
+	s.stores.Epoch++
+	return s.storeResult(StatusOK, ""), true
+}
+
+// removeStore removes a failed or retiring store from the view once the active ones hold all of its data, which the caller
+// has made sure of under the view of epoch Base. A retirement of its machine continues until RetireCompleted.
 func (s *State) removeStore(c Command) (Result, bool) {
 	index := s.memberIndexByID(c.StoreID)
 	if index < 0 {
 		return s.storeResult(StatusOK, ""), false
 	}
-	if !s.stores.Members[index].Retiring && s.activeStores() <= s.minActiveStores() {
-		reason := fmt.Sprintf("%d stores would be left, %d are needed", s.activeStores()-1, s.minActiveStores())
-		return s.storeResult(StatusConflict, reason), false
+	member := s.stores.Members[index]
+	if !member.Retiring {
+		return s.storeResult(StatusConflict, fmt.Sprintf("store %s is active: its data may be on no other store", member.ID)), false
+	}
+	if result, current := s.checkStoreBase(c); !current {
+		return result, false
 	}
 	s.dropMember(c.StoreID)
 	return s.storeResult(StatusOK, ""), true
 }
 
+// checkStoreBase returns a refusal and false if the store view has changed since the command was decided on.
+func (s *State) checkStoreBase(c Command) (Result, bool) {
+	if !c.HasBase || c.Base == s.stores.Epoch {
+		return Result{}, true
+	}
+	reason := fmt.Sprintf("the stores have changed since the order came in: epoch %d then, %d now", c.Base, s.stores.Epoch)
+	return s.storeResult(StatusUnknown, reason), false
+}
+
+// FailedStores returns the members that have failed, see failStore.
+func (s *State) FailedStores() []StoreMember {
+	var failed []StoreMember
+	for _, m := range s.stores.Members {
+		if s.hasFailed(m) {
+			failed = append(failed, m)
+		}
+	}
+	return failed
+}
+
+// hasFailed reports whether a member is Retiring for another reason than a retirement of its machine.
+func (s *State) hasFailed(m StoreMember) bool {
+	return m.Retiring && s.Retirement(m.Node) != RetirementRunning
+}
+
 // dropMember removes a member from the view if it is there, and advances the epoch.
 func (s *State) dropMember(id string) {
 	if index := s.memberIndexByID(id); index >= 0 {
@@ -202,20 +288,6 @@
 	s.stores.Epoch++
 }
 
-// minActiveStores returns how many non-retiring stores are needed so that stored data survives the tolerated losses.
-func (s *State) minActiveStores() int { return s.stores.Tolerance + 1 }
-
-// activeStores returns the number of members that are not retiring.
-func (s *State) activeStores() int {
-	count := 0
-	for _, member := range s.stores.Members {
-		if !member.Retiring {
-			count++
-		}
-	}
-	return count
-}
-
 // makeRetirementRoom drops the oldest completed retirement if there are maxRetirements. It returns false if all of them
 // are still running.
 func (s *State) makeRetirementRoom() bool {
--- a/internal/tier/controlstate/stores_test.go
+++ b/internal/tier/controlstate/stores_test.go
@@ -35,6 +35,14 @@
 	return controlstate.Command{Kind: controlstate.RemoveStore, StoreID: id}
 }
 
+func fail(id string) controlstate.Command {
+	return controlstate.Command{Kind: controlstate.FailStore, StoreID: id}
+}
+
+func restore(id string) controlstate.Command {
+	return controlstate.Command{Kind: controlstate.RestoreStore, StoreID: id}
+}
+
 // stateWithStores returns a state with the stores 1 to count and a tolerance of one machine.
 func stateWithStores(count int) *controlstate.State {
 	GinkgoHelper()
@@ -123,9 +131,11 @@
 
 	It("adds a removed store again with a new join epoch", func() {
 		state := stateWithStores(3)
+		expectAccepted(state, fail("id-3"))
 		expectAccepted(state, remove("id-3"))
 		expectAccepted(state, register(store(3)))
-		Expect(state.Stores().Members[2].JoinEpoch).To(BeEquivalentTo(5))
+		Expect(state.Stores().Members[2].JoinEpoch).To(BeEquivalentTo(6))
+		Expect(state.Stores().Members[2].Retiring).To(BeFalse())
 	})
 
 	It("has a maximum size", func() {
@@ -289,19 +299,84 @@
 	})
 })
 
-var _ = Describe("a permanently lost store", func() {
-	It("is removed once", func() {
-		state := stateWithStores(3)
+var _ = Describe("a store that is down", func() {
+	It("is marked as failed, and then removed once", func() {
+		state := stateWithStores(4)
+		expectAccepted(state, fail("id-1"))
+		Expect(state.Stores().Members[0].Retiring).To(BeTrue())
+		Expect(state.FailedStores()).To(HaveLen(1))
+		expectUnchanged(state, fail("id-1"), controlstate.StatusOK)
 		expectAccepted(state, remove("id-1"))
-		Expect(memberIDs(state)).To(Equal([]string{"id-2", "id-3"}))
+		Expect(memberIDs(state)).To(Equal([]string{"id-2", "id-3", "id-4"}))
 		expectUnchanged(state, remove("id-1"), controlstate.StatusOK)
+		expectUnchanged(state, fail("id-1"), controlstate.StatusOK)
+	})
+
+	// Guards against a removal before the others hold what the store held: as many as may be lost could then hold the rest.
+	It("is not removed while it is active", func() {
+		expectUnchanged(stateWithStores(4), remove("id-1"), controlstate.StatusConflict)
+	})
+
+	// Guards against five stores that shrink to three because two are down at once, though one may be lost (review/5).
+	It("is not marked while as many have failed as may be lost", func() {
+		state := stateWithStores(6)
+		expectAccepted(state, fail("id-1"))
+		expectUnchanged(state, fail("id-2"), controlstate.StatusConflict)
+		expectUnchanged(state, remove("id-2"), controlstate.StatusConflict)
+		expectAccepted(state, remove("id-1"))
+		expectAccepted(state, fail("id-2"))
 	})
 
 	It("is kept if too few stores would be left", func() {
-		expectUnchanged(stateWithStores(2), remove("id-1"), controlstate.StatusConflict)
+		expectUnchanged(stateWithStores(2), fail("id-1"), controlstate.StatusConflict)
 		state := stateWithStores(3)
 		expectAccepted(state, retire("node-3"))
+		expectUnchanged(state, fail("id-1"), controlstate.StatusConflict)
 		expectUnchanged(state, remove("id-1"), controlstate.StatusConflict)
 		expectAccepted(state, remove("id-3"))
 	})
+
+	It("is active again once it is back", func() {
+		state := stateWithStores(4)
+		expectUnchanged(state, restore("id-1"), controlstate.StatusOK)
+		expectAccepted(state, fail("id-1"))
+		Expect(restoreCopy(state).FailedStores()).To(Equal(state.FailedStores()))
+		expectAccepted(state, restore("id-1"))
+		Expect(state.Stores().Members[0].Retiring).To(BeFalse())
+		Expect(state.FailedStores()).To(BeEmpty())
+	})
+
+	It("is active again if it lost its disk", func() {
+		state := stateWithStores(4)
+		expectAccepted(state, fail("id-1"))
+		successor := store(1)
+		successor.ID = "id-fresh"
+		command := register(successor)
+		command.Bootstrap = false
+		expectAccepted(state, command)
+		Expect(state.Stores().Members[0].Retiring).To(BeFalse())
+		Expect(state.Stores().Members[0].Replaced).To(BeTrue())
+	})
+
+	It("stays retiring if an operator retires it as well", func() {
+		state := stateWithStores(4)
+		expectAccepted(state, fail("id-1"))
+		expectAccepted(state, retire("node-1"))
+		Expect(state.FailedStores()).To(BeEmpty())
+		expectUnchanged(state, restore("id-1"), controlstate.StatusOK)
+		expectAccepted(state, completed("node-1", "id-1"))
+	})
+
+	It("is neither marked nor removed on a view other than the one decided on", func() {
+		state := stateWithStores(4)
+		command := fail("id-1")
+		command.Base, command.HasBase = state.Stores().Epoch-1, true
+		expectUnchanged(state, command, controlstate.StatusUnknown)
+		command.Base++
+		expectAccepted(state, command)
+		command.Kind = controlstate.RemoveStore
+		expectUnchanged(state, command, controlstate.StatusUnknown)
+		command.Base++
+		expectAccepted(state, command)
+	})
 })
--- a/internal/tier/store/catchup.go
+++ b/internal/tier/store/catchup.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 
 	"emberquay/internal/tier/storewire"
 )
@@ -17,30 +16,66 @@
 	turns  []storewire.ListedTurn
 }
 
-// inventorySet holds the inventories received under one view, by member. They are kept until enough have arrived, so
-// that one unreachable store does not make the others send theirs again and again. Only the repair goroutine uses it.
+// inventorySet holds what was received under one view, by member. It is kept until enough have answered, so that one
+// unreachable store does not make the others send theirs again and again. Only the repair goroutine uses it.
 type inventorySet struct {
 	epoch    int64
+	programs map[int]bool // members whose programs are stored here
 	received map[int]*inventory
 	failed   map[int]bool // holders whose last fetch failed: others are asked first
 }
 
-// catchUp copies missing data from the other members and reports whether this store is complete now. A store that was
-// added, rather than one that replaces a lost disk, is complete at once: the quorums grew with it, so none relies on
-// data that it lacks.
+// catchUp copies missing records from the other members and reports whether this store is complete and settled now. A
+// store that was added, rather than one that replaces a lost disk, is complete at once: the quorums grew with it, so
+// none relies on records that it lacks. The programs come first: reservations wait for them, and turns may be many.
 func (s *Store) catchUp(ctx context.Context, round roundInput) bool {
-	if !round.complete && !round.unsettled && !round.view.Members[round.self].Replaced {
-		return s.markComplete(ctx)
+	if !round.complete && !round.view.Members[round.self].Replaced {
+		if !s.markComplete(ctx) {
+			return false
+		}
+		round.complete = true
+	}
+	if round.complete && !round.unsettled {
+		return true
 	}
-	s.collectInventories(ctx, round)
-	if len(s.inventories.received) < round.view.CatchUpQuorum() || !s.fetchMissing(ctx, round) {
+	if s.inventories.epoch != round.view.Epoch {
+		s.inventories = inventorySet{epoch: round.view.Epoch, programs: map[int]bool{}, received: map[int]*inventory{},
+			failed: map[int]bool{}}
+	}
+	s.collect(ctx, round)
+	if !s.inventories.complete(round.consultQuorum()) || !s.fetchMissing(ctx, round) {
 		return false
 	}
 	s.inventories = inventorySet{}
+	return s.markSettled(ctx, round)
+}
+
+// consultQuorum returns how many other members must answer this store before it is complete and settled.
+func (r *roundInput) consultQuorum() int {
+	if r.complete {
+		return r.view.SettleQuorum()
+	}
+	return r.view.CatchUpQuorum()
+}
+
+// markComplete records that this store is complete: its "unknown" counts from now on.
+func (s *Store) markComplete(ctx context.Context) bool {
+	stored := false
+	err := s.do(ctx, func(t *table) bool {
+		meta := t.meta
+		meta.Complete = true
+		stored = t.appendMeta(meta)
+		return stored
+	})
+	return err == nil && stored
+}
+
+// markSettled records that this store is complete and settled, unless an active member left since the round began: that
+// one may have held records that are missing here.
+func (s *Store) markSettled(ctx context.Context, round roundInput) bool {
 	settled := false
 	err := s.do(ctx, func(t *table) bool {
-		// A store that was removed meanwhile may have held data that is now missing here.
-		if t.meta.View.Epoch != round.view.Epoch && holderRemoved(round.view, t.meta.View) {
+		if t.meta.View.ActiveMemberLeft(&round.view) {
 			return false
 		}
 		meta := t.meta
@@ -51,60 +86,88 @@
 	return err == nil && settled
 }
 
-// markComplete records that this store is complete: its "unknown" counts from now on.
-func (s *Store) markComplete(ctx context.Context) bool {
-	kept := false
-	err := s.do(ctx, func(t *table) bool {
-		meta := t.meta
-		meta.Complete = true
-		kept = t.appendMeta(meta)
-		return kept
-	})
-	return err == nil && kept
+// memberAnswer is the end of a question to another member.
+type memberAnswer struct {
+	member    int
+	programs  bool       // its programs are stored here
+	inventory *inventory // nil: it was not asked for, or didn't come whole
 }
 
-// collectInventories asks all other members that have not yet answered under this view, in parallel. It leaves out
-// those that answer only in part or are not complete themselves.
-func (s *Store) collectInventories(ctx context.Context, round roundInput) {
-	if s.inventories.epoch != round.view.Epoch {
-		s.inventories = inventorySet{epoch: round.view.Epoch, received: map[int]*inventory{}, failed: map[int]bool{}}
-	}
-	answers := make(chan *inventory, len(round.view.Members))
-	var asking sync.WaitGroup
+// collect asks the members that have not yet answered under this view for their programs and their turns, in parallel. It
+// returns once enough have answered or all questions have ended: the rest, of which some may be unreachable, is not waited
+// for. After a failed fetch it waits for all, since others may hold the same turns. Members answer in whole or don't count;
+// so do those that are not complete themselves.
+func (s *Store) collect(ctx context.Context, round roundInput) {
+	answers := make(chan memberAnswer, 2*len(round.view.Members))
+	pending := 0
 	for member := range round.view.Members {
-		if member == round.self || s.inventories.received[member] != nil {
+		if member == round.self {
 			continue
 		}
-		asking.Add(1)
-		go func() {
-			defer asking.Done()
-			inv := &inventory{member: member}
-			if s.fetchInventory(ctx, round, inv) && s.fetchPrograms(ctx, round, member) {
-				answers <- inv
+		if !s.inventories.programs[member] {
+			pending++
+			go func() { answers <- memberAnswer{member: member, programs: s.fetchPrograms(ctx, round, member)} }()
+		}
+		if s.inventories.received[member] == nil {
+			pending++
+			go func() { answers <- memberAnswer{member: member, inventory: s.fetchInventory(ctx, round, member)} }()
+		}
+	}
+	for ; pending > 0 && !s.inventories.suffice(round.consultQuorum()); pending-- {
+		answer := <-answers
+		if answer.inventory != nil {
+			s.inventories.received[answer.member] = answer.inventory
+		}
+		if answer.programs {
+			s.inventories.programs[answer.member] = true
+			if len(s.inventories.programs) == round.consultQuorum() {
+				s.markProgramsSettled(ctx, round)
 			}
-		}()
+		}
 	}
-	asking.Wait()
-	close(answers)
-	for inv := range answers {
-		s.inventories.received[inv.member] = inv
+}
+
+// suffice reports whether enough members have answered and none of them has failed to send turns.
+func (i *inventorySet) suffice(quorum int) bool {
+	for _, failed := range i.failed {
+		if failed {
+			return false
+		}
 	}
+	return i.complete(quorum)
+}
+
+// complete reports whether the programs and the inventories of enough members are here.
+func (i *inventorySet) complete(quorum int) bool {
+	return len(i.programs) >= quorum && len(i.received) >= quorum
 }
 
-func (s *Store) fetchInventory(ctx context.Context, round roundInput, inv *inventory) bool {
-	request := storewire.ListRequest{Header: round.header(inv.member), Sender: s.id, FromStart: true}
+// markProgramsSettled records that this store holds all reservations that were acknowledged before the view of the round.
+func (s *Store) markProgramsSettled(ctx context.Context, round roundInput) {
+	_ = s.do(ctx, func(t *table) bool { // after an error the reservations wait for the turns
+		if t.meta.View.Epoch == round.view.Epoch {
+			t.programsSettledEpoch = round.view.Epoch
+		}
+		return true // the programs must be on the disk before an answer relies on them
+	})
+}
+
+// fetchInventory returns the inventory of a member, or nil if it can't be had whole.
+func (s *Store) fetchInventory(ctx context.Context, round roundInput, member int) *inventory {
+	inv := &inventory{member: member}
+	request := storewire.ListRequest{Header: round.header(member), Sender: s.id, FromStart: true}
 	for {
-		answer, err := s.callList(ctx, round, inv.member, request)
+		answer, err := s.callList(ctx, round, member, request)
 		if err != nil || !s.acceptReply(answer.Reply) || !answer.Reply.Complete {
-			return false
+			return nil
 		}
 		page, err := storewire.DecodeListedTurns(answer.Turns)
 		if err != nil || len(page) == 0 && answer.More {
-			return false
+			return nil
 		}
 		inv.turns = append(inv.turns, page...)
 		if !answer.More {
-			return true
+			return inv
 		}
 		request.FromStart, request.AfterKey = false, int64(page[len(page)-1].Key)
 	}
@@ -155,8 +218,8 @@
 	placedHere bool
 }
 
-// fetchMissing copies the turns that belong here, and those that too few of the others hold: this store may have been
-// one of their holders before it lost its disk.
+// fetchMissing copies the turns that belong here. A store that lost its disk also copies those that too few of the others
+// hold: it may have been one of their holders.
 func (s *Store) fetchMissing(ctx context.Context, round roundInput) bool {
 	missing, ok := s.missingTurns(ctx, round, s.inventories.received)
 	if !ok {
@@ -216,7 +279,8 @@
 	copies := round.view.Copies()
 	err := s.do(ctx, func(t *table) bool {
 		for key, wanted := range missing {
-			if t.heldOrExpired(key) || !wanted.placedHere && len(wanted.holders) >= copies {
+			elsewhere := !wanted.placedHere && (round.complete || len(wanted.holders) >= copies)
+			if elsewhere || t.heldOrExpired(key) {
 				delete(missing, key)
 			}
 		}
--- a/internal/tier/store/cluster_test.go
+++ b/internal/tier/store/cluster_test.go
@@ -139,6 +139,19 @@
 	})
 }
 
+// fail marks a store as failed.
+func (c *cluster) fail(name string) { c.retire(name) }
+
+// restore makes a failed store active again.
+func (c *cluster) restore(name string) {
+	c.changeView(func(members []controlstate.StoreMember) []controlstate.StoreMember {
+		for i := range members {
+			members[i].Retiring = members[i].Retiring && members[i].Node != name
+		}
+		return members
+	})
+}
+
 func (c *cluster) remove(name string) {
 	c.changeView(func(members []controlstate.StoreMember) []controlstate.StoreMember {
 		var left []controlstate.StoreMember
@@ -305,6 +318,18 @@
 	Expect(history.Root).To(Equal(ids[0]))
 }
 
+// expectTwoCopies expects that each turn can be read while any one store is down.
+func (c *cluster) expectTwoCopies(ids []string) {
+	GinkgoHelper()
+	for _, n := range c.nodes {
+		n.down.Store(true)
+		for _, id := range ids {
+			Expect(c.lookUp(id)).To(Equal(storeclient.Found), "each turn is on two stores")
+		}
+		n.down.Store(false)
+	}
+}
+
 // lookUp returns the verdict of a new client on a turn; an Unsure verdict takes until the context ends.
 func (c *cluster) lookUp(id string) storeclient.Verdict {
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
--- a/internal/tier/store/log.go
+++ b/internal/tier/store/log.go
@@ -34,7 +34,7 @@
 type meta struct {
 	ID           string
 	Complete     bool  // it holds all data that it should
-	Unsettled    bool  // a store was removed since, and data that it held may be missing here
+	Unsettled    bool  // an active member left since, and records that it held may be missing here
 	Fence        int64 // newest epoch of a served request or an applied view; older requests are rejected
 	View         storewire.View
 	recordNumber uint64 // number of the record that holds this state
--- a/internal/tier/store/repair.go
+++ b/internal/tier/store/repair.go
@@ -81,10 +81,10 @@
 	if err != nil || round.self < 0 {
 		return false
 	}
-	switch {
-	case !round.complete || round.unsettled:
-		return !s.catchUp(ctx, round)
-	case round.retiring:
+	if (!round.complete || round.unsettled) && !s.catchUp(ctx, round) {
+		return true
+	}
+	if round.retiring {
 		return !s.handOff(ctx, round)
 	}
 	if peer, ok := round.peer(roundNumber); ok {
--- a/internal/tier/store/repair_test.go
+++ b/internal/tier/store/repair_test.go
@@ -206,9 +206,9 @@
 			ids = append(ids, commitChain(c.client("a"), fmt.Sprint("talk", i), 1)[0])
 		}
 		// The store in the client's zone holds one copy of each turn. It is lost for good.
-		removed := c.nodes[0]
-		removed.down.Store(true)
-		c.remove(removed.name)
+		failed := c.nodes[0]
+		failed.down.Store(true)
+		c.fail(failed.name)
 		c.nodes = c.nodes[1:]
 		c.publishView()
 		for _, id := range ids {
@@ -219,13 +219,63 @@
 			Expect(n.store.RepairRound(0)).To(BeFalse())
 		}
 		Expect(c.lookUp("unheard")).To(Equal(storeclient.Missing))
-		for _, n := range c.nodes {
+		c.expectTwoCopies(ids)
+		c.remove(failed.name)
+		c.publishView()
+		Expect(c.lookUp("unheard")).To(Equal(storeclient.Missing), "its records are held elsewhere, so nothing is unsure")
+		c.expectTwoCopies(ids)
+	})
+
+	// Guards against 404 for turns whose holders are all down with their disks: five stores, of which one may be lost, shrank
+	// to three, which then agreed among themselves that the turns did not exist (review/5).
+	It("leaves turns unsure, never missing, while more stores are down than may be lost", func() {
+		c := newCluster(1, "a", "b", "c", "d", "e")
+		var ids []string
+		for i := range 12 {
+			ids = append(ids, commitChain(c.client("b"), fmt.Sprint("talk", i), 1)[0])
+		}
+		for _, n := range c.nodes[1:3] {
 			n.down.Store(true)
-			for _, id := range ids {
-				Expect(c.lookUp(id)).To(Equal(storeclient.Found), "each turn is on two stores again")
-			}
+		}
+		c.fail("store-1") // the control state marks no second one
+		c.publishView()
+		c.repairRounds(5)
+		for _, id := range ids {
+			Expect(c.lookUp(id)).NotTo(Equal(storeclient.Missing))
+		}
+		Expect(c.lookUp("unheard")).To(Equal(storeclient.Unavailable))
+		for _, n := range c.nodes[1:3] {
 			n.down.Store(false)
 		}
+		c.restore("store-1")
+		c.publishView()
+		c.repairRounds(1)
+		for _, id := range ids {
+			Expect(c.lookUp(id)).To(Equal(storeclient.Found))
+		}
+		Expect(c.lookUp("unheard")).To(Equal(storeclient.Missing))
+	})
+
+	// Guards against reservations that wait until all turns of a failed store are copied: the programs come first.
+	It("delays reservations only until the others have compared their programs", func() {
+		c := newCluster(1, "a", "b", "c", "d")
+		commitChain(c.client("a"), "talk", 3)
+		Expect(c.client("a").Reserve(ctx, reservation("1"))).To(Equal(storeclient.Granted))
+		c.nodes[0].down.Store(true)
+		c.fail("store-0")
+		c.publishView()
+		c.setFault(func(method, _ string) error {
+			if method == "list" {
+				return errUnreachable
+			}
+			return nil
+		})
+		Expect(reserveAt(c, c.nodes[1], "x", true).Reply.Complete).To(BeFalse())
+		c.repairRounds(1)
+		answer := reserveAt(c, c.nodes[1], "x", true)
+		Expect(answer.Reply.Complete).To(BeTrue())
+		Expect(answer.Entries).NotTo(BeEmpty())
+		Expect(c.lookUp("unheard")).To(Equal(storeclient.Unavailable))
 	})
 
 	It("does not include one that was retired before", func() {
@@ -245,12 +295,16 @@
 		c := newCluster(1, "a", "b", "c", "d")
 		n := c.nodes[0]
 		commitChain(c.client("a"), "talk", 5)
+		n.down.Store(true)
+		c.fail(n.name)
+		c.publishView()
+		Expect(c.lookUp("talk-4")).NotTo(Equal(storeclient.Missing))
+		Expect(reserveAt(c, c.nodes[1], "x", true).Reply.Complete).To(BeFalse())
+		c.repairRounds(1)
 		c.remove(n.name)
 		n.wipe() // not in the view, so it replaces no member
 		c.publishView()
 		Expect(c.view.Members[3].Replaced).To(BeFalse())
-		Expect(c.lookUp("talk-4")).NotTo(Equal(storeclient.Missing))
-		Expect(reserveAt(c, c.nodes[1], "x", true).Reply.Complete).To(BeFalse())
 		n.store.RepairRound(0)
 		c.repairRounds(1)
 		c.expectFound([]string{"talk-0", "talk-1", "talk-2", "talk-3", "talk-4"})
--- a/internal/tier/store/serve_client.go
+++ b/internal/tier/store/serve_client.go
@@ -45,8 +45,8 @@
 	if !t.checkHeader(request.Header, &answer.Reply) {
 		return false
 	}
-	// After a store was removed, a quorum may consist of stores that miss reservations which that store took part in.
-	answer.Reply.Complete = answer.Reply.Complete && !t.meta.Unsettled
+	// After an active member left, a quorum may consist of stores that miss reservations which that member took part in.
+	answer.Reply.Complete = answer.Reply.Complete && t.programsSettled()
 	key := budget.TurnKeyOf(request.Turn)
 	known := t.programs[request.Program]
 	if request.Recheck || known != nil && known.ledger.SettledTokens() >= request.BudgetTokens {
--- a/internal/tier/store/serve_peer.go
+++ b/internal/tier/store/serve_peer.go
@@ -34,6 +34,10 @@
 	if !t.checkHeader(request.Header, &answer.Reply) {
 		return false
 	}
+	if t.meta.View.Epoch < request.Header.Epoch {
+		answer.Reply.Status = storewire.Busy // what belongs at the sender is known only under its view
+		return t.fenceUnsynced()
+	}
 	sender := t.meta.View.IndexOf(request.Sender)
 	turns := make([]*heldTurn, 0, len(t.turns))
 	for key, turn := range t.turns {
--- a/internal/tier/store/store.go
+++ b/internal/tier/store/store.go
@@ -18,6 +18,8 @@
 //   - A store with a fresh disk is incomplete until it has compared itself with View.CatchUpQuorum other stores. At
 //     least one of them holds whatever was acknowledged before. A turn that too few of them hold is copied even if it
 //     belongs elsewhere.
+//   - After a member stopped being active a store is unsettled until it has compared itself with View.SettleQuorum others
+//     and holds what belongs here without that member. Package storewire has the argument.
 package store
 
 import (
--- a/internal/tier/store/table.go
+++ b/internal/tier/store/table.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"slices"
 	"time"
 
 	"emberquay/coordination/merkle"
@@ -43,10 +42,12 @@
 	sharedTurnTrees     []merkle.Tree            // by member: turns that belong both there and here
 	misplacedTurns      map[uint64]*heldTurn     // by key: turns that do not belong here
 
-	programs       map[string]*program
-	entryCount     int // reservations of all programs
-	programTree    merkle.Tree
-	hasAllPrograms map[string]bool // by store id, while retiring: the member has all programs
+	programs    map[string]*program
+	entryCount  int // reservations of all programs
+	programTree merkle.Tree
+	// programsSettledEpoch is the epoch of the last view under which this store compared its programs with enough others.
+	programsSettledEpoch int64
+	hasAllPrograms       map[string]bool // by store id, while retiring: the member has all programs
 
 	placesBuffer []int
 }
@@ -67,6 +68,11 @@
 	}
 }
 
+// programsSettled reports whether the store holds every reservation that was acknowledged before the current view.
+func (t *table) programsSettled() bool {
+	return !t.meta.Unsettled || t.programsSettledEpoch == t.meta.View.Epoch
+}
+
 // hasUnsynced reports whether some appended record may not be on the disk.
 func (t *table) hasUnsynced() bool { return t.appendedRecords > t.durableRecords }
 
@@ -101,7 +107,8 @@
 // that passes must be durable as long as fenceUnsynced, so that the fence is on the disk before any answer relies on
 // it.
 func (t *table) checkHeader(header storewire.Header, reply *storewire.Reply) bool {
-	reply.Complete = t.meta.Complete
+	// Under an older view than the request's this store doesn't know yet what it lacks.
+	reply.Complete = t.meta.Complete && t.meta.View.Epoch >= header.Epoch
 	if t.meta.View.Epoch > header.Epoch {
 		reply.View = t.meta.View
 	}
@@ -134,7 +141,7 @@
 	}
 	meta := t.meta
 	meta.Fence = max(meta.Fence, view.Epoch)
-	meta.Unsettled = meta.Unsettled || holderRemoved(t.meta.View, view)
+	meta.Unsettled = meta.Unsettled || view.ActiveMemberLeft(&t.meta.View)
 	meta.View = view
 	if !t.appendMeta(meta) {
 		return false
@@ -143,18 +150,6 @@
 	return true
 }
 
-// holderRemoved reports whether a store of the old view is missing from the new one together with the data that it
-// held. That data may then have fewer copies, and an "unknown" from the remaining stores proves less. A retiring store
-// does not count, as it left empty; nor does one whose node has a Replaced successor, which catches up by itself.
-func holderRemoved(old, view storewire.View) bool {
-	remains := func(m storewire.Member) bool {
-		return slices.ContainsFunc(view.Members, func(n storewire.Member) bool {
-			return n.ID == m.ID || n.Node == m.Node && n.Replaced
-		})
-	}
-	return slices.ContainsFunc(old.Members, func(m storewire.Member) bool { return !m.Retiring && !remains(m) })
-}
-
 // recomputePlacement rebuilds the placement of all held turns from the current view.
 func (t *table) recomputePlacement() {
 	view := &t.meta.View
