--- a/internal/tier/controlplane/alone_test.go
+++ b/internal/tier/controlplane/alone_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,8 +25,13 @@
 	. "github.com/onsi/gomega"
 )
 
-// startPlane starts one of three control planes on a loopback address of its own.
+// startPlane starts one of three control planes on a loopback address of its own, with a disk of 64 MB.
 func startPlane(number int, ports [2]int, seeds []string, dir string, bootstrap bool) *Plane {
+	GinkgoHelper()
+	return startPlaneOnDisk(number, ports, seeds, dir, bootstrap, 64)
+}
+
+func startPlaneOnDisk(number int, ports [2]int, seeds []string, dir string, bootstrap bool, diskMB int) *Plane {
 	GinkgoHelper()
 	ip := "127.0.1." + strconv.Itoa(number)
 	node := &settings.Node{
@@ -34,7 +40,7 @@
 		Bootstrap: bootstrap, CountsForQuorum: true, DataDir: dir, HeartbeatInterval: time.Second,
 	}
 	node.Listen.Control = seeds[number-1]
-	node.Limits.DiskMB, node.Limits.MemoryMB, node.Limits.MaxFDs = 64, 244, 4100
+	node.Limits.DiskMB, node.Limits.MemoryMB, node.Limits.MaxFDs = diskMB, 244, 4100
 	node.FaultTolerance.Machines = 1
 	plane, err := Start(node, &log.Logger{Handler: discard.Default})
 	Expect(err).NotTo(HaveOccurred())
@@ -213,3 +219,37 @@
 	status, _, _ := c.send(address)
 	return status
 }
+
+// Guards against a configuration that is acknowledged and then fills the disk, so that the replicas stop (review/6).
+var _ = Describe("a configuration that is too large for the machine's disk", func() {
+	It("is refused with the reason, and a smaller one is taken", func(ctx SpecContext) {
+		ports, seeds, dirs := threePlaneSettings()
+		plane := startPlaneOnDisk(1, ports, seeds[:1], dirs[0], true, 4)
+		DeferCleanup(func() { shutDown(plane) })
+		configurationOf := func(version, size int) string {
+			body := fmt.Sprintf(`{"version":%d,"services":[{"name":"s"}],"routes":[]}`, version)
+			return body + strings.Repeat(" ", size-len(body))
+		}
+		limit := plane.replica.MaxStateBytes()
+		replace := func(base, size int) apiCall {
+			return apiCall{"replace", "POST", "/api/Config.Replace", strconv.Itoa(base), configurationOf(base+1, size)}
+		}
+		Eventually(ctx, func() int { status, _, _ := replace(0, limit/2).send(seeds[0]); return status }).Should(Equal(200))
+		status, body, _ := replace(1, limit+1).send(seeds[0])
+		Expect(status).To(Equal(400))
+		Expect(body).To(ContainSubstring("the disk has room for"))
+		for base := 1; base < 8; base++ {
+			status, body, _ := replace(base, limit*3/4).send(seeds[0])
+			Expect(status).To(Equal(200), body)
+		}
+		modify := func(base, nameBytes int) apiCall {
+			change := fmt.Sprintf(`{"version":%d,"upsert":{"services":[{"name":"%s"}]}}`, base+1, strings.Repeat("t", nameBytes))
+			return apiCall{"modify", "POST", "/api/Config.Modify", strconv.Itoa(base), change}
+		}
+		status, body, _ = modify(8, limit*2/3).send(seeds[0])
+		Expect(status).To(Equal(200), body)
+		status, body, _ = modify(9, limit*2/3+1).send(seeds[0])
+		Expect(status).To(Equal(400))
+		Expect(body).To(ContainSubstring("the disk has room for"))
+	}, NodeTimeout(time.Minute))
+})
--- a/internal/tier/controlplane/operator.go
+++ b/internal/tier/controlplane/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -51,7 +52,36 @@
 		writeError(w, http.StatusBadRequest, versionHeader+": not a version")
 		return
 	}
-	p.proposeAndAnswer(w, r, controlstate.Command{Kind: kind, Base: base, HasBase: true, Body: body})
+	command := controlstate.Command{Kind: kind, Base: base, HasBase: true, Body: body}
+	if refusal := p.checkFitsDisk(r.Context(), command); refusal != "" {
+		writeError(w, http.StatusBadRequest, refusal)
+		return
+	}
+	p.proposeAndAnswer(w, r, command)
+}
+
+// checkFitsDisk returns why a changed configuration is too large for this machine's disk; empty if it is not, or if that can't
+// be told before it is proposed.
+func (p *Plane) checkFitsDisk(ctx context.Context, command controlstate.Command) (refusal string) {
+	limit, known := p.replica.MaxStateBytes(), 0
+	if state := p.committed.Load(); state != nil {
+		known = state.bytes
+	}
+	if limit == 0 || known+len(command.Body) <= limit {
+		return ""
+	}
+	state, err := p.readState(ctx)
+	if err != nil {
+		return ""
+	}
+	size, err := state.ConfigurationBytesAfter(command)
+	if err != nil {
+		return "" // refused for that when it is proposed
+	}
+	if limit -= state.OverheadBytes(); size > limit {
+		return fmt.Sprintf("the configuration has %d bytes, the disk has room for %d", size, max(0, limit))
+	}
+	return ""
 }
 
 func (p *Plane) handleStartRetirement(w http.ResponseWriter, r *http.Request) {
--- a/internal/tier/controlplane/plane.go
+++ b/internal/tier/controlplane/plane.go
@@ -50,7 +50,7 @@
 	server  *http.Server
 	saver   *entrySaver // nil without a disk
 
-	committedStores atomic.Pointer[committedStores] // nil: no committed state is known yet
+	committed atomic.Pointer[committedState] // nil: no committed state is known yet
 
 	receiverQueue chan func(*registration.Table)
 	closed        chan struct{}
@@ -129,6 +129,13 @@
 	return replica.Open(options)
 }
 
+// committedState is what the plane itself needs of the newest committed control state.
+type committedState struct {
+	stores controlstate.StoreView
+	failed []controlstate.StoreMember
+	bytes  int // length of the snapshot
+}
+
 // publishCommitted publishes a newly committed control state to the cluster. Every member does so; publishing an entry
 // twice has no further effect.
 func (p *Plane) publishCommitted(_, _ uint64, snapshot []byte) {
@@ -140,7 +147,7 @@
 	if version, body := state.Configuration(); version > 0 {
 		p.publishConfiguration(version, body)
 	}
-	p.committedStores.Store(&committedStores{view: state.Stores(), failed: state.FailedStores()})
+	p.committed.Store(&committedState{stores: state.Stores(), failed: state.FailedStores(), bytes: len(snapshot)})
 	p.publishStores(state.Stores())
 }
 
@@ -213,6 +220,10 @@
 	p.base.Close()
 }
 
+// Failed returns a channel that is closed when the replica has stopped by itself, because its disk takes no writes, or when
+// the plane is shut down.
+func (p *Plane) Failed() <-chan struct{} { return p.replica.Stopped() }
+
 // SetSeeds sets the addresses of the other machines' control planes.
 func (p *Plane) SetSeeds(addresses []string) {
 	p.base.Cluster.SetSeeds(addresses)
--- a/internal/tier/controlplane/storemonitor.go
+++ b/internal/tier/controlplane/storemonitor.go
@@ -126,12 +126,6 @@
 	return commands
 }
 
-// committedStores is the part of a committed control state that concerns the stores.
-type committedStores struct {
-	view   controlstate.StoreView
-	failed []controlstate.StoreMember
-}
-
 // monitorStores marks, restores and removes stores until the plane stops. Every control plane that knows the committed
 // state does so; the state carries out a command only on the view that it was decided on.
 func (p *Plane) monitorStores(ctx context.Context) {
@@ -145,13 +139,13 @@
 			return
 		case <-ticker.C:
 		}
-		stores := p.committedStores.Load()
-		if stores == nil {
+		state := p.committed.Load()
+		if state == nil {
 			continue
 		}
 		presence := p.storePresence()
-		p.proposeAll(ctx, monitor.decide(p.now(), stores.view, stores.failed, presence))
-		pending := removals(stores.view, stores.failed, presence)
+		p.proposeAll(ctx, monitor.decide(p.now(), state.stores, state.failed, presence))
+		pending := removals(state.stores, state.failed, presence)
 		if len(pending) == 0 {
 			nextQuestion, interval = 0, minSettledInterval
 			continue
@@ -159,7 +153,7 @@
 		if p.now() < nextQuestion {
 			continue
 		}
-		if p.storesSettled(ctx, stores.view) {
+		if p.storesSettled(ctx, state.stores) {
 			p.proposeAll(ctx, pending)
 		}
 		nextQuestion = p.now() + interval
--- a/internal/tier/controlstate/configuration.go
+++ b/internal/tier/controlstate/configuration.go
@@ -69,6 +69,18 @@
 	return s.refuseBaseMismatch(c), true
 }
 
+// ConfigurationBytesAfter returns how long the configuration would be after a change, and an error if the change is invalid.
+func (s *State) ConfigurationBytesAfter(c Command) (int, error) {
+	next, err := s.nextConfiguration(c)
+	if err != nil {
+		return 0, err
+	}
+	return len(next.Body), nil
+}
+
+// OverheadBytes returns how long a snapshot is without the configuration.
+func (s *State) OverheadBytes() int { return len(s.Snapshot()) - len(s.body) }
+
 // nextConfiguration returns the configuration that results from a change.
 func (s *State) nextConfiguration(c Command) (*routing.Snapshot, error) {
 	if c.Kind == ReplaceConfiguration {
--- a/internal/tier/dataplane/plane.go
+++ b/internal/tier/dataplane/plane.go
@@ -218,5 +218,8 @@
 	p.base.Close()
 }
 
+// Failed returns nil: the plane goes on whatever happens.
+func (p *Plane) Failed() <-chan struct{} { return nil }
+
 // SetSeeds sets the internal addresses of other machines' control planes.
 func (p *Plane) SetSeeds(addresses []string) { p.base.Cluster.SetSeeds(addresses) }
--- a/internal/tier/journal/inspect.go
+++ b/internal/tier/journal/inspect.go
@@ -191,7 +191,7 @@
 
 func (i *inspector) readSegment(s *segment) (SegmentSummary, uint32, error) {
 	summary := SegmentSummary{File: filepath.Base(s.slot.path), Sequence: s.sequence, FileBytes: s.slot.size}
-	end, generation, err := scan(s.slot, s.sequence, s.slot.size, func(p Position, record []byte) error {
+	end, generation, err := scan(s, s.slot.size, func(p Position, record []byte) error {
 		summary.Records++
 		summary.RecordBytes += int64(len(record))
 		i.visit(summary.File, p, record)
--- a/internal/tier/journal/journal.go
+++ b/internal/tier/journal/journal.go
@@ -11,8 +11,9 @@
 //	}
 //
 // Invariants: records are replayed in the order of their Append, each complete or not at all, and none without all those
-// synced before it. A record whose Sync did not return nil may or may not be replayed by the next Open. A reclaimed record
-// may be replayed once more, before all records appended after it.
+// synced before it. A record whose Sync did not return nil may or may not be replayed by the next Open; what Open has
+// replayed is on the disk. A reclaimed record may be replayed again, before all records appended after it, and its segment
+// is in use again then: whoever needs a number of free segments reclaims after Open what its records show to be obsolete.
 //
 // Each frame carries the generation of its writer (the number of the Open) and a checksum over segment, offset, length,
 // generation and payload. So bytes of an earlier lap of the ring, and bytes left after a torn frame by a power loss, are
@@ -87,6 +88,8 @@
 	end            int64  // offset of the next frame
 	previousEnd    int64  // end of the preceding segment, 0 if that was dropped
 	oldestSequence uint64 // of the oldest live segment when this one was started
+	generation     uint32 // of the process that started it; its frames have the same one or later ones
+	records        int    // number of its records
 	damaged        bool   // found at Open: its frames end before previousEnd of the next segment
 }
 
@@ -122,9 +125,42 @@
 	write := j.writeFor(tail)
 	write.data = appendFrame(write.data, position, j.generation, record)
 	tail.end += frameLength
+	tail.records++
 	return position, nil
 }
 
+// RoomInSegment returns the length of the longest record that the newest segment takes yet; 0: none.
+func (j *Journal) RoomInSegment() int {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	tail := j.tail()
+	if tail == nil {
+		return 0
+	}
+	return max(0, int(tail.slot.size-tail.end)-frameHeaderBytes)
+}
+
+// StartSegment has the next record begin a new segment, unless the newest one holds no record. Error: ErrFull.
+func (j *Journal) StartSegment() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if tail := j.tail(); tail != nil && tail.records == 0 {
+		return nil
+	}
+	return j.roll()
+}
+
+// NewestIsEmpty reports whether the newest segment holds no record, so that StartSegment starts none.
+func (j *Journal) NewestIsEmpty() bool {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	tail := j.tail()
+	return tail != nil && tail.records == 0
+}
+
+// RoomAfter returns the room that a record of some length leaves in a segment with room for one, see RoomInSegment.
+func RoomAfter(room, length int) int { return max(0, room-length-frameHeaderBytes) }
+
 // FreeSegments returns the number of segments that can be started before Append returns ErrFull.
 func (j *Journal) FreeSegments() int {
 	j.mu.RLock()
@@ -273,7 +309,7 @@
 	if free == nil {
 		return ErrFull
 	}
-	next := &segment{sequence: 1, slot: free, end: segmentHeaderBytes}
+	next := &segment{sequence: 1, slot: free, end: segmentHeaderBytes, generation: j.generation}
 	if last := j.tail(); last != nil {
 		next.sequence = last.sequence + 1
 		next.previousEnd = last.end
--- a/internal/tier/journal/open.go
+++ b/internal/tier/journal/open.go
@@ -90,7 +90,10 @@
 	j.checkGaps(found, newest.oldestSequence)
 	for i, s := range found {
 		s.slot.inUse = true
-		end, generation, err := scan(s.slot, s.sequence, s.slot.size, visit)
+		end, generation, err := scan(s, s.slot.size, func(p Position, record []byte) error {
+			s.records++
+			return visit(p, record)
+		})
 		if err != nil {
 			return err
 		}
@@ -102,6 +105,33 @@
 		}
 	}
 	j.live = found
+	// The process that wrote the last frames may have ended before it synced them. All before them were synced in order.
+	if err := newest.slot.file.Sync(); err != nil {
+		return eris.Wrapf(err, "journal: syncing %s", newest.slot.path)
+	}
+	return j.startGeneration()
+}
+
+// DropNewest drops all segments from first on, so that none of their records is replayed again. It may be called directly
+// after Open only, and not for the oldest segment. Errors: the disk's, after which the journal can't be used.
+func (j *Journal) DropNewest(first uint64) error {
+	j.syncMu.Lock()
+	defer j.syncMu.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.pending = nil // the marker of this generation, which is repeated below
+	for len(j.live) > 1 && j.tail().sequence >= first {
+		// Newest first and each synced, so that no gap is left wherever this ends.
+		dropped := j.tail().slot
+		if _, err := dropped.file.WriteAt(make([]byte, segmentHeaderBytes), 0); err != nil {
+			return eris.Wrapf(err, "journal: writing %s", dropped.path)
+		}
+		if err := dropped.file.Sync(); err != nil {
+			return eris.Wrapf(err, "journal: syncing %s", dropped.path)
+		}
+		dropped.inUse = false
+		j.live = j.live[:len(j.live)-1]
+	}
 	return j.startGeneration()
 }
 
@@ -123,7 +153,9 @@
 			continue
 		}
 		j.generation = max(j.generation, h.generation)
-		found = append(found, &segment{sequence: h.sequence, slot: s, previousEnd: h.previousEnd, oldestSequence: h.oldestSequence})
+		found = append(found, &segment{
+			sequence: h.sequence, slot: s, previousEnd: h.previousEnd, oldestSequence: h.oldestSequence, generation: h.generation,
+		})
 	}
 	slices.SortFunc(found, func(a, b *segment) int { return cmp.Compare(a.sequence, b.sequence) })
 	return found, nil
--- a/internal/tier/journal/read.go
+++ b/internal/tier/journal/read.go
@@ -92,7 +92,7 @@
 			return err
 		}
 	}
-	reached, _, err := scan(s.slot, sequence, end, visit)
+	reached, _, err := scan(s, end, visit)
 	if err == nil && reached != end && !s.damaged {
 		return eris.Wrapf(ErrNotFound, "journal: %s is damaged at %d", s.slot.path, reached)
 	}
@@ -100,8 +100,11 @@
 }
 
 // scan reads frames after the segment header until an invalid one or the limit. It returns where it stopped and the
-// highest generation seen. A frame of a lower generation than the one before it is a leftover of a power loss.
-func scan(s *slot, sequence uint64, limit int64, visit func(Position, []byte) error) (end int64, generation uint32, err error) {
+// highest generation seen. A frame of a lower generation than the one before it, or than the segment's header, is a leftover
+// of a power loss or of dropped segments.
+func scan(in *segment, limit int64, visit func(Position, []byte) error) (end int64, generation uint32, err error) {
+	s := in.slot
+	generation = in.generation
 	reader := bufio.NewReaderSize(io.NewSectionReader(s.file, segmentHeaderBytes, limit-segmentHeaderBytes), int(min(scanBufferBytes, max(limit, 16))))
 	end = segmentHeaderBytes
 	var head [frameHeaderBytes]byte
@@ -122,7 +125,7 @@
 		if _, err := io.ReadFull(reader, record); err != nil {
 			return end, generation, ignoreEOF(s, err)
 		}
-		position := Position{Segment: sequence, Offset: uint32(end), Length: header.length}
+		position := Position{Segment: in.sequence, Offset: uint32(end), Length: header.length}
 		if header.checksum != checksum(position, header.generation, record) {
 			return end, generation, nil
 		}
--- a/internal/tier/lifecycle/lifecycle.go
+++ b/internal/tier/lifecycle/lifecycle.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rotisserie/eris"
 
 	"emberquay/internal/signals"
 	"emberquay/internal/tier/settings"
@@ -42,12 +43,19 @@
 	// Shutdown completes the work in progress and closes the plane; it returns at the latest when ctx ends. signalledAt is
 	// when the process was told to stop: in the past, and further so if the signal came during the start.
 	Shutdown(ctx context.Context, signalledAt time.Time)
+	// Failed returns a channel that is closed if the plane cannot go on by itself; nil if it always can. After Shutdown it
+	// has no meaning.
+	Failed() <-chan struct{}
 	// SetSeeds sets the internal addresses of other machines' control planes. It may be called from another goroutine than
 	// Shutdown, and after it.
 	SetSeeds(addresses []string)
 }
 
-// Run starts a plane and returns once the process has been told to stop and the plane has shut down.
+// ErrPlaneFailed is the error of Run if the plane could not go on. Its log says why.
+var ErrPlaneFailed = eris.New("lifecycle: the plane has failed")
+
+// Run starts a plane and returns once the process has been told to stop and the plane has shut down. Errors: those of start,
+// and ErrPlaneFailed, upon which the process ends so that the platform starts it again.
 func Run(path string, node *settings.Node, logger log.Interface, start func() (Plane, error)) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(heapMemoryShare * float64(node.Limits.MemoryMB<<20)))
@@ -63,12 +71,18 @@
 	logger.Info("started")
 	stopping := make(chan struct{})
 	go watchSettings(path, plane, logger, reload, stopping)
-	signalledAt := <-stop
+	var signalledAt time.Time
+	select {
+	case signalledAt = <-stop:
+	case <-plane.Failed():
+		err = ErrPlaneFailed
+		signalledAt = time.Now()
+	}
 	close(stopping)
 	logger.WithField("since_signal_ms", time.Since(signalledAt).Milliseconds()).Info("stopping")
 	shutdown(plane, signalledAt, shutdownTimeout(node.Bounds.TerminationGrace))
 	logger.Info("stopped")
-	return nil
+	return err
 }
 
 // shutdownTimeout returns how long after the signal a plane's shutdown may take.
--- a/internal/tier/lifecycle/lifecycle_test.go
+++ b/internal/tier/lifecycle/lifecycle_test.go
@@ -26,8 +26,11 @@
 	deadline    time.Time
 	hasDeadline bool
 	signalledAt time.Time
+	failed      chan struct{}
 }
 
+func (p *recordingPlane) Failed() <-chan struct{} { return p.failed }
+
 func (p *recordingPlane) Shutdown(ctx context.Context, signalledAt time.Time) {
 	p.deadline, p.hasDeadline = ctx.Deadline()
 	p.signalledAt = signalledAt
@@ -60,11 +63,27 @@
 	)
 })
 
+// Guards against a process that runs on though its plane has stopped, so that the platform doesn't start it again (review/6).
+var _ = Describe("A plane that cannot go on", func() {
+	It("is shut down, and the process ends with an error", func() {
+		plane := &recordingPlane{failed: make(chan struct{})}
+		close(plane.failed)
+		node := &settings.Node{}
+		node.Bounds.TerminationGrace = 8 * time.Second
+		path := filepath.Join(GinkgoT().TempDir(), "settings.toml")
+		logger := &log.Logger{Handler: discard.New()}
+		Expect(run(path, node, logger, func() (Plane, error) { return plane, nil }, nil, nil)).To(MatchError(ErrPlaneFailed))
+		Expect(plane.hasDeadline).To(BeTrue())
+	})
+})
+
 // endingPlane closes a channel when it is shut down.
 type endingPlane struct{ ended chan struct{} }
 
 func (p endingPlane) Shutdown(context.Context, time.Time) { close(p.ended) }
 
+func (p endingPlane) Failed() <-chan struct{} { return nil }
+
 func (p endingPlane) SetSeeds([]string) {}
 
 // Guards against a shutdown that waits for the settings file on a disk that does not respond. A named pipe that nobody
--- a/internal/tier/lifecycle/settings_test.go
+++ b/internal/tier/lifecycle/settings_test.go
@@ -60,6 +60,8 @@
 // seedsPlane sends the seeds that are set to a channel.
 type seedsPlane struct{ seeds chan []string }
 
+func (seedsPlane) Failed() <-chan struct{} { return nil }
+
 func (p seedsPlane) Shutdown(context.Context, time.Time) {}
 
 func (p seedsPlane) SetSeeds(seeds []string) { p.seeds <- seeds }
--- a/internal/tier/replica/record.go
+++ b/internal/tier/replica/record.go
@@ -26,6 +26,9 @@
 	return recordCodecs.decode(int(b[0]), b[1:])
 }
 
+// fragmentFlagsBytes is the length of the flags before the part of a record in a fragment.
+const fragmentFlagsBytes = 1
+
 // Flags in the first byte of a fragment: whether the fragment begins or ends its record.
 const (
 	firstFragment byte = 1 << iota
--- a/internal/tier/replica/replica.go
+++ b/internal/tier/replica/replica.go
@@ -45,10 +45,15 @@
 const (
 	// commandQueueCapacity is the number of messages and calls that may wait for the owner goroutine.
 	commandQueueCapacity = 256
-	// journalSegments is the number of segments of the journal, minFreeSegments how many of them stay free: a vote and a
-	// view, each with the complete state, and a checkpoint must fit at any time.
+	// journalSegments is the number of segments of the journal, minFreeSegments how many of them stay free: a checkpoint
+	// must fit at any time.
 	journalSegments = 6
 	minFreeSegments = 3
+	// statesInCheckpoint is how many states a checkpoint is long at most: a view and a vote, each with the complete state,
+	// and the newest command.
+	statesInCheckpoint = 3
+	// maxStateShare leaves room beside the states, for recent outcomes and the members.
+	maxStateShare = 15.0 / 16
 	// defaultJournalBytes applies if Options.JournalBytes is 0; a state may take a sixth of it.
 	defaultJournalBytes = 24 << 20
 	// diskRetryDelay is the pause after a failed write or sync.
--- a/internal/tier/storeplane/plane.go
+++ b/internal/tier/storeplane/plane.go
@@ -169,6 +169,9 @@
 	return addresses[p.controlCalls.Add(1)%uint64(len(addresses))]
 }
 
+// Failed returns nil: the plane goes on whatever happens.
+func (p *Plane) Failed() <-chan struct{} { return nil }
+
 // SetSeeds sets the addresses of other machines' control planes.
 func (p *Plane) SetSeeds(addresses []string) {
 	p.seeds.Store(&addresses)
