Proxy: no connection carries two attempts of one request

Cause: an answer was told apart by the request's id alone, and a connection that had carried an attempt could carry the next one of the same request.

Change: a request remembers the connections of its attempts; the pool passes over them. At the receiver's limit the connection that has been idle longest makes room. An id is so due at most once on a connection.

--- a/internal/tier/proxy/attempt.go
+++ b/internal/tier/proxy/attempt.go
@@ -84,6 +84,7 @@
 	return &outbound.Request{
 		ID: h.id, Method: h.request.Method, Target: h.request.RequestURI, Host: h.request.Host,
 		Header: header, ExtraFields: extra, BodyPrefix: h.history, Body: h.body.bytes(), HasBody: h.hasBody,
+		Earlier: &h.connections,
 	}
 }
 
--- a/internal/tier/proxy/forward_test.go
+++ b/internal/tier/proxy/forward_test.go
@@ -38,6 +38,35 @@
 		Expect(remaining).To(MatchRegexp(`^(4\d\d\d|5000)$`))
 	})
 
+	// Guards against a late second copy of a refusal that is taken for the answer to the next attempt, so that the request runs
+	// once more (review/2). The copy has the request's id and comes in the place of that answer.
+	DescribeTable("runs once, though a receiver sends its refusal of the first attempt again later",
+		func(path string, refusal int, fields ...string) {
+			executed := 0
+			var first net.Conn
+			p, f := startService("plain", 1, func(number int, r receivedRequest) {
+				if number == 1 {
+					first = r.connection
+					r.refuse(refusal, append(fields, "Retry-After: 0.02")...)
+					return
+				}
+				if r.connection == first {
+					r.refuse(refusal, append(fields, "Retry-After: 0.02")...)
+				}
+				executed++
+				r.respond(200, "done")
+			})
+			got := p.do("POST "+path, "body", "Emberquay-Deadline-Ms: 15000")
+			Expect(got.status).To(Equal(200))
+			Expect(got.body).To(Equal("done"))
+			Expect(f.received()).To(HaveLen(2))
+			Expect(executed).To(Equal(1))
+		},
+		Entry("full, 503", "/unsafe/x", 503),
+		Entry("full, 429", "/unsafe/x", 429),
+		Entry("other weights, 421", "/unsafe/x", 421, "Emberquay-Instance-Id: plain-1"),
+	)
+
 	It("gets the receiver's response unchanged", func() {
 		p, _ := startService("plain", 1, func(_ int, r receivedRequest) {
 			r.respond(203, "what", "X-Own: 1", "Connection: X-Hop", "X-Hop: 1", "Content-Encoding: odd")
--- a/internal/tier/proxy/outbound/connection.go
+++ b/internal/tier/proxy/outbound/connection.go
@@ -28,6 +28,7 @@
 type connection struct {
 	net.Conn
 	endpoint      *endpoint
+	number        uint64 // unique in its pool
 	reader        *bufio.Reader
 	exchanges     int       // number of exchanges started
 	idleSince     time.Time // end of the last exchange
@@ -37,7 +38,7 @@
 }
 
 func newConnection(raw net.Conn, e *endpoint) *connection {
-	c := &connection{Conn: raw, endpoint: e, headBytesLeft: -1}
+	c := &connection{Conn: raw, endpoint: e, number: e.pool.dialed.Add(1), headBytesLeft: -1}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
--- a/internal/tier/proxy/outbound/exchange.go
+++ b/internal/tier/proxy/outbound/exchange.go
@@ -60,10 +60,11 @@
 }
 
 func (p *Pool) exchange(ctx context.Context, address string, request *Request, deadline time.Time) (*Response, error) {
-	c, err := p.get(ctx, address, deadline)
+	c, err := p.get(ctx, address, request.Earlier, deadline)
 	if err != nil {
 		return nil, newError(address, false, err)
 	}
+	request.Earlier.add(c.number)
 	c.SetDeadline(deadline)
 	stopCancel := context.AfterFunc(ctx, c.close)
 	response, maybeSent, err := c.roundTrip(request)
--- a/internal/tier/proxy/outbound/exchange_test.go
+++ b/internal/tier/proxy/outbound/exchange_test.go
@@ -248,6 +248,33 @@
 		Expect(r.received()).To(HaveLen(2))
 	})
 
+	It("uses no connection for an exchange that carried an earlier one of the same request", func() {
+		r := startReceiver(respondWith(responseTo("1", "")))
+		request := getRequest("1")
+		request.Earlier = &Connections{}
+		for range 3 {
+			_, _, err := exchange(r, request)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(r.connections()).To(Equal(3))
+		_, _, err := exchange(r, getRequest("1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.connections()).To(Equal(3), "another request may use them")
+	})
+
+	It("makes room for such an exchange by closing an idle connection at the receiver's limit", func() {
+		r := startReceiver(respondWith(responseTo("1", "")))
+		pool.SetLimits([]AddressLimit{{Address: r.address, MaxConnections: 2}})
+		request := getRequest("1")
+		request.Earlier = &Connections{}
+		for range 4 {
+			_, _, err := exchange(r, request)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(openConnections(pool)).To(Equal(2))
+		Expect(idleConnections(pool)).To(Equal(2))
+	})
+
 	It("evicts an idle connection to another receiver at the limit of all connections", func() {
 		pool = NewPool(Options{MaxConnections: 1})
 		DeferCleanup(pool.Close)
--- a/internal/tier/proxy/outbound/pool.go
+++ b/internal/tier/proxy/outbound/pool.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,6 +36,7 @@
 type Pool struct {
 	options Options
 	dialer  net.Dialer
+	dialed  atomic.Uint64 // number of connections so far
 
 	mu             sync.Mutex
 	endpoints      map[string]*endpoint // by address
@@ -154,10 +157,10 @@
 	}
 }
 
-// get returns an idle connection to the address that seems alive, or a new one.
-func (p *Pool) get(ctx context.Context, address string, deadline time.Time) (*connection, error) {
+// get returns an idle connection to the address that seems alive and is not excluded, or a new one.
+func (p *Pool) get(ctx context.Context, address string, excluded *Connections, deadline time.Time) (*connection, error) {
 	for {
-		c, err := p.takeIdleOrReserve(address)
+		c, err := p.takeIdleOrReserve(address, excluded)
 		if err != nil {
 			return nil, err
 		}
@@ -172,23 +175,19 @@
 	return p.dial(ctx, address, deadline)
 }
 
-// takeIdleOrReserve removes and returns the most recently used idle connection. If there is none, it counts a new one, to
-// be dialed by the caller, and returns nil without an error.
-func (p *Pool) takeIdleOrReserve(address string) (*connection, error) {
+// takeIdleOrReserve removes and returns the most recently used idle connection that is not excluded. If there is none, it
+// counts a new one, to be dialed by the caller, and returns nil without an error.
+func (p *Pool) takeIdleOrReserve(address string, excluded *Connections) (*connection, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrClosed
 	}
 	e := p.endpoint(address)
-	if last := len(e.idle) - 1; last >= 0 {
-		c := e.idle[last]
-		e.idle[last] = nil
-		e.idle = e.idle[:last]
-		p.idleCount--
+	if c := p.takeIdle(e, excluded); c != nil {
 		return c, nil
 	}
-	if e.openCount >= e.limit {
+	if e.openCount >= e.limit && !p.evictFrom(e) {
 		return nil, ErrConnectionLimit
 	}
 	if p.openCount >= p.options.MaxConnections && !p.evict() {
@@ -207,16 +206,35 @@
 			from = e
 		}
 	}
-	if from == nil {
+	return from != nil && p.evictFrom(from)
+}
+
+// evictFrom makes room by closing the connection to a receiver that has been idle longest. The caller holds mu.
+func (p *Pool) evictFrom(e *endpoint) bool {
+	if len(e.idle) == 0 {
 		return false
 	}
-	evicted := p.removeIdle(from, 1)[0]
+	evicted := p.removeIdle(e, 1)[0]
 	evicted.closed.Store(true)
-	p.uncount(from)
+	p.uncount(e)
 	go evicted.Conn.Close()
 	return true
 }
 
+// takeIdle removes and returns the most recently used idle connection that is not excluded; nil: there is none. The caller
+// holds mu.
+func (p *Pool) takeIdle(e *endpoint, excluded *Connections) *connection {
+	for index, c := range slices.Backward(e.idle) {
+		if excluded.contains(c.number) {
+			continue
+		}
+		e.idle = slices.Delete(e.idle, index, index+1)
+		p.idleCount--
+		return c
+	}
+	return nil
+}
+
 func (p *Pool) dial(ctx context.Context, address string, deadline time.Time) (*connection, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
--- a/internal/tier/proxy/outbound/request.go
+++ b/internal/tier/proxy/outbound/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 )
@@ -21,6 +22,24 @@
 	BodyPrefix  []byte        // sent in front of Body, as part of the same body
 	Body        []byte
 	HasBody     bool // Content-Length is sent even if the body is empty
+	// Earlier are the connections that carried earlier exchanges of the request with this id; nil: none, and none is recorded.
+	Earlier *Connections
+}
+
+// Connections is a set of connections that carried exchanges of one request. A receiver may send the answer to one of these
+// once more, later; it has the request's id, and on the same connection it would be taken for the answer to the next
+// exchange. So Exchange chooses none of them, and adds the one that it uses. The zero value is empty. It is not safe for
+// concurrent use.
+type Connections struct{ numbers []uint64 }
+
+func (c *Connections) contains(number uint64) bool {
+	return c != nil && slices.Contains(c.numbers, number)
+}
+
+func (c *Connections) add(number uint64) {
+	if c != nil {
+		c.numbers = append(c.numbers, number)
+	}
 }
 
 func (r *Request) bodyLength() int { return len(r.BodyPrefix) + len(r.Body) }
--- a/internal/tier/proxy/visit.go
+++ b/internal/tier/proxy/visit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"emberquay/admission/dispatch"
+	"emberquay/internal/tier/proxy/outbound"
 	"emberquay/internal/tier/routing"
 )
 
@@ -34,6 +35,7 @@
 	historyBytes int64  // reserved for history in the memory budget
 	turn         *turn
 
+	connections     outbound.Connections // that carried the request to receivers
 	pending         *pendingRequest
 	mayHaveRun      bool   // a receiver may have run the request
 	responseStarted bool   // the response head has been written to the client
