Stores: lists are paged without sorting all turns; redundancy as figures

Control planes expose how many store losses are borne now, and since when fewer than fault_tolerance says.

--- a/internal/tier/controlplane/plane.go
+++ b/internal/tier/controlplane/plane.go
@@ -24,6 +24,7 @@
 	"emberquay/internal/tier/cluster"
 	"emberquay/internal/tier/cluster/records"
 	"emberquay/internal/tier/controlstate"
+	"emberquay/internal/tier/nodestatus"
 	"emberquay/internal/tier/planes"
 	"emberquay/internal/tier/registration"
 	"emberquay/internal/tier/replica"
@@ -131,9 +132,19 @@
 
 // committedState is what the plane itself needs of the newest committed control state.
 type committedState struct {
-	stores controlstate.StoreView
-	failed []controlstate.StoreMember
-	bytes  int // length of the snapshot
+	stores        controlstate.StoreView
+	failed        []controlstate.StoreMember
+	degradedSince time.Duration // when a store failed while none had; of interest only while some have
+	bytes         int           // length of the snapshot
+}
+
+// redundancy returns how many losses the stores bear.
+func (c *committedState) redundancy(now time.Duration) *nodestatus.StoreRedundancy {
+	redundancy := &nodestatus.StoreRedundancy{ToleratedLosses: max(0, c.stores.Tolerance-len(c.failed))}
+	if len(c.failed) > 0 {
+		redundancy.DegradedTime = now - c.degradedSince
+	}
+	return redundancy
 }
 
 // publishCommitted publishes a newly committed control state to the cluster. Every member does so; publishing an entry
@@ -147,7 +158,11 @@
 	if version, body := state.Configuration(); version > 0 {
 		p.publishConfiguration(version, body)
 	}
-	p.committed.Store(&committedState{stores: state.Stores(), failed: state.FailedStores(), bytes: len(snapshot)})
+	committed := &committedState{stores: state.Stores(), failed: state.FailedStores(), degradedSince: p.now(), bytes: len(snapshot)}
+	if previous := p.committed.Load(); previous != nil && len(previous.failed) > 0 {
+		committed.degradedSince = previous.degradedSince
+	}
+	p.committed.Store(committed)
 	p.publishStores(state.Stores())
 }
 
--- a/internal/tier/controlplane/status.go
+++ b/internal/tier/controlplane/status.go
@@ -22,6 +22,9 @@
 	for _, id := range replica.View.Chain {
 		controlStatus.Chain = append(controlStatus.Chain, int64(id))
 	}
+	if state := p.committed.Load(); state != nil {
+		controlStatus.StoreRedundancy = state.redundancy(p.now())
+	}
 	status.Control = controlStatus
 	return nil
 }
--- a/internal/tier/controlplane/storemonitor_test.go
+++ b/internal/tier/controlplane/storemonitor_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"emberquay/internal/tier/controlstate"
+	"emberquay/internal/tier/nodestatus"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -110,3 +111,13 @@
 		}))
 	})
 })
+
+var _ = Describe("the redundancy of the stores", func() {
+	It("is what may be lost less what has failed", func() {
+		state := committedState{stores: newView(2, "a", "b", "c", "d", "e"), degradedSince: time.Second}
+		Expect(*state.redundancy(3 * time.Second)).To(Equal(nodestatus.StoreRedundancy{ToleratedLosses: 2}))
+		state.failed = state.stores.Members[:1]
+		Expect(*state.redundancy(3 * time.Second)).To(Equal(
+			nodestatus.StoreRedundancy{ToleratedLosses: 1, DegradedTime: 2 * time.Second}))
+	})
+})
--- a/internal/tier/metrics/collector.go
+++ b/internal/tier/metrics/collector.go
@@ -40,6 +40,8 @@
 	controlMembers     = newDesc("control", "view_members", "Members that vote.")
 	controlChainLength = newDesc("control", "chain_length", "Members of the chain: the disks on which a change is before it is acknowledged.")
 	controlStoreEpoch  = newDesc("control", "store_view_epoch", "Epoch of the store view as known here; 0: none.")
+	controlStoreLosses = newDesc("control", "store_losses_tolerated", "Stores that may be lost now: fault_tolerance less those that have failed and whose records are being copied.")
+	controlDegraded    = newDesc("control", "store_losses_degraded_seconds", "Time since fewer losses than fault_tolerance are borne; 0: they are.")
 
 	storeComplete     = newDesc("store", "complete", "Whether the store lacks nothing that was acknowledged as far as it knows.")
 	storeRetiring     = newDesc("store", "retiring", "Whether the store is being emptied.")
@@ -126,6 +128,10 @@
 	s.gauge(controlMembers, float64(len(c.Members)))
 	s.gauge(controlChainLength, float64(len(c.Chain)))
 	s.gauge(controlStoreEpoch, float64(c.StoreEpoch))
+	if redundancy := c.StoreRedundancy; redundancy != nil {
+		s.gauge(controlStoreLosses, float64(redundancy.ToleratedLosses))
+		s.gauge(controlDegraded, redundancy.DegradedTime.Seconds())
+	}
 }
 
 func (s sink) store(store nodestatus.Store) {
--- a/internal/tier/metrics/metrics_test.go
+++ b/internal/tier/metrics/metrics_test.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -60,8 +61,9 @@
 	return nodestatus.Status{
 		Name: "front-1", UptimeMillis: 2500, ConfigurationVersion: 14, Nodes: []nodestatus.NodeCounts{{Role: "proxy", Known: 5, Alive: 4}},
 		Receivers: nodestatus.ReceiverCounts{Ready: 8, Draining: 1},
-		Control:   &nodestatus.Control{Member: true, Epoch: 3, Members: make([]nodestatus.Member, 4), Chain: []int64{1, 2, 3}, StoreEpoch: 2},
-		Store:     &nodestatus.Store{Complete: true, Turns: 7, TurnBytes: 900, RingBytes: 4000, FreeBytes: 3000},
+		Control: &nodestatus.Control{Member: true, Epoch: 3, Members: make([]nodestatus.Member, 4), Chain: []int64{1, 2, 3}, StoreEpoch: 2,
+			StoreRedundancy: &nodestatus.StoreRedundancy{ToleratedLosses: 1, DegradedTime: 1500 * time.Millisecond}},
+		Store: &nodestatus.Store{Complete: true, Turns: 7, TurnBytes: 900, RingBytes: 4000, FreeBytes: 3000},
 		Proxy: &nodestatus.Proxy{Ready: true, InFlight: 3, Arrived: 450, Admission: &nodestatus.AdmissionStats{
 			Refusals: []nodestatus.RefusalCount{{Reason: "too_late", Count: 6}}, Attempts: 470, Queued: 2, Allowance: 31, ShutdownPhase: 1,
 		}},
@@ -74,7 +76,7 @@
 		for _, line := range []string{
 			"emberquay_up 1", "emberquay_uptime_seconds 2.5", "emberquay_configuration_version 14", "emberquay_timer_lateness_seconds 0.025",
 			`emberquay_nodes{role="proxy",state="alive"} 4`, `emberquay_nodes{role="proxy",state="gone"} 1`, `emberquay_receivers{state="ready"} 8`,
-			"emberquay_control_view_members 4", "emberquay_control_chain_length 3", "emberquay_store_turn_bytes 900", "emberquay_store_complete 1",
+			"emberquay_control_view_members 4", "emberquay_control_chain_length 3", "emberquay_control_store_losses_tolerated 1", "emberquay_control_store_losses_degraded_seconds 1.5", "emberquay_store_turn_bytes 900", "emberquay_store_complete 1",
 			"emberquay_proxy_requests_total 450", `emberquay_proxy_refusals_total{reason="too_late"} 6`, "emberquay_proxy_attempts_total 470",
 			"emberquay_proxy_queue_length 2", "emberquay_proxy_allowance 31", "emberquay_proxy_stop_phase 1", "go_goroutines ",
 		} {
--- a/internal/tier/nodestatus/messages.go
+++ b/internal/tier/nodestatus/messages.go
@@ -1,6 +1,10 @@
 package nodestatus
 
-import "emberquay/internal/tier/transport"
+import (
+	"time"
+
+	"emberquay/internal/tier/transport"
+)
 
 // Method requests the status of a process of any role.
 const Method transport.Method = "node.status"
@@ -50,6 +54,14 @@
 	Chain   []int64  `avro:"chain" json:"chain"` // ids, head first
 	// StoreEpoch is the epoch of the store view known to the process; 0: none.
 	StoreEpoch int64 `avro:"store_epoch" json:"store_epoch"`
+	// StoreRedundancy is exposed as metrics only, as Proxy.Admission is. nil: no control state is known yet.
+	StoreRedundancy *StoreRedundancy `avro:"-" json:"-"`
+}
+
+// StoreRedundancy is how many losses the records of the stores bear.
+type StoreRedundancy struct {
+	ToleratedLosses int           // stores that may be lost now: the setting, less those that have failed and are not removed yet
+	DegradedTime    time.Duration // for which it has been less than the setting; 0: it isn't
 }
 
 // Member is a member that votes on the views of the control state.
--- a/internal/tier/store/serve_peer.go
+++ b/internal/tier/store/serve_peer.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -39,21 +40,50 @@
 		return t.fenceUnsynced()
 	}
 	sender := t.meta.View.IndexOf(request.Sender)
-	turns := make([]*heldTurn, 0, len(t.turns))
-	for key, turn := range t.turns {
-		if request.FromStart || key > uint64(request.AfterKey) {
-			turns = append(turns, turn)
-		}
+	first := uint64(0)
+	if !request.FromStart {
+		first = uint64(request.AfterKey) + 1
 	}
-	slices.SortFunc(turns, func(a, b *heldTurn) int { return cmp.Compare(a.key, b.key) })
-	answer.More = len(turns) > listPageTurns
-	for _, turn := range turns[:min(len(turns), listPageTurns)] {
+	var turns []*heldTurn
+	if request.FromStart || first > 0 {
+		turns, answer.More = t.listPage(first)
+	}
+	for _, turn := range turns {
 		placed := sender < 0 || slices.Contains(t.placesOf(turn), sender)
 		answer.Turns = storewire.AppendListedTurn(answer.Turns, storewire.ListedTurn{Key: turn.key, PlacedAtSender: placed})
 	}
 	return t.fenceUnsynced()
 }
 
+// listPage returns the held turns of the lowest keys from first on, listPageTurns at most, and whether more follow. Keys are
+// hashes, so it sorts only those of a range that holds about a page: sorting all for each page would stall the store.
+func (t *table) listPage(first uint64) (turns []*heldTurn, more bool) {
+	rangeSize := uint64(math.MaxUint64)
+	if pages := uint64(len(t.turns) / listPageTurns); pages > 0 {
+		rangeSize /= pages
+	}
+	for {
+		last := first + min(rangeSize, math.MaxUint64-first)
+		for key, turn := range t.turns {
+			switch {
+			case key > last:
+				more = true
+			case key >= first:
+				turns = append(turns, turn)
+			}
+		}
+		if len(turns) > 0 || !more {
+			break
+		}
+		rangeSize, more = 2*min(rangeSize, math.MaxUint64/2), false
+	}
+	slices.SortFunc(turns, func(a, b *heldTurn) int { return cmp.Compare(a.key, b.key) })
+	if len(turns) > listPageTurns {
+		return turns[:listPageTurns], true
+	}
+	return turns, more
+}
+
 // turnLocation is the position and the remaining retention of a turn to be sent.
 type turnLocation struct {
 	position  journal.Position
