--- a/internal/tier/storeplane/plane.go
+++ b/internal/tier/storeplane/plane.go
@@ -131,13 +131,18 @@
 	return true
 }
 
-// reportRetired tells a control node that all data of this disk is on other stores.
+// reportRetired tells a control node that all data of this disk is on other stores. It has no effect if the store was
+// marked as failed and no retirement of its machine is running.
 func (p *Plane) reportRetired() {
 	answer, err := p.callControlPlane(storewire.StoreRetired)
 	if err != nil {
 		p.base.Log.WithError(err).Warn("completed retirement not reported; will retry")
 		return
 	}
+	if answer.Status != http.StatusOK {
+		p.base.Log.WithField("status", answer.Status).WithField("reason", answer.Reason).Debug("no retirement to complete")
+		return
+	}
 	p.base.Log.WithField("status", answer.Status).Info("retirement completed")
 }
 
