Proxy: the two connections used last take turns, so that retries find a spare

Since an attempt passes over the connections of earlier ones, a receiver that refuses much saw more new connections: the spare one expired each time and was dialed again. Of contended receivers no spare is kept.

--- a/internal/tier/proxy/outbound/exchange_test.go
+++ b/internal/tier/proxy/outbound/exchange_test.go
@@ -262,6 +262,34 @@
 		Expect(r.connections()).To(Equal(3), "another request may use them")
 	})
 
+	// Guards against new connections for retries: if only one connection were used, the spare one would expire each time.
+	It("takes turns with the two connections used last, so that one is there for a request that may not use the other", func() {
+		r := startReceiver(respondWith(responseTo("1", "")))
+		request := getRequest("1")
+		request.Earlier = &Connections{}
+		for range 2 {
+			_, _, err := exchange(r, request)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		for range 4 {
+			_, _, err := exchange(r, getRequest("1"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		var used []int
+		for _, q := range r.received() {
+			used = append(used, q.connection)
+		}
+		Expect(used).To(Equal([]int{1, 2, 1, 2, 1, 2}))
+		pool.SetLimits([]AddressLimit{{Address: r.address, MaxConnections: 2, Contended: true}})
+		for range 3 {
+			_, _, err := exchange(r, getRequest("1"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		last := r.received()[6:]
+		Expect(last[1].connection).To(Equal(last[0].connection), "no spare one of a contended receiver")
+		Expect(last[2].connection).To(Equal(last[0].connection))
+	})
+
 	It("makes room for such an exchange by closing an idle connection at the receiver's limit", func() {
 		r := startReceiver(respondWith(responseTo("1", "")))
 		pool.SetLimits([]AddressLimit{{Address: r.address, MaxConnections: 2}})
--- a/internal/tier/proxy/outbound/pool.go
+++ b/internal/tier/proxy/outbound/pool.go
@@ -175,8 +175,8 @@
 	return p.dial(ctx, address, deadline)
 }
 
-// takeIdleOrReserve removes and returns the most recently used idle connection that is not excluded. If there is none, it
-// counts a new one, to be dialed by the caller, and returns nil without an error.
+// takeIdleOrReserve removes and returns a recently used idle connection that is not excluded. If there is none, it counts a
+// new one, to be dialed by the caller, and returns nil without an error.
 func (p *Pool) takeIdleOrReserve(address string, excluded *Connections) (*connection, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -221,18 +221,28 @@
 	return true
 }
 
-// takeIdle removes and returns the most recently used idle connection that is not excluded; nil: there is none. The caller
-// holds mu.
+// takeIdle removes and returns an idle connection that is not excluded; nil: there is none. The two most recently used take
+// turns, so that one stays open for requests that may not use the other; all others expire unless they are needed. Of a
+// contended receiver no spare connection is kept. The caller holds mu.
 func (p *Pool) takeIdle(e *endpoint, excluded *Connections) *connection {
+	chosen := -1
 	for index, c := range slices.Backward(e.idle) {
 		if excluded.contains(c.number) {
 			continue
 		}
-		e.idle = slices.Delete(e.idle, index, index+1)
-		p.idleCount--
-		return c
+		spare := chosen >= 0
+		chosen = index
+		if spare || e.contended {
+			break
+		}
+	}
+	if chosen < 0 {
+		return nil
 	}
-	return nil
+	c := e.idle[chosen]
+	e.idle = slices.Delete(e.idle, chosen, chosen+1)
+	p.idleCount--
+	return c
 }
 
 func (p *Pool) dial(ctx context.Context, address string, deadline time.Time) (*connection, error) {
