--- a/internal/tier/controlplane/operator.go
+++ b/internal/tier/controlplane/operator.go
@@ -63,22 +63,25 @@
 // checkFitsDisk returns why a changed configuration is too large for this machine's disk; empty if it is not, or if that can't
 // be told before it is proposed.
 func (p *Plane) checkFitsDisk(ctx context.Context, command controlstate.Command) (refusal string) {
-	limit, known := p.replica.MaxStateBytes(), 0
-	if state := p.committed.Load(); state != nil {
-		known = state.bytes
-	}
-	if limit == 0 || known+len(command.Body) <= limit {
+	limit, body := p.replica.MaxStateBytes(), 0
+	if limit == 0 {
 		return ""
 	}
-	state, err := p.readState(ctx)
-	if err != nil {
-		return ""
-	}
-	size, err := state.ConfigurationBytesAfter(command)
-	if err != nil {
-		return "" // refused for that when it is proposed
-	}
-	if limit -= state.OverheadBytes(); size > limit {
+	if state := p.committed.Load(); state != nil {
+		limit -= state.overheadBytes
+		body = state.bodyBytes
+	}
+	size := len(command.Body)
+	if command.Kind == controlstate.ModifyConfiguration && body+size > limit {
+		state, err := p.readState(ctx)
+		if err != nil {
+			return ""
+		}
+		if size, err = state.ConfigurationBytesAfter(command); err != nil {
+			return "" // refused for that when it is proposed
+		}
+	}
+	if size > limit {
 		return fmt.Sprintf("the configuration has %d bytes, the disk has room for %d", size, max(0, limit))
 	}
 	return ""
--- a/internal/tier/controlplane/plane.go
+++ b/internal/tier/controlplane/plane.go
@@ -135,7 +135,8 @@
 	stores        controlstate.StoreView
 	failed        []controlstate.StoreMember
 	degradedSince time.Duration // when a store failed while none had; of interest only while some have
-	bytes         int           // length of the snapshot
+	bodyBytes     int           // length of the configuration
+	overheadBytes int           // length of the rest of the snapshot
 }
 
 // redundancy returns how many losses the stores bear.
@@ -155,10 +156,14 @@
 		p.base.Log.WithError(err).Error("cannot decode the committed control state")
 		return
 	}
-	if version, body := state.Configuration(); version > 0 {
+	version, body := state.Configuration()
+	if version > 0 {
 		p.publishConfiguration(version, body)
 	}
-	committed := &committedState{stores: state.Stores(), failed: state.FailedStores(), degradedSince: p.now(), bytes: len(snapshot)}
+	committed := &committedState{
+		stores: state.Stores(), failed: state.FailedStores(), degradedSince: p.now(),
+		bodyBytes: len(body), overheadBytes: len(snapshot) - len(body),
+	}
 	if previous := p.committed.Load(); previous != nil && len(previous.failed) > 0 {
 		committed.degradedSince = previous.degradedSince
 	}
--- a/internal/tier/controlstate/configuration.go
+++ b/internal/tier/controlstate/configuration.go
@@ -78,9 +78,6 @@
 	return len(next.Body), nil
 }
 
-// OverheadBytes returns how long a snapshot is without the configuration.
-func (s *State) OverheadBytes() int { return len(s.Snapshot()) - len(s.body) }
-
 // nextConfiguration returns the configuration that results from a change.
 func (s *State) nextConfiguration(c Command) (*routing.Snapshot, error) {
 	if c.Kind == ReplaceConfiguration {
