--- a/internal/tier/controlstate/state.go
+++ b/internal/tier/controlstate/state.go
@@ -20,8 +20,8 @@
 
 const (
 	// MaxConfigurationBytes is the maximum size of a configuration and of the body of a ModifyConfiguration command. Half
-	// of a replica's journal has to hold four states of this size at a time (one each in a vote and in a view, and a
-	// checkpoint of both), and a message between replicas has to hold one. Anything larger is refused on arrival.
+	// of a replica's journal has to hold a checkpoint with three of this size (one each in a view and in a vote, and the newest
+	// command), and a message between replicas has to hold one. Anything larger is refused on arrival.
 	MaxConfigurationBytes = 4 << 20
 	// maxAccepted is the maximum number of accepted changes that are kept: three days of changes, though the operator
 	// retries a change for seconds only. Older changes are neither acknowledged nor refused.
--- a/internal/tier/store/catchup.go
+++ b/internal/tier/store/catchup.go
@@ -86,7 +86,7 @@
 	return err == nil && settled
 }
 
-// memberAnswer is the end of a question to another member.
+// memberAnswer is the result of asking another member for its programs or for its turns.
 type memberAnswer struct {
 	member    int
 	programs  bool       // its programs are stored here
@@ -95,8 +95,8 @@
 
 // collect asks the members that have not yet answered under this view for their programs and their turns, in parallel. It
 // returns once enough have answered or all questions have ended: the rest, of which some may be unreachable, is not waited
-// for. After a failed fetch it waits for all, since others may hold the same turns. Members answer in whole or don't count;
-// so do those that are not complete themselves.
+// for. After a failed fetch it waits for all, since others may hold the same turns. A member that answers only in part, or is
+// not complete itself, doesn't count.
 func (s *Store) collect(ctx context.Context, round roundInput) {
 	answers := make(chan memberAnswer, 2*len(round.view.Members))
 	pending := 0
