--- a/internal/tier/controlplane/keep.go
+++ b/internal/tier/controlplane/keep.go
@@ -147,9 +147,14 @@
 		p.base.Log.WithError(err).Warn("cannot read the entries saved by the previous process")
 		return
 	}
+	version := uint64(0)
 	for _, e := range entries {
+		if e.Key == cluster.ConfigurationKey {
+			version = e.Stamp.Epoch
+		}
 		p.base.Cluster.Publish(e)
 	}
+	p.base.Log.WithField("entries", len(entries)).WithField("version", version).Info("saved entries loaded")
 }
 
 // startEntrySaver saves the entries for loadSavedEntries whenever they change, and before this node confirms that it has an
--- a/internal/tier/controlplane/operator.go
+++ b/internal/tier/controlplane/operator.go
@@ -111,12 +111,16 @@
 func (p *Plane) proposeAndAnswer(w http.ResponseWriter, r *http.Request, command controlstate.Command) {
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 	defer cancel()
+	startedAt := time.Now()
 	result, err := p.propose(ctx, command)
+	logger := p.base.Log.WithField("order", r.URL.Path).WithField("base", command.Base).WithField("bytes", len(command.Body)).
+		WithField("took_ms", time.Since(startedAt).Milliseconds())
 	if err != nil {
-		p.base.Log.WithError(err).WithField("order", r.URL.Path).Warn("the outcome of the operator's command is unknown")
+		logger.WithError(err).Warn("the outcome of the operator's command is unknown")
 		writeError(w, http.StatusServiceUnavailable, "the control state cannot be changed now")
 		return
 	}
+	logger.WithField("status", result.Status).WithField("version", result.Version).Info("operator's command answered")
 	if result.Status != http.StatusOK {
 		writeError(w, result.Status, result.Message)
 		return
@@ -133,6 +137,7 @@
 		return
 	}
 	version, body := state.Configuration()
+	p.base.Log.WithField("version", version).Info("configuration read")
 	if version == 0 {
 		writeError(w, http.StatusNotFound, "there is no configuration yet")
 		return
--- a/internal/tier/controlplane/plane.go
+++ b/internal/tier/controlplane/plane.go
@@ -134,6 +134,7 @@
 type committedState struct {
 	stores        controlstate.StoreView
 	failed        []controlstate.StoreMember
+	version       uint64        // of the configuration; 0: there is none yet
 	degradedSince time.Duration // when a store failed while none had; of interest only while some have
 	bodyBytes     int           // length of the configuration
 	overheadBytes int           // length of the rest of the snapshot
@@ -150,7 +151,7 @@
 
 // publishCommitted publishes a newly committed control state to the cluster. Every member does so; publishing an entry
 // twice has no further effect.
-func (p *Plane) publishCommitted(_, _ uint64, snapshot []byte) {
+func (p *Plane) publishCommitted(epoch, sequence uint64, snapshot []byte) {
 	state := controlstate.New()
 	if err := state.Restore(snapshot); err != nil {
 		p.base.Log.WithError(err).Error("cannot decode the committed control state")
@@ -160,8 +161,11 @@
 	if version > 0 {
 		p.publishConfiguration(version, body)
 	}
+	if previous := p.committed.Load(); previous == nil || previous.version != version {
+		p.base.Log.WithField("version", version).WithField("epoch", epoch).WithField("sequence", sequence).Info("configuration committed")
+	}
 	committed := &committedState{
-		stores: state.Stores(), failed: state.FailedStores(), degradedSince: p.now(),
+		stores: state.Stores(), failed: state.FailedStores(), version: version, degradedSince: p.now(),
 		bodyBytes: len(body), overheadBytes: len(snapshot) - len(body),
 	}
 	if previous := p.committed.Load(); previous != nil && len(previous.failed) > 0 {
--- a/internal/tier/dataplane/plane.go
+++ b/internal/tier/dataplane/plane.go
@@ -115,6 +115,7 @@
 }
 
 func (p *Plane) applyConfiguration(entry cluster.Entry) {
+	startedAt := time.Now()
 	record, err := records.ConfigurationCodec.Decode(entry.Value)
 	if err != nil {
 		p.base.Log.WithError(err).Error("cannot decode the configuration")
@@ -131,7 +132,8 @@
 	p.snapshot.Store(snapshot)
 	p.proxy.SetConfiguration(snapshot)
 	p.receiverUpdate.trigger()
-	p.base.Log.WithField("version", snapshot.Version).Info("configuration in force")
+	p.base.Log.WithField("version", snapshot.Version).WithField("bytes", len(snapshot.Body)).
+		WithField("took_ms", time.Since(startedAt).Milliseconds()).Info("configuration in force")
 }
 
 func (p *Plane) applyStoreView(entry cluster.Entry) {
--- a/internal/tier/replica/replica.go
+++ b/internal/tier/replica/replica.go
@@ -133,6 +133,9 @@
 		return nil, err
 	}
 	r.node = node
+	sequence, committed := node.Progress()
+	r.log.WithField("id", node.Self().ID).WithField("epoch", durable.View.Epoch).WithField("sequence", sequence).
+		WithField("committed", committed).Info("replica: state on the disk")
 	r.sender = newPeerSender(o.Client, o.Log)
 	r.commitNotifier = newNotifier(o.OnCommit)
 	r.publishStatus()
