--- a/cmd/quaylab/soak.go
+++ b/cmd/quaylab/soak.go
@@ -33,6 +33,11 @@
 	Stores        int `help:"Number of stores." default:"3"`
 	Proxies       int `help:"Number of proxies." default:"3"`
 
+	Forwarders     int     `help:"Number of further control planes, without a disk and without a vote." default:"0"`
+	Losses         bool    `help:"Draw losses of power and of disks around changes of the configuration instead of planned work."`
+	IdleRoutes     int     `help:"Routes of the configuration that no client uses; 0: drawn from the seed." default:"0"`
+	Cores          int     `help:"Cores that all processes share; 0: all there are." default:"0"`
+	SiteBounds     bool    `help:"Judge by the time bounds of the operators' deployments."`
 	ProcessorShare float64 `help:"Share of each 100 ms in which a proxy runs, on every day; 0: drawn from the seed." default:"0"`
 }
 
@@ -42,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	tier := tierworld.Tier{ControlPlanes: c.ControlPlanes, Stores: c.Stores, Proxies: c.Proxies}
+	tier := tierworld.Tier{ControlPlanes: c.ControlPlanes, Stores: c.Stores, Proxies: c.Proxies, Forwarders: c.Forwarders}
 	seeds := make(chan uint64)
 	var workers sync.WaitGroup
 	var tally soakTally
@@ -92,11 +97,23 @@
 
 // day plays a day and prints a line; for a day that broke a rule, it prints the full result.
 func (c *tierSoakCmd) day(ctx context.Context, program string, seed uint64, tier tierworld.Tier) soakDay {
-	world := tierworld.Soak(seed, c.Seconds, tier)
+	draw := tierworld.Soak
+	if c.Losses {
+		draw = tierworld.LossSoak
+	}
+	world := draw(seed, c.Seconds, tier)
+	if c.IdleRoutes > 0 {
+		world.Tier.IdleRoutes = c.IdleRoutes
+	}
 	if c.ProcessorShare > 0 {
 		world.Tier.ProcessorShare = c.ProcessorShare
 	}
+	world.Tier.Cores = c.Cores
 	options := tierlab.Options{Program: program, Scenario: tierlab.ScenarioFor(world)}
+	if c.SiteBounds {
+		bounds := tierlab.SiteBounds()
+		options.Bounds = &bounds
+	}
 	if c.Logs != "" {
 		options.Dir = filepath.Join(c.Logs, fmt.Sprintf("seed-%d", seed))
 	}
--- a/internal/lab/processes/processes.go
+++ b/internal/lab/processes/processes.go
@@ -20,17 +20,31 @@
 }
 
 // NewLauncher starts the launcher's thread; Close ends it.
-func NewLauncher() *Launcher {
+func NewLauncher() *Launcher { return NewLauncherOn(0) }
+
+// NewLauncherOn is NewLauncher for processes that share some cores; 0: all that this process may use.
+func NewLauncherOn(cores int) *Launcher {
 	l := &Launcher{commands: make(chan *exec.Cmd), startErrors: make(chan error)}
-	go func() {
-		runtime.LockOSThread()
-		for cmd := range l.commands {
-			l.startErrors <- cmd.Start()
-		}
-	}()
+	go l.run(cores)
 	return l
 }
 
+// run starts the commands. Its thread stays locked when it returns, so that the thread ends with it.
+func (l *Launcher) run(cores int) {
+	runtime.LockOSThread()
+	var err error
+	if cores > 0 {
+		err = pin(cores)
+	}
+	for cmd := range l.commands {
+		if err != nil {
+			l.startErrors <- err
+			continue
+		}
+		l.startErrors <- cmd.Start()
+	}
+}
+
 // Start starts a command in a process group of its own, so that Ctrl-C interrupts only the parent.
 func (l *Launcher) Start(cmd *exec.Cmd) error {
 	cmd.SysProcAttr = attributes()
--- a/internal/lab/tierlab/acts.go
+++ b/internal/lab/tierlab/acts.go
@@ -59,6 +59,10 @@
 		l.retire(ctx, l.processAt(s))
 	case tierworld.KillAll:
 		l.killAll(ctx, s)
+	case tierworld.LosePower, tierworld.LosePowerEarly:
+		l.losePower(ctx, s)
+	case tierworld.LoseAcknowledger:
+		l.loseAcknowledger(ctx, s)
 	default: // receivers and arrivals look these up in the schedule themselves
 		sleep(ctx, s.Duration())
 	}
@@ -201,16 +205,9 @@
 // killAll kills all processes at the same time and restarts them after the fault's duration: the scenario's final fault.
 func (l *lab) killAll(ctx context.Context, s tierworld.ScheduledTrouble) {
 	recordEnd := l.recordFault(tierrules.Fault{Kind: tierrules.FinalFault, Core: true})
-	all := l.allProcesses()
-	exits := make([]chan struct{}, 0, len(all))
-	for _, p := range all {
-		exits = append(exits, p.signal(syscall.SIGKILL, true))
-	}
-	for _, exited := range exits {
-		<-exited
-	}
+	l.killAllAtOnce()
 	sleep(ctx, s.Duration())
-	for _, p := range all {
+	for _, p := range l.allProcesses() {
 		l.startAgain(p)
 	}
 	recordEnd()
--- a/internal/lab/tierlab/configuration.go
+++ b/internal/lab/tierlab/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
@@ -50,10 +51,12 @@
 	routes  []route
 	engine  tierworld.ModelReceivers
 	idle    time.Duration // idle client connections are closed after it
+	// idleRoutes is the number of routes that no client uses. The referee doesn't compare them.
+	idleRoutes int
 }
 
 func (l *lab) firstConfiguration() configuration {
-	return configuration{version: 3, routes: []route{readRoute, orderRoute, textRoute, l.turnRoute()}, engine: l.world.Receivers.Model, idle: idleTimeout}
+	return configuration{version: 3, routes: []route{readRoute, orderRoute, textRoute, l.turnRoute()}, engine: l.world.Receivers.Model, idle: idleTimeout, idleRoutes: l.world.Tier.IdleRoutes}
 }
 
 // turnRoute returns the route of agent turns; whether the tier retains turns depends on the world.
@@ -63,6 +66,25 @@
 	return r
 }
 
+// versionPrefix returns the path prefix of the route that only one version has, see versionRoute.
+func versionPrefix(version uint64) string { return fmt.Sprintf("/version/%d/", version) }
+
+// versionRoute returns a route that only one version has: requests for it show whether that version is in force.
+func versionRoute(version uint64) route {
+	return route{name: "r-version", prefix: versionPrefix(version), kind: tierrules.Safe, service: firstService,
+		timeout: 2 * time.Second, target: 200 * time.Millisecond, attempts: 2}
+}
+
+// idleRoutes returns routes that no client uses.
+func idleRoutes(count int) []route {
+	routes := make([]route, count)
+	for i := range routes {
+		routes[i] = route{name: fmt.Sprintf("r-idle-%d", i), prefix: fmt.Sprintf("/idle/%d/", i), kind: tierrules.Safe, service: firstService,
+			timeout: 2 * time.Second, target: 200 * time.Millisecond, attempts: 2}
+	}
+	return routes
+}
+
 // withRoute returns the next version with a route added or replaced.
 func (c configuration) withRoute(version uint64, r route) configuration {
 	next := c.withoutRoute(version, r.name)
@@ -101,7 +123,7 @@
 // expectedRoutes returns the routes that the referee compares.
 func (c configuration) expectedRoutes() []tierrules.Route {
 	var list []tierrules.Route
-	for _, r := range c.routes {
+	for _, r := range append(slices.Clone(c.routes), versionRoute(c.version)) {
 		list = append(list, tierrules.Route{Authority: authority, PathPrefix: r.prefix, Services: []string{r.service}, Timeout: r.timeout})
 	}
 	return list
@@ -179,7 +201,10 @@
 // body returns the complete configuration as JSON.
 func (c configuration) body() []byte {
 	d := document{Version: c.version, Limits: limitsItem{HeaderBytes: 16384, BodyBytes: 4 << 20, HeaderTimeout: 3000, IdleTimeout: c.idle.Milliseconds()}}
-	for _, r := range c.routes {
+	for _, r := range append(slices.Clone(c.routes), versionRoute(c.version)) {
+		d.Routes = append(d.Routes, r.item())
+	}
+	for _, r := range idleRoutes(c.idleRoutes) {
 		d.Routes = append(d.Routes, r.item())
 	}
 	for _, name := range []string{firstService, otherService} {
@@ -190,13 +215,13 @@
 	return mustMarshal(d)
 }
 
-// upsertBody and removeBody return the JSON of a change to a single route.
+// upsertBody and removeBody return the JSON of a change to a single route, beside the one that names the version.
 func upsertBody(version uint64, r route) []byte {
-	return mustMarshal(modification{Version: version, Upsert: map[string][]any{"routes": {r.item()}}})
+	return mustMarshal(modification{Version: version, Upsert: map[string][]any{"routes": {r.item(), versionRoute(version).item()}}})
 }
 
 func removeBody(version uint64, name string) []byte {
-	return mustMarshal(modification{Version: version, Remove: map[string][]string{"routes": {name}}})
+	return mustMarshal(modification{Version: version, Upsert: map[string][]any{"routes": {versionRoute(version).item()}}, Remove: map[string][]string{"routes": {name}}})
 }
 
 func mustMarshal(value any) []byte {
--- a/internal/lab/tierlab/lab.go
+++ b/internal/lab/tierlab/lab.go
@@ -27,6 +27,7 @@
 	Dir      string   // for disks, settings and logs; empty: a temporary folder, removed at the end
 	Scenario Scenario
 	Progress func(line string) // may be nil
+	Bounds   *tierrules.Bounds // nil: Bounds()
 
 	frontAddress func(address string) string // maps a front's address to the one that clients dial; tests insert faults there
 }
@@ -76,6 +77,7 @@
 	proxies  []*process
 
 	operator      *operator
+	probes        sync.WaitGroup // requests that show which version is in force
 	controlClient *http.Client
 	receiverCount atomic.Int64
 	clientCount   atomic.Uint64
@@ -93,7 +95,15 @@
 	turnsBeforeFinalFault []string      // IDs of turns completed before the final fault
 }
 
-// Bounds returns the time bounds that the processes are configured with and judged by.
+// SiteBounds returns the time bounds of the deployments that operators run, which are longer than Bounds.
+func SiteBounds() tierrules.Bounds {
+	b := Bounds()
+	b.Contact, b.Drain, b.Grace = 3*time.Second, 2*time.Second, 8*time.Second
+	b.ConfigApply, b.Recovery = 2*time.Second, 12*time.Second
+	return b
+}
+
+// Bounds returns the time bounds that the processes are configured with and judged by, unless Options has others.
 func Bounds() tierrules.Bounds {
 	return tierrules.Bounds{Contact: 2 * time.Second, Drain: 1500 * time.Millisecond, Grace: 4 * time.Second, LossSlack: 200 * time.Millisecond,
 		ConfigApply: 1500 * time.Millisecond, RollbackSlack: 250 * time.Millisecond, Recovery: 5 * time.Second, Ack: 4 * time.Second}
@@ -139,17 +149,24 @@
 
 func newLab(options Options, network *network) *lab {
 	l := &lab{options: options, scenario: options.Scenario, world: options.Scenario.World, dir: options.Dir, bounds: Bounds(), net: network,
-		launcher: processes.NewLauncher(), controlClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+		controlClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	if options.Bounds != nil {
+		l.bounds = *options.Bounds
+	}
 	if l.world == nil {
 		l.world = tierworld.Default()
 	}
+	l.launcher = processes.NewLauncherOn(l.world.Tier.Cores)
 	l.replaceLocks = make([]sync.Mutex, len(l.world.Receivers.ServicePerReceiver()))
 	l.record = newRecorder(l.bounds)
 	l.operator = &operator{lab: l}
 	tier := l.world.Tier
-	fronts := max(tier.ControlPlanes, tier.Proxies)
-	for i := range tier.ControlPlanes {
-		l.controls = append(l.controls, l.newProcess(controlRole, "front", i, 0))
+	controls := tier.ControlPlanes + tier.Forwarders
+	fronts := max(controls, tier.Proxies)
+	for i := range controls {
+		p := l.newProcess(controlRole, "front", i, 0)
+		p.voter = i < tier.ControlPlanes
+		l.controls = append(l.controls, p)
 	}
 	for i := range tier.Proxies {
 		l.proxies = append(l.proxies, l.newProcess(proxyRole, "front", i, 0))
@@ -178,6 +195,9 @@
 	return list
 }
 
+// seedAddresses returns the addresses of the voting control planes.
+func (l *lab) seedAddresses() []string { return l.controlAddresses()[:l.world.Tier.ControlPlanes] }
+
 // machineOf returns the name of the control plane machine at an address, or an empty string.
 func (l *lab) machineOf(address string) string {
 	for _, p := range l.controls {
@@ -199,6 +219,7 @@
 	}
 	l.progressf("ready, traffic begins")
 	l.runTraffic(ctx)
+	l.probes.Wait()
 	l.readFinalConfiguration(ctx)
 	if err := parent.Err(); err != nil {
 		return nil, err
--- a/internal/lab/tierlab/machine.go
+++ b/internal/lab/tierlab/machine.go
@@ -38,6 +38,7 @@
 	ip      string
 	zone    string
 	role    role
+	voter   bool // of a control plane: it has a disk and votes
 
 	mu             sync.Mutex
 	started        bool // at least once: a restart does not bootstrap
@@ -52,6 +53,9 @@
 
 func (p *process) dir() string { return filepath.Join(p.lab.dir, p.machine, p.role.name) }
 
+// hasDisk reports whether the process stores data that lasts.
+func (p *process) hasDisk() bool { return p.role.disk && (p.role != controlRole || p.voter) }
+
 func (p *process) dataDir() string { return filepath.Join(p.dir(), "data") }
 
 // writeSettings writes the settings file and renames it into place, since the process may be reading it.
@@ -77,9 +81,9 @@
 	line("node_name = %q\nrole = %q\nmachine_class = %q\nserves = [%q]", p.machine, p.role.name, class, p.role.serves)
 	line("ip = %q\nzone = %q\nregion = \"lab\"", p.ip, p.zone)
 	line("internal_ports = [%d,%d]", internalFirst, internalLast)
-	line("seed_nodes = [%s]", quoted(p.lab.controlAddresses()))
-	line("bootstrap = %v\ncounts_for_quorum = true\nheartbeat_ms = %d", bootstrap, heartbeatInterval.Milliseconds())
-	if p.role.disk {
+	line("seed_nodes = [%s]", quoted(p.lab.seedAddresses()))
+	line("bootstrap = %v\ncounts_for_quorum = %v\nheartbeat_ms = %d", bootstrap, p.role != controlRole || p.voter, heartbeatInterval.Milliseconds())
+	if p.hasDisk() {
 		line("data_dir = %q", p.dataDir())
 	}
 	line("[zones]\na = \"lab\"\nb = \"lab\"\nc = \"lab\"\n[listen]")
--- a/internal/lab/tierlab/operator.go
+++ b/internal/lab/tierlab/operator.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,8 +17,10 @@
 const (
 	// operatorRequestTimeout bounds one request, after which the operator tries another node.
 	operatorRequestTimeout = time.Second
-	minOperatorPause       = 50 * time.Millisecond
-	maxOperatorPause       = 500 * time.Millisecond
+	// operatorBodyBytesPerTimeout is the size of a body for which the operator waits operatorRequestTimeout more.
+	operatorBodyBytesPerTimeout = 1 << 20
+	minOperatorPause            = 50 * time.Millisecond
+	maxOperatorPause            = 500 * time.Millisecond
 	// operatorChangeTimeout bounds one change with all its attempts.
 	operatorChangeTimeout = 8 * time.Second
 	// lostAnswerInterval is the interval, in changes, at which the answer to the first attempt is lost.
@@ -32,6 +35,7 @@
 	current      configuration           // newest acknowledged version
 	newestChange *tierrules.ConfigChange // change that led to current
 	changeCount  int
+	acknowledger *process // that gave the newest acknowledgement
 }
 
 // change sends a change until a node gives a definite answer. It returns the status, or 0 without one.
@@ -46,6 +50,9 @@
 	pause := minOperatorPause
 	for try := 0; ctx.Err() == nil; try++ {
 		status := o.send(ctx, addresses[(first+try)%len(addresses)], c, (first+try)%lostAnswerInterval == 0 && try == 0)
+		if status == http.StatusOK {
+			o.setAcknowledger(o.lab.controls[(first+try)%len(addresses)])
+		}
 		switch {
 		case status == http.StatusOK, status == 400, status == 409, status == 412, status == 413, status == 422:
 			return status
@@ -58,7 +65,7 @@
 
 // send sends a change once. lost discards the answer, so that the operator does not learn the outcome.
 func (o *operator) send(ctx context.Context, address string, c *tierrules.ConfigChange, lost bool) int {
-	ctx, cancel := context.WithTimeout(ctx, operatorRequestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeoutFor(len(c.Body)))
 	defer cancel()
 	path := "/api/Config.Replace"
 	if c.Modify {
@@ -88,6 +95,11 @@
 	return status
 }
 
+// requestTimeoutFor returns how long the operator waits for the answer to a request with a body of some bytes.
+func requestTimeoutFor(bodyBytes int) time.Duration {
+	return operatorRequestTimeout + operatorRequestTimeout*time.Duration(bodyBytes)/operatorBodyBytesPerTimeout
+}
+
 // recordChange records a change for the referee.
 func (o *operator) recordChange(name string, base uint64, next configuration, body []byte, modify, invalid bool) *tierrules.ConfigChange {
 	c := &tierrules.ConfigChange{Name: name, BaseVersion: base, Version: next.version, Body: body, Modify: modify, Invalid: invalid, Routes: next.expectedRoutes()}
@@ -106,10 +118,12 @@
 	status := o.change(ctx, c)
 	if status == http.StatusOK {
 		o.mu.Lock()
+		previous := o.current.version
 		if next.version > o.current.version {
 			o.current, o.newestChange = next, c
 		}
 		o.mu.Unlock()
+		o.lab.probeVersions(ctx, next.version, previous)
 	}
 	return status
 }
@@ -127,6 +141,31 @@
 	o.apply(ctx, o.recordChange("route added", current.version, next, upsertBody(next.version, addedRoute), true, false), next)
 }
 
+// toggleAddedRoute adds the added route, or removes it if it is there. It returns the status.
+func (o *operator) toggleAddedRoute(ctx context.Context) int {
+	current := o.currentConfiguration()
+	next := current.withRoute(current.version+2, addedRoute)
+	body := upsertBody(next.version, addedRoute)
+	if current.hasRoute(addedRoute.name) {
+		next = current.withoutRoute(current.version+1, addedRoute.name)
+		body = removeBody(next.version, addedRoute.name)
+	}
+	return o.apply(ctx, o.recordChange("added route toggled", current.version, next, body, true, false), next)
+}
+
+func (o *operator) setAcknowledger(p *process) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.acknowledger = p
+}
+
+// lastAcknowledger returns the control plane that gave the newest acknowledgement.
+func (o *operator) lastAcknowledger() *process {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.acknowledger
+}
+
 func (o *operator) moveRoute(ctx context.Context) {
 	moved := orderRoute
 	moved.service = otherService
@@ -253,7 +292,7 @@
 }
 
 func (o *operator) readAt(ctx context.Context, address string) tierrules.ConfigRead {
-	ctx, cancel := context.WithTimeout(ctx, operatorRequestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeoutFor(maxAnswerBytes))
 	defer cancel()
 	read := tierrules.ConfigRead{Sent: o.lab.record.now()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/api/Config.Read", nil)
@@ -272,6 +311,9 @@
 	}
 	read.Ended, read.Status, read.Version = o.lab.record.now(), resp.StatusCode, d.Version
 	for _, r := range d.Routes {
+		if strings.HasPrefix(r.Prefix, "/idle/") {
+			continue
+		}
 		read.Routes = append(read.Routes, tierrules.Route{Authority: r.Authority, PathPrefix: r.Prefix, Services: []string{r.Service}})
 	}
 	return read
--- a/internal/lab/tierworld/check.go
+++ b/internal/lab/tierworld/check.go
@@ -143,7 +143,7 @@
 
 func (w *World) checkTarget(k kindSpec, t Trouble) *KeyError {
 	switch {
-	case t.Target == "" && len(k.targets) > 0 && !k.defaultsToAll:
+	case t.Target == "" && len(k.targets) > 0 && !k.defaultsToAll && !k.optionalTarget:
 		return &KeyError{Key: "on", Reason: "missing; allowed: " + strings.Join(k.targets, ", ")}
 	case t.Target != "" && len(k.targets) == 0:
 		return unsupportedKeyError("on", k)
--- a/internal/lab/tierworld/trouble.go
+++ b/internal/lab/tierworld/trouble.go
@@ -7,30 +7,33 @@
 
 // The kinds of trouble.
 const (
-	Kill           TroubleKind = "kill"
-	Wipe           TroubleKind = "wipe"
-	Freeze         TroubleKind = "freeze"
-	Restart        TroubleKind = "restart"
-	RestartMachine TroubleKind = "restart_machine"
-	Reload         TroubleKind = "reload"
-	Rewrite        TroubleKind = "rewrite"
-	KillAll        TroubleKind = "kill_all"
-	Retire         TroubleKind = "retire"
-	Drain          TroubleKind = "drain"
-	Crash          TroubleKind = "crash"
-	LoseAnswers    TroubleKind = "lose_answers"
-	Errors         TroubleKind = "errors"
-	Hang           TroubleKind = "hang"
-	Slow           TroubleKind = "slow"
-	Burst          TroubleKind = "burst"
-	AddRoute       TroubleKind = "add_route"
-	MoveRoute      TroubleKind = "move_route"
-	RemoveRoute    TroubleKind = "remove_route"
-	ChangeIdle     TroubleKind = "change_idle"
-	ChangeTimeout  TroubleKind = "change_timeout"
-	Race           TroubleKind = "race"
-	Invalid        TroubleKind = "invalid"
-	Repeat         TroubleKind = "repeat"
+	Kill             TroubleKind = "kill"
+	Wipe             TroubleKind = "wipe"
+	Freeze           TroubleKind = "freeze"
+	Restart          TroubleKind = "restart"
+	RestartMachine   TroubleKind = "restart_machine"
+	Reload           TroubleKind = "reload"
+	Rewrite          TroubleKind = "rewrite"
+	KillAll          TroubleKind = "kill_all"
+	LosePower        TroubleKind = "lose_power"
+	LosePowerEarly   TroubleKind = "lose_power_early"
+	LoseAcknowledger TroubleKind = "lose_acknowledger"
+	Retire           TroubleKind = "retire"
+	Drain            TroubleKind = "drain"
+	Crash            TroubleKind = "crash"
+	LoseAnswers      TroubleKind = "lose_answers"
+	Errors           TroubleKind = "errors"
+	Hang             TroubleKind = "hang"
+	Slow             TroubleKind = "slow"
+	Burst            TroubleKind = "burst"
+	AddRoute         TroubleKind = "add_route"
+	MoveRoute        TroubleKind = "move_route"
+	RemoveRoute      TroubleKind = "remove_route"
+	ChangeIdle       TroubleKind = "change_idle"
+	ChangeTimeout    TroubleKind = "change_timeout"
+	Race             TroubleKind = "race"
+	Invalid          TroubleKind = "invalid"
+	Repeat           TroubleKind = "repeat"
 )
 
 // The roles of processes.
@@ -54,6 +57,7 @@
 	kind           TroubleKind
 	targets        []string // allowed values of on; empty: on is not allowed
 	defaultsToAll  bool     // on may be omitted and then means all of them
+	optionalTarget bool     // on may be omitted and then means none of them
 	hasDuration    bool
 	strength       strength
 	takesSuccessor bool // next may name the service that takes over the address
@@ -79,6 +83,12 @@
 	{kind: Reload, targets: processRoles, help: "the settings file is written anew with the same meaning, and SIGHUP"},
 	{kind: KillAll, hasDuration: true,
 		help: "SIGKILL to every process; all started again after for_s; the last trouble of processes"},
+	{kind: LosePower, targets: diskRoles, optionalTarget: true, hasDuration: true,
+		help: "at the acknowledgement of a change, SIGKILL to every process; the disk of on, if given, is emptied; started again one by one within for_s"},
+	{kind: LosePowerEarly, targets: diskRoles, optionalTarget: true, hasDuration: true,
+		help: "the same while a change is under way"},
+	{kind: LoseAcknowledger, hasDuration: true,
+		help: "at the acknowledgement of a change, SIGKILL to the control plane that gave it, and its disk is emptied; started again after for_s"},
 	{kind: Retire, targets: []string{Store},
 		help: "the store is emptied as its operator does it, then stopped for good"},
 	{kind: Drain, targets: services, hasDuration: true, takesSuccessor: true,
@@ -115,9 +125,15 @@
 
 // causesOutage reports whether processes do not serve while the trouble lasts.
 func (w TroubleKind) causesOutage() bool {
-	return w == Kill || w == Wipe || w == Freeze || w == Restart || w == RestartMachine || w == KillAll
+	return w == Kill || w == Wipe || w == Freeze || w == Restart || w == RestartMachine || w == KillAll || w.losesAllPower()
 }
 
+// losesAllPower reports whether all processes lose power at the same moment, which may happen more than once in a day.
+func (w TroubleKind) losesAllPower() bool { return w == LosePower || w == LosePowerEarly }
+
+// LosesAllProcesses reports whether the trouble ends all processes at the same moment.
+func (w TroubleKind) LosesAllProcesses() bool { return w == KillAll || w.losesAllPower() }
+
 // kindNames returns the names of all kinds of trouble.
 func kindNames() []string {
 	names := make([]string, 0, len(kindSpecs))
--- a/internal/lab/tierworld/world.go
+++ b/internal/lab/tierworld/world.go
@@ -32,6 +32,12 @@
 	ControlPlanes int `toml:"control_planes" range:"3 9"`
 	Stores        int `toml:"stores" range:"3 12"`
 	Proxies       int `toml:"proxies" range:"1 120"`
+	// Forwarders is the number of further control planes, which have no disk and do not vote.
+	Forwarders int `toml:"forwarders,omitempty" range:"0 9" comment:"control planes more, without a disk and without a vote"`
+	// IdleRoutes is the number of routes of the configuration that no client uses. A route takes some 330 bytes.
+	IdleRoutes int `toml:"idle_routes,omitempty" range:"0 12000" comment:"routes of the configuration that no client uses"`
+	// Cores is the number of cores that all processes of the tier share, as on machines with few of them.
+	Cores int `toml:"cores,omitempty" range:"0 64" comment:"cores that all processes share; 0: all there are"`
 	// ProcessorShare is the share of each tenth of a second that a proxy runs at full speed; it is paused for the rest.
 	ProcessorShare float64 `toml:"processor_share,omitempty" range:"0 1" comment:"of each tenth of a second, for a proxy; 0: all of it"`
 }
