--- a/cmd/quaylab/soak.go
+++ b/cmd/quaylab/soak.go
@@ -132,5 +132,8 @@
 	}
 	fmt.Printf("seed %d: BROKEN\n", seed)
 	printTierResult(os.Stdout, result, maxBreachesShown)
+	for _, moment := range result.Timeline {
+		fmt.Println(moment)
+	}
 	return day
 }
--- a/internal/lab/tierlab/lab.go
+++ b/internal/lab/tierlab/lab.go
@@ -39,6 +39,7 @@
 	ProgramOutcomes map[Outcome]int
 	Crashes         []string
 	Notes           []string // remarks for the reader that are no rule breaches
+	Timeline        []Moment // faults and acknowledged changes of the configuration
 	Elapsed         time.Duration
 
 	Recording *Recording
--- a/internal/lab/tierlab/result.go
+++ b/internal/lab/tierlab/result.go
@@ -42,7 +42,7 @@
 	seen := l.recording
 	seen.From, seen.To, seen.Requests, seen.Runs = time.Duration(l.trafficStart.Load()), h.TrafficEnd, h.Requests, h.Runs
 	return &Result{Verdict: tierrules.Judge(h), Classes: summarizeByClass(h.Requests), ProgramOutcomes: l.programCounts.outcomes,
-		Crashes: l.record.crashes, Notes: l.notes, Elapsed: took, Recording: &seen}
+		Crashes: l.record.crashes, Notes: l.notes, Timeline: timeline(h), Elapsed: took, Recording: &seen}
 }
 
 // summarizeByClass counts requests by class and result.
