Configuration: a change of one route costs the change, not the whole document

Cause: each process read all routes again at each change, most several times: the head, each member of the chain, each publication, each read, each entry replayed at a start, each proxy.

--- a/internal/tier/controlplane/operator.go
+++ b/internal/tier/controlplane/operator.go
@@ -170,8 +170,7 @@
 	if err != nil {
 		return nil, err
 	}
-	state := controlstate.New()
-	return state, state.Restore(snapshot)
+	return controlstate.Read(snapshot)
 }
 
 func writeError(w http.ResponseWriter, status int, reason string) {
--- a/internal/tier/controlplane/plane.go
+++ b/internal/tier/controlplane/plane.go
@@ -152,8 +152,8 @@
 // publishCommitted publishes a newly committed control state to the cluster. Every member does so; publishing an entry
 // twice has no further effect.
 func (p *Plane) publishCommitted(epoch, sequence uint64, snapshot []byte) {
-	state := controlstate.New()
-	if err := state.Restore(snapshot); err != nil {
+	state, err := controlstate.Read(snapshot)
+	if err != nil {
 		p.base.Log.WithError(err).Error("cannot decode the committed control state")
 		return
 	}
--- a/internal/tier/controlstate/configuration.go
+++ b/internal/tier/controlstate/configuration.go
@@ -45,7 +45,7 @@
 		reason := fmt.Sprintf("version: %d is not above %d, which is in force", next.Version, s.version)
 		return s.refuse(StatusBadRequest, reason), false
 	}
-	s.version, s.body = next.Version, next.Body
+	s.version, s.body, s.parsed = next.Version, next.Body, next
 	s.accepted.add(id, next.Version)
 	s.refused.dropBelow(next.Version)
 	return Result{Status: StatusOK, Version: next.Version}, true
@@ -80,16 +80,37 @@
 
 // nextConfiguration returns the configuration that results from a change.
 func (s *State) nextConfiguration(c Command) (*routing.Snapshot, error) {
+	current := s.parsedConfiguration()
 	if c.Kind == ReplaceConfiguration {
-		return routing.Parse(c.Body)
+		return routing.ParseAfter(current, c.Body)
 	}
-	body, err := routing.Modify(s.body, c.Body)
+	if current == nil {
+		return modifyFirst(c.Body)
+	}
+	body, err := current.Modify(c.Body)
+	if err != nil {
+		return nil, err
+	}
+	return routing.ParseAfter(current, body)
+}
+
+// modifyFirst returns the configuration that results from a change where there is none yet.
+func modifyFirst(patch []byte) (*routing.Snapshot, error) {
+	body, err := routing.Modify(nil, patch)
 	if err != nil {
 		return nil, err
 	}
 	return routing.Parse(body)
 }
 
+// parsedConfiguration returns the configuration in force, or nil if there is none. It reads the body at the first call only.
+func (s *State) parsedConfiguration() *routing.Snapshot {
+	if s.parsed == nil && s.version > 0 {
+		s.parsed, _ = routing.Parse(s.body) // what is in force was valid when it was accepted
+	}
+	return s.parsed
+}
+
 func (s *State) refuse(status int, message string) Result {
 	return Result{Status: status, Message: message, Version: s.version}
 }
--- a/internal/tier/controlstate/snapshot.go
+++ b/internal/tier/controlstate/snapshot.go
@@ -114,7 +114,7 @@
 // Restore replaces the state by one that Snapshot encoded. If the snapshot cannot be decoded or violates an invariant, the
 // error names the place and the state is unchanged.
 func (s *State) Restore(snapshot []byte) error {
-	restored, err := decodeSnapshot(snapshot)
+	restored, err := decodeSnapshot(snapshot, s.parsed)
 	if err != nil {
 		return eris.Wrap(err, "snapshot of the control state")
 	}
@@ -122,28 +122,52 @@
 	return nil
 }
 
-func decodeSnapshot(snapshot []byte) (*State, error) {
-	raw, err := verifyHeader(snapshot)
+// Read returns the state that Snapshot encoded, for reading. It checks the encoding and the checksum, but does not read the
+// configuration again, as Restore does for a snapshot from a disk or from another process: use it for those of this
+// process's own replica. Error: as of Restore.
+func Read(snapshot []byte) (*State, error) {
+	record, _, err := decodeRecord(snapshot)
 	if err != nil {
-		return nil, err
+		return nil, eris.Wrap(err, "snapshot of the control state")
+	}
+	state, err := record.toState()
+	return state, eris.Wrap(err, "snapshot of the control state")
+}
+
+// decodeRecord verifies and decodes a snapshot. It returns the encoded record as well.
+func decodeRecord(snapshot []byte) (record snapshotRecord, raw []byte, err error) {
+	if raw, err = verifyHeader(snapshot); err == nil {
+		err = unmarshal(snapshotSchema, raw, &record)
 	}
-	var record snapshotRecord
-	if err := unmarshal(snapshotSchema, raw, &record); err != nil {
+	return record, raw, err
+}
+
+// decodeSnapshot decodes a snapshot and checks it whole. previous is a configuration read before, with which the snapshot's
+// may have much in common; it may be nil.
+func decodeSnapshot(snapshot []byte, previous *routing.Snapshot) (*State, error) {
+	record, raw, err := decodeRecord(snapshot)
+	if err != nil {
 		return nil, err
 	}
 	// Encoding the record again detects encodings that this package never writes, such as a negative list count.
 	if reencoded := mustMarshal(snapshotSchema, record); !bytes.Equal(reencoded, raw) {
 		return nil, eris.Errorf("record of %d bytes is not in canonical encoding, which has %d bytes", len(raw), len(reencoded))
 	}
-	return record.toState()
+	configuration, err := record.parseConfiguration(previous)
+	if err != nil {
+		return nil, err
+	}
+	state, err := record.toState()
+	if err != nil {
+		return nil, err
+	}
+	state.parsed = configuration
+	return state, nil
 }
 
-// toState checks the invariants and returns the state.
+// toState checks all invariants but those of the configuration's body, and returns the state.
 func (r *snapshotRecord) toState() (*State, error) {
 	s := &State{version: uint64(r.Version)}
-	if err := r.checkConfiguration(); err != nil {
-		return nil, err
-	}
 	if r.Version > 0 {
 		s.body = r.Body
 	}
@@ -160,18 +184,19 @@
 	return s, r.restoreRetirements(s)
 }
 
-func (r *snapshotRecord) checkConfiguration() error {
+// parseConfiguration returns the configuration, or nil if there is none yet. previous is as of decodeSnapshot.
+func (r *snapshotRecord) parseConfiguration(previous *routing.Snapshot) (*routing.Snapshot, error) {
 	if r.Version == 0 && len(r.Body) == 0 {
-		return nil
+		return nil, nil
 	}
-	configuration, err := routing.Parse(r.Body)
+	configuration, err := routing.ParseAfter(previous, r.Body)
 	if err != nil {
-		return eris.Wrap(err, "body")
+		return nil, eris.Wrap(err, "body")
 	}
 	if configuration.Version != uint64(r.Version) {
-		return eris.Errorf("body: version is %d, want %d", configuration.Version, r.Version)
+		return nil, eris.Errorf("body: version is %d, want %d", configuration.Version, r.Version)
 	}
-	return nil
+	return configuration, nil
 }
 
 func (r *snapshotRecord) restoreStores(s *State) error {
--- a/internal/tier/controlstate/state.go
+++ b/internal/tier/controlstate/state.go
@@ -18,6 +18,8 @@
 //   - A change that was refused never comes into force.
 package controlstate
 
+import "emberquay/internal/tier/routing"
+
 const (
 	// MaxConfigurationBytes is the maximum size of a configuration and of the body of a ModifyConfiguration command. Half
 	// of a replica's journal has to hold a checkpoint with three of this size (one each in a view and in a vote, and the newest
@@ -42,6 +44,8 @@
 type State struct {
 	version uint64 // of the configuration; 0 where there is none yet
 	body    []byte
+	// parsed is the configuration as read from body; nil where it has not been needed yet.
+	parsed *routing.Snapshot
 
 	accepted acceptedChanges
 	// refused holds the refused changes whose base version is above the current one. A delayed duplicate of such a change
--- a/internal/tier/dataplane/plane.go
+++ b/internal/tier/dataplane/plane.go
@@ -121,7 +121,7 @@
 		p.base.Log.WithError(err).Error("cannot decode the configuration")
 		return
 	}
-	snapshot, err := routing.Parse(record.Body)
+	snapshot, err := routing.ParseAfter(p.snapshot.Load(), record.Body)
 	if err != nil {
 		p.base.Log.WithError(err).WithField("version", record.Version).Error("configuration is not valid")
 		return
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -117,7 +117,7 @@
 	}
 	p.frontend.setLimits(snapshot.Limits)
 	p.snapshot.Store(snapshot)
-	p.routeSequences.retain(snapshot.HasRoute)
+	p.routeSequences.retain(snapshot.RouteNames)
 	if current == nil {
 		close(p.configured)
 	}
--- a/internal/tier/proxy/spread.go
+++ b/internal/tier/proxy/spread.go
@@ -38,12 +38,16 @@
 	return point
 }
 
-// retain drops the sequences of all routes for which isNamed returns false.
-func (s *routeSequences) retain(isNamed func(route string) bool) {
+// retain drops the sequences of all routes that are not named. It asks for the names only if there are sequences.
+func (s *routeSequences) retain(names func() map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.points) == 0 {
+		return
+	}
+	named := names()
 	for route := range s.points {
-		if !isNamed(route) {
+		if !named[route] {
 			delete(s.points, route)
 		}
 	}
--- a/internal/tier/proxy/spread_test.go
+++ b/internal/tier/proxy/spread_test.go
@@ -54,7 +54,7 @@
 	for i := range 100 {
 		s.next(fmt.Sprint("route-", i))
 	}
-	s.retain(func(route string) bool { return route == "route-7" })
+	s.retain(func() map[string]bool { return map[string]bool{"route-7": true} })
 	if len(s.points) != 1 {
 		t.Errorf("%d routes are kept, want 1", len(s.points))
 	}
--- a/internal/tier/routing/items.go
+++ b/internal/tier/routing/items.go
@@ -66,11 +66,16 @@
 }
 
 // applyChanges returns the members after the changes of upsert and remove, in that order. Lists under any key are
-// changed item by item; other values, such as limits, are replaced.
-func applyChanges(members []member, document, upsert, remove *object) []member {
+// changed item by item; other values, such as limits, are replaced. lists holds those lists of the document that have been
+// read already.
+func applyChanges(members []member, document *object, lists map[string]*itemList, upsert, remove *object) []member {
 	changed := map[string]*itemList{}
 	itemsOf := func(key string) *itemList {
-		if changed[key] == nil {
+		switch {
+		case changed[key] != nil:
+		case lists[key] != nil:
+			changed[key] = lists[key]
+		default:
 			changed[key] = readItems(document, key)
 		}
 		return changed[key]
--- a/internal/tier/routing/modify.go
+++ b/internal/tier/routing/modify.go
@@ -23,6 +23,21 @@
 	if err != nil {
 		return nil, currentConfigError(err)
 	}
+	return modify(document, map[string]*itemList{}, patch)
+}
+
+// Modify is like the function of that name for the configuration of the snapshot, which is not read again: what it costs
+// beside copying the text grows with the change.
+func (s *Snapshot) Modify(patch []byte) ([]byte, error) {
+	lists := map[string]*itemList{}
+	if s.source.document.values["routes"].IsArray() {
+		lists["routes"] = s.routeItems()
+	}
+	return modify(s.source.document.copy(), lists, patch)
+}
+
+// modify applies a change to a document, some of whose lists have been read already.
+func modify(document *object, lists map[string]*itemList, patch []byte) ([]byte, error) {
 	change, err := newDocument(patch)
 	if err != nil {
 		return nil, err
@@ -32,8 +47,8 @@
 	if err := change.err(); err != nil {
 		return nil, err
 	}
-	members := setMember(orderedMembers(current), "version", change.values["version"].Raw)
-	members = applyChanges(members, document, upsert, remove)
+	members := setMember(document.members(), "version", change.values["version"].Raw)
+	members = applyChanges(members, document, lists, upsert, remove)
 	if err := document.err(); err != nil {
 		return nil, currentConfigError(err)
 	}
@@ -43,13 +58,12 @@
 	return encodeObject(members), nil
 }
 
-// orderedMembers returns the members of an object in their order in the text.
-func orderedMembers(body []byte) []member {
-	var members []member
-	gjson.ParseBytes(body).ForEach(func(key, value gjson.Result) bool {
-		members = append(members, member{key: key.Str, raw: value.Raw})
-		return true
-	})
+// members returns the members of the object in their order in the text.
+func (o *object) members() []member {
+	members := make([]member, 0, len(o.order))
+	for _, key := range o.order {
+		members = append(members, member{key: key, raw: o.values[key].Raw})
+	}
 	return members
 }
 
--- a/internal/tier/routing/object.go
+++ b/internal/tier/routing/object.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"math"
@@ -37,7 +38,8 @@
 type object struct {
 	path     string // empty for the top-level object
 	values   map[string]gjson.Result
-	firstErr *error // shared by all objects of a document
+	order    []string // of the top-level object: its keys in the order of the text
+	firstErr *error   // shared by all objects of a document
 }
 
 // newDocument reads the top-level object of a JSON document; nothing but white space may surround it.
@@ -59,27 +61,47 @@
 	return top, top.err()
 }
 
+// copy returns an object with the same values and no error.
+func (o *object) copy() *object {
+	return &object{path: o.path, values: o.values, order: o.order, firstErr: new(error)}
+}
+
 // nestingDepth returns the nesting depth of brackets. Its result has no meaning for a text that is not valid JSON.
 func nestingDepth(body []byte) int {
 	deepest, level := 0, 0
-	quoted := false
 	for i := 0; i < len(body); i++ {
-		switch c := body[i]; {
-		case quoted && c == '\\':
-			i++
-		case c == '"':
-			quoted = !quoted
-		case quoted:
-		case c == '{' || c == '[':
+		switch body[i] {
+		case '"':
+			i += stringLength(body[i+1:])
+		case '{', '[':
 			level++
 			deepest = max(deepest, level)
-		case c == '}' || c == ']':
+		case '}', ']':
 			level--
 		}
 	}
 	return deepest
 }
 
+// stringLength returns the length of a string's text with its closing quote, all of the text if there is none.
+func stringLength(text []byte) int {
+	for at := 0; ; {
+		quote := bytes.IndexByte(text[at:], '"')
+		if quote < 0 {
+			return len(text)
+		}
+		end := at + quote
+		backslashes := 0
+		for end-backslashes > 0 && text[end-backslashes-1] == '\\' {
+			backslashes++
+		}
+		at = end + 1
+		if backslashes%2 == 0 {
+			return at
+		}
+	}
+}
+
 // readKeys reads the object's keys and refuses a duplicate key, since JSON parsers differ in which of its values they
 // take.
 func (o *object) readKeys(value gjson.Result) {
@@ -94,6 +116,9 @@
 			return false
 		}
 		o.values[key.Str] = value
+		if o.path == "" {
+			o.order = append(o.order, key.Str)
+		}
 		return true
 	})
 }
@@ -147,16 +172,21 @@
 func (o *object) objects(key string) []*object {
 	var list []*object
 	for i, value := range o.list(key) {
-		item := &object{path: fmt.Sprintf("%s[%d]", o.keyPath(key), i), firstErr: o.firstErr}
-		if name := value.Get("name"); name.Type == gjson.String && name.Str != "" {
-			item.path = fmt.Sprintf("%s[%s]", o.keyPath(key), name.Str)
-		}
-		item.readKeys(value)
-		list = append(list, item)
+		list = append(list, o.item(key, i, value))
 	}
 	return list
 }
 
+// item returns the object at an index of the list under that key.
+func (o *object) item(key string, index int, value gjson.Result) *object {
+	item := &object{path: fmt.Sprintf("%s[%d]", o.keyPath(key), index), firstErr: o.firstErr}
+	if name := value.Get("name"); name.Type == gjson.String && name.Str != "" {
+		item.path = fmt.Sprintf("%s[%s]", o.keyPath(key), name.Str)
+	}
+	item.readKeys(value)
+	return item
+}
+
 func (o *object) list(key string) []gjson.Result {
 	if !o.has(key) {
 		return nil
--- a/internal/tier/routing/parse.go
+++ b/internal/tier/routing/parse.go
@@ -12,16 +12,12 @@
 	if err != nil {
 		return nil, err
 	}
-	snapshot := &Snapshot{
-		Version:  readVersion(top),
-		Body:     body,
-		Services: readServices(top),
-		Limits:   readLimits(top.object("limits")),
-	}
+	snapshot := readAllButRoutes(top, body)
 	snapshot.Routes = readRoutes(top, snapshot.Services)
 	if err := top.err(); err != nil {
 		return nil, err
 	}
+	snapshot.source = newSourceText(top)
 	if duplicate := snapshot.buildRouteTree(); duplicate != nil {
 		reason := "another route has the same host and prefix"
 		return nil, &KeyError{Key: "routes[" + duplicate.Name + "].path_prefix", Reason: reason}
@@ -29,6 +25,16 @@
 	return snapshot, nil
 }
 
+// readAllButRoutes returns a snapshot of the document without its routes.
+func readAllButRoutes(top *object, body []byte) *Snapshot {
+	return &Snapshot{
+		Version:  readVersion(top),
+		Body:     body,
+		Services: readServices(top),
+		Limits:   readLimits(top.object("limits")),
+	}
+}
+
 func readVersion(top *object) uint64 {
 	if !top.has("version") {
 		top.fail("version", "is missing")
--- a/internal/tier/routing/routing.go
+++ b/internal/tier/routing/routing.go
@@ -7,13 +7,13 @@
 //	if route, ok := snapshot.Match(request.Host, request.URL.EscapedPath()); ok {
 //		service := route.ChooseTarget(random.Float64()).Service
 //	}
+//	next, err := routing.ParseAfter(snapshot, nextBody) // shares the unchanged routes
 //
 // A Snapshot is fully validated and immutable, so any number of goroutines may read it; a new configuration replaces it
 // as a whole. Unknown keys are ignored, since the configuration may gain new ones.
 package routing
 
 import (
-	"slices"
 	"time"
 
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
@@ -36,7 +36,8 @@
 	Limits   Limits
 
 	routeTree       *iradix.Tree[*Route] // by Route.key
-	longestKeyBytes int                  // length of the longest Route.key
+	longestKeyBytes int                  // at least the length of the longest Route.key
+	source          sourceText
 }
 
 // Kind determines how often a request of a route may run.
@@ -119,9 +120,13 @@
 	IdleTimeout:    15 * time.Second,
 }
 
-// HasRoute reports whether there is a route with that name.
-func (s *Snapshot) HasRoute(name string) bool {
-	return slices.ContainsFunc(s.Routes, func(r *Route) bool { return r.Name == name })
+// RouteNames returns the set of the names of all routes.
+func (s *Snapshot) RouteNames() map[string]bool {
+	names := make(map[string]bool, len(s.Routes))
+	for _, route := range s.Routes {
+		names[route.Name] = true
+	}
+	return names
 }
 
 // ChooseTarget selects a target by weight. unit is uniformly distributed in [0, 1).
