Control plane: the end of a receiver is saved without the whole configuration

Cause: one file held all saved entries. Change: the configuration has a file of its own, known-configuration, written when it changes. A start reads both, so files of earlier releases are read as before; inspect and verify read both. Result: a test that the configuration's file is not replaced by a receiver's end; before, all was in one file (by reading).

--- a/internal/tier/controlplane/alone_test.go
+++ b/internal/tier/controlplane/alone_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -214,6 +216,31 @@
 	}, SpecTimeout(2*time.Minute))
 })
 
+// Guards against a receiver's end that is acknowledged late because the whole configuration is written with it.
+var _ = Describe("the saved configuration", func() {
+	It("is not written again when a receiver ends", func(ctx SpecContext) {
+		ports, seeds, dirs := threePlaneSettings()
+		plane := startPlane(1, ports, seeds[:1], dirs[0], true)
+		DeferCleanup(shutDown, plane)
+		firstCall := apiCall{"first configuration", "POST", "/api/Config.Replace", "0", `{"version":1,"services":[{"name":"s"}],"routes":[]}`}
+		Eventually(ctx, func() int { return statusOf(firstCall, seeds[0]) }).Should(Equal(200))
+		path := filepath.Join(dirs[0], configurationFileName)
+		Eventually(ctx, func() error { _, err := os.Stat(path); return err }).Should(Succeed())
+		before, err := os.Stat(path)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(ctx, func() int { return statusOf(leaveCall, seeds[0]) }).Should(Equal(200))
+		Expect(statusOf(readyCall, seeds[0])).To(Equal(200))
+		Expect(statusOf(drainingCall, seeds[0])).To(Equal(200))
+		entries, err := snapshot.File{FS: vfs.OS{}, Dir: dirs[0]}.Load()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(entries).NotTo(BeEmpty())
+		Expect(entries).NotTo(ContainElement(HaveField("Key", cluster.ConfigurationKey)))
+		after, err := os.Stat(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.SameFile(before, after)).To(BeTrue())
+	}, SpecTimeout(time.Minute))
+})
+
 func statusOf(c apiCall, address string) int {
 	GinkgoHelper()
 	status, _, _ := c.send(address)
--- a/internal/tier/controlplane/inspect.go
+++ b/internal/tier/controlplane/inspect.go
@@ -91,7 +91,12 @@
 	if err := inspection.readState(durable); err != nil {
 		inspection.Findings.Add(journal.Finding{File: "ring-*", Problem: fmt.Sprint(err)})
 	}
-	return inspection, inspection.readSavedEntries(snapshot.File{FS: files, Dir: dir})
+	for name := range savedPrefixes {
+		if err := inspection.readSavedEntries(snapshot.File{FS: files, Dir: dir, Name: name}); err != nil {
+			return inspection, err
+		}
+	}
+	return inspection, nil
 }
 
 func summarizeVote(durable *chain.DurableState) VoteSummary {
@@ -152,9 +157,9 @@
 func (i *Inspection) readSavedEntries(file snapshot.File) error {
 	entries, err := file.LoadStrict()
 	if errors.Is(err, snapshot.ErrCorrupt) {
-		i.Findings.Add(journal.Finding{File: snapshot.FileName, Problem: fmt.Sprint(err)})
+		i.Findings.Add(journal.Finding{File: file.Name, Problem: fmt.Sprint(err)})
 		return nil
 	}
-	i.SavedEntries = len(entries)
+	i.SavedEntries += len(entries)
 	return err
 }
--- a/internal/tier/controlplane/keep.go
+++ b/internal/tier/controlplane/keep.go
@@ -18,8 +18,15 @@
 // receiver goes on to another node.
 const saveTimeout = 200 * time.Millisecond
 
-// savedPrefixes are the key prefixes of the cluster entries that are saved across restarts.
-var savedPrefixes = []string{cluster.ConfigurationKey, cluster.StoresKey, cluster.ReceiverPrefix}
+// configurationFileName is the name of the file of the configuration. It has a file of its own, so that saving the end of a
+// receiver, for which the receiver waits, does not write a document of megabytes.
+const configurationFileName = "known-configuration"
+
+// savedPrefixes are the key prefixes of the cluster entries that are saved across restarts, by the name of their file.
+var savedPrefixes = map[string][]string{
+	configurationFileName: {cluster.ConfigurationKey},
+	snapshot.FileName:     {cluster.StoresKey, cluster.ReceiverPrefix},
+}
 
 // errNotSaved says that the saver stopped before the entry was saved.
 var errNotSaved = eris.New("stopped before the entry was saved")
@@ -121,17 +128,17 @@
 	return nil
 }
 
-// entriesToSave returns the entries of the cluster's table that are saved.
-func (p *Plane) entriesToSave() []cluster.Entry {
+// entriesWith returns the entries of the cluster's table whose keys have one of the prefixes.
+func (p *Plane) entriesWith(prefixes []string) []cluster.Entry {
 	var entries []cluster.Entry
-	for _, prefix := range savedPrefixes {
+	for _, prefix := range prefixes {
 		entries = append(entries, p.base.Cluster.List(prefix)...)
 	}
 	return entries
 }
 
-func (p *Plane) entryFile() snapshot.File {
-	return snapshot.File{FS: vfs.OS{}, Dir: p.base.Settings.DataDir}
+func (p *Plane) entryFile(name string) snapshot.File {
+	return snapshot.File{FS: vfs.OS{}, Dir: p.base.Settings.DataDir, Name: name}
 }
 
 // loadSavedEntries publishes the entries that the previous process saved. If the whole tier was down, no other node knows
@@ -142,19 +149,22 @@
 	if !p.base.Settings.HasDisk() {
 		return
 	}
-	entries, err := p.entryFile().Load()
-	if err != nil {
-		p.base.Log.WithError(err).Warn("cannot read the entries saved by the previous process")
-		return
-	}
-	version := uint64(0)
-	for _, e := range entries {
-		if e.Key == cluster.ConfigurationKey {
-			version = e.Stamp.Epoch
+	version, count := uint64(0), 0
+	for name := range savedPrefixes { // a file of an earlier release holds the configuration beside the others
+		entries, err := p.entryFile(name).Load()
+		if err != nil {
+			p.base.Log.WithError(err).WithField("file", name).Warn("cannot read the entries saved by the previous process")
+			continue
+		}
+		for _, e := range entries {
+			if e.Key == cluster.ConfigurationKey {
+				version = max(version, e.Stamp.Epoch)
+			}
+			p.base.Cluster.Publish(e)
 		}
-		p.base.Cluster.Publish(e)
+		count += len(entries)
 	}
-	p.base.Log.WithField("entries", len(entries)).WithField("version", version).Info("saved entries loaded")
+	p.base.Log.WithField("entries", count).WithField("version", version).Info("saved entries loaded")
 }
 
 // startEntrySaver saves the entries for loadSavedEntries whenever they change, and before this node confirms that it has an
@@ -163,12 +173,24 @@
 	if !p.base.Settings.HasDisk() {
 		return
 	}
-	p.saver = newEntrySaver(p.entryFile(), p.entriesToSave)
-	for _, prefix := range savedPrefixes {
-		p.base.Cluster.Watch(prefix, func(cluster.Entry) { p.saver.markChanged() })
+	savers := map[string]*entrySaver{} // by prefix
+	for name, prefixes := range savedPrefixes {
+		saver := newEntrySaver(p.entryFile(name), func() []cluster.Entry { return p.entriesWith(prefixes) })
+		for _, prefix := range prefixes {
+			savers[prefix] = saver
+			p.base.Cluster.Watch(prefix, func(cluster.Entry) { saver.markChanged() })
+		}
+		go saver.run(ctx, func(err error) {
+			p.base.Log.WithError(err).WithField("file", name).Warn("cannot save the cluster entries")
+		})
 	}
-	p.base.Cluster.SetPersistFunc(p.saver.waitSaved)
-	go p.saver.run(ctx, func(err error) { p.base.Log.WithError(err).Warn("cannot save the cluster entries") })
+	p.saver = savers[cluster.ReceiverPrefix]
+	p.base.Cluster.SetPersistFunc(func(ctx context.Context, key string, stamp cluster.Stamp) error {
+		if key == cluster.ConfigurationKey {
+			return savers[key].waitSaved(ctx, key, stamp)
+		}
+		return p.saver.waitSaved(ctx, key, stamp)
+	})
 }
 
 // waitSavedLocally waits until this node's newest entry of a key is on its disk. Without a disk it returns nil at once.
--- a/internal/tier/controlplane/plane.go
+++ b/internal/tier/controlplane/plane.go
@@ -49,7 +49,7 @@
 	base    *planes.Base
 	replica *replica.Replica
 	server  *http.Server
-	saver   *entrySaver // nil without a disk
+	saver   *entrySaver // of the receivers and the stores; nil without a disk
 
 	committed atomic.Pointer[committedState] // nil: no committed state is known yet
 
--- a/internal/tier/registration/snapshot/snapshot.go
+++ b/internal/tier/registration/snapshot/snapshot.go
@@ -12,6 +12,7 @@
 package snapshot
 
 import (
+	"cmp"
 	"errors"
 	"io/fs"
 	"path/filepath"
@@ -24,12 +25,12 @@
 	"emberquay/internal/vfs"
 )
 
-// FileName is the name of the file in File.Dir.
+// FileName is the name of the file in File.Dir unless File.Name has another one.
 const FileName = "known"
 
 const (
-	// tempName is the name under which the next version is written before it replaces the file.
-	tempName = "known.new"
+	// tempSuffix is added to the name under which the next version is written before it replaces the file.
+	tempSuffix = ".new"
 	// maxBytes limits the file's size; it has room for the largest configuration and many receivers.
 	maxBytes      = 12 << 20
 	checksumBytes = 8
@@ -57,10 +58,13 @@
 
 // File is the location of the stored entries.
 type File struct {
-	FS  vfs.FS
-	Dir string
+	FS   vfs.FS
+	Dir  string
+	Name string // empty: FileName
 }
 
+func (f File) path() string { return filepath.Join(f.Dir, cmp.Or(f.Name, FileName)) }
+
 // ErrCorrupt is returned where the file's size, checksum or encoding is wrong.
 var ErrCorrupt = eris.New("not a whole list of known entries")
 
@@ -75,7 +79,7 @@
 
 // LoadStrict reads the entries as Load does, but returns ErrCorrupt for a corrupt file.
 func (f File) LoadStrict() ([]cluster.Entry, error) {
-	file, err := f.FS.Open(filepath.Join(f.Dir, FileName))
+	file, err := f.FS.Open(f.path())
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
@@ -129,8 +133,11 @@
 			Sequence: int64(e.Stamp.Sequence), Origin: e.Stamp.Origin})
 	}
 	body, err := fileCodec.Encode(record)
-	if err != nil || len(body) > maxBytes-checksumBytes {
-		return eris.Wrapf(err, "known entries: %d bytes", len(body))
+	if err != nil {
+		return eris.Wrap(err, "known entries")
+	}
+	if len(body) > maxBytes-checksumBytes {
+		return eris.Errorf("known entries: %d bytes, %d at most", len(body), maxBytes-checksumBytes)
 	}
 	if err := f.write(append(body, checksum(body)...)); err != nil {
 		return eris.Wrap(err, "known entries")
@@ -139,7 +146,7 @@
 }
 
 func (f File) write(raw []byte) error {
-	tempPath := filepath.Join(f.Dir, tempName)
+	tempPath := f.path() + tempSuffix
 	file, err := f.FS.Create(tempPath)
 	if err != nil {
 		return err
@@ -154,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	if err := f.FS.Rename(tempPath, filepath.Join(f.Dir, FileName)); err != nil {
+	if err := f.FS.Rename(tempPath, f.path()); err != nil {
 		return err
 	}
 	return f.FS.SyncDir(f.Dir)
