Control plane: members are found by what the cluster knows where all seeds are down

Callers saw: a control plane that answers each order and read with 503 for good, and whose vote is missing at the next loss, after which the configuration does not come at all. Cause: a replica with an empty disk, or without one, contacted the seeds of its settings only, the cluster the seeds and lost nodes only.

--- a/coordination/chain/members.go
+++ b/coordination/chain/members.go
@@ -205,13 +205,14 @@
 	}
 }
 
-// addresses returns those of the newest known view, of the seeds, and the remembered ones.
+// addresses returns those of the newest known view, of the seeds and contacts, and the remembered ones.
 func (n *Node) addresses() []string {
 	var all []string
 	for _, m := range n.View().Members {
 		all = append(all, m.Address)
 	}
 	all = append(all, n.settings.Seeds...)
+	all = append(all, n.contacts...)
 	all = append(all, n.rememberedAddresses...)
 	all = sortedDistinct(all)
 	return slices.DeleteFunc(all, func(a string) bool { return a == n.self.Address })
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -36,6 +36,7 @@
 	maxWaiters        = 256 // reads and refusals that wait for a confirmation of the epoch
 	maxPendingCalls   = 256 // calls of this process
 	maxJoining        = 16  // nodes that asked to join
+	maxContacts       = 32  // addresses beside the seeds
 )
 
 // Settings configure a node.
@@ -92,6 +93,7 @@
 	view                view.View // zero: not a member
 	newestView          view.View // newest view heard of
 	rememberedAddresses []string  // member addresses from before this node was removed
+	contacts            []string  // addresses of other nodes, see SetContacts
 	acceptor            view.Acceptor[Proposal]
 
 	sequence    int64
@@ -316,6 +318,11 @@
 // SetSeeds replaces the seed addresses.
 func (n *Node) SetSeeds(seeds []string) { n.settings.Seeds = slices.Clone(seeds) }
 
+// SetContacts replaces the addresses of nodes at which members may be found beside the seeds, as those may all be down.
+func (n *Node) SetContacts(addresses []string) {
+	n.contacts = slices.Clone(addresses[:min(len(addresses), maxContacts)])
+}
+
 // View returns the view that this node is a member of, or else the newest one it heard of.
 func (n *Node) View() view.View {
 	if n.isMember() {
--- a/internal/tier/cluster/cluster.go
+++ b/internal/tier/cluster/cluster.go
@@ -222,6 +222,11 @@
 	c.submit(func(o *owner, _ time.Time) { o.core.SetSeeds(seeds) })
 }
 
+// SetContacts replaces the addresses of nodes that are contacted beside the seeds while no live node is known there.
+func (c *Cluster) SetContacts(addresses []string) {
+	c.submit(func(o *owner, _ time.Time) { o.core.SetContacts(addresses) })
+}
+
 // Leave declares that this process shuts down as planned. It returns once the live control nodes have confirmed this,
 // or with the error of ctx. The process continues to compare tables until Close, but other nodes no longer push entries
 // to it or count it as live. Therefore Leave is the last step of a planned shutdown, after the last request.
--- a/internal/tier/cluster/core/core.go
+++ b/internal/tier/cluster/core/core.go
@@ -65,6 +65,11 @@
 	})
 }
 
+// SetContacts replaces the addresses of nodes that are contacted beside the seeds while no live node is known there.
+func (c *Core) SetContacts(addresses []string) {
+	c.rejoin.contacts = slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == c.address })
+}
+
 // Publish adds an entry to the table and pushes it to other nodes. It replaces a zero stamp by one newer than the
 // known stamp of the key. It returns the entry with its stamp, and whether the entry was newer than the known one.
 func (c *Core) Publish(now time.Time, e gossip.Entry) (gossip.Entry, bool) {
--- a/internal/tier/cluster/core/rejoin.go
+++ b/internal/tier/cluster/core/rejoin.go
@@ -29,6 +29,7 @@
 // rejoinState holds the addresses at which other nodes may be found again.
 type rejoinState struct {
 	seeds     []string
+	contacts  []string   // beside the seeds
 	lost      []lostNode // oldest first
 	nextIndex int
 	nextRound time.Time
@@ -70,12 +71,12 @@
 	}
 }
 
-// rejoinAddresses returns the addresses of the seeds at which no live node is known, and of the lost nodes.
+// rejoinAddresses returns the addresses of the seeds and contacts at which no live node is known, and of the lost nodes.
 func (c *Core) rejoinAddresses() []string {
 	var addresses []string
-	for _, seed := range c.rejoin.seeds {
-		if !c.hasLiveNodeAt(seed) {
-			addresses = append(addresses, seed)
+	for _, address := range slices.Concat(c.rejoin.seeds, c.rejoin.contacts) {
+		if !c.hasLiveNodeAt(address) && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
 		}
 	}
 	for _, l := range c.rejoin.lost {
--- a/internal/tier/controlplane/alone_test.go
+++ b/internal/tier/controlplane/alone_test.go
@@ -216,6 +216,29 @@
 	}, SpecTimeout(2*time.Minute))
 })
 
+// Guards against a control plane that answers 503 for good, and never votes again, because the seeds in its settings are all
+// down, though the others have found it and it knows them from the cluster.
+var _ = Describe("a control plane whose seeds are all down", func() {
+	It("finds the members by what the cluster knows", func(ctx SpecContext) {
+		ports, seeds, dirs := threePlaneSettings()
+		for i := range 2 {
+			plane := startPlane(i+1, ports, seeds, dirs[i], true)
+			DeferCleanup(shutDown, plane)
+		}
+		third := startPlane(3, ports, seeds, dirs[2], true)
+		firstCall := apiCall{"first configuration", "POST", "/api/Config.Replace", "0", `{"version":1,"services":[{"name":"s"}],"routes":[]}`}
+		Eventually(ctx, func() int { return statusOf(firstCall, seeds[0]) }).Should(Equal(200))
+		Eventually(ctx, func() int { return statusOf(readCall, seeds[2]) }).Should(Equal(200))
+		third.server.Close()
+		third.close()
+		Expect(os.RemoveAll(dirs[2])).To(Succeed())
+		third = startPlane(3, ports, []string{"127.0.99.98:1", "127.0.99.99:1", seeds[2]}, dirs[2], false)
+		DeferCleanup(func() { shutDown(third) })
+		Eventually(ctx, func() int { return statusOf(readCall, seeds[2]) }).WithTimeout(20 * time.Second).Should(Equal(200))
+		Eventually(ctx, func() bool { return third.replica.Status().IsMember }).WithTimeout(20 * time.Second).Should(BeTrue())
+	}, SpecTimeout(time.Minute))
+})
+
 // Guards against a receiver's end that is acknowledged late because the whole configuration is written with it.
 var _ = Describe("the saved configuration", func() {
 	It("is not written again when a receiver ends", func(ctx SpecContext) {
--- a/internal/tier/controlplane/plane.go
+++ b/internal/tier/controlplane/plane.go
@@ -76,6 +76,7 @@
 	go p.runReceivers(ctx)
 	go p.monitorStores(ctx)
 	go p.monitorVoters(ctx)
+	go p.exchangeContacts(ctx)
 	return p, p.startAPI()
 }
 
--- a/internal/tier/replica/replica.go
+++ b/internal/tier/replica/replica.go
@@ -181,6 +181,14 @@
 	}
 }
 
+// SetContacts replaces the addresses at which members may be found beside the seeds.
+func (r *Replica) SetContacts(addresses []string) {
+	select {
+	case r.commands <- func() { r.node.SetContacts(addresses) }:
+	case <-r.stopped:
+	}
+}
+
 // Stopped returns a channel that is closed once the replica has stopped: by Close, or because its journal failed.
 func (r *Replica) Stopped() <-chan struct{} { return r.stopped }
 
