--- a/internal/lab/tierlab/lab.go
+++ b/internal/lab/tierlab/lab.go
@@ -301,7 +301,11 @@
 // readFinalConfiguration reads the configuration from the control planes at the end, retrying for at most the contact bound.
 func (l *lab) readFinalConfiguration(ctx context.Context) {
 	end := time.Now().Add(l.bounds.Contact)
-	for !l.operator.read(ctx, time.Now().After(end)) && time.Now().Before(end) && ctx.Err() == nil {
+	for {
+		last := !time.Now().Before(end)
+		if l.operator.read(ctx, last) || last || ctx.Err() != nil {
+			return
+		}
 		sleep(ctx, minOperatorPause)
 	}
 }
--- a/internal/lab/tierlab/operator.go
+++ b/internal/lab/tierlab/operator.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -279,20 +280,21 @@
 
 // read reads the configuration from each node; last marks the final attempt.
 func (o *operator) read(ctx context.Context, last bool) bool {
-	done := false
-	for _, address := range o.lab.controlAddresses() {
-		read := o.readAt(ctx, address)
-		done = done || read.Status == http.StatusOK
-		o.lab.record.update(func(_ time.Duration, h *tierrules.History) { h.ConfigReads = append(h.ConfigReads, read) })
-	}
-	if last && !done {
-		o.lab.record.update(func(_ time.Duration, h *tierrules.History) { h.ConfigReads[len(h.ConfigReads)-1].Last = true })
+	addresses := o.lab.controlAddresses()
+	reads := make([]tierrules.ConfigRead, len(addresses))
+	var sent sync.WaitGroup
+	for i, address := range addresses {
+		sent.Go(func() { reads[i] = o.readAt(ctx, address) })
 	}
+	sent.Wait()
+	done := slices.ContainsFunc(reads, func(r tierrules.ConfigRead) bool { return r.Status == http.StatusOK })
+	reads[len(reads)-1].Last = last && !done
+	o.lab.record.update(func(_ time.Duration, h *tierrules.History) { h.ConfigReads = append(h.ConfigReads, reads...) })
 	return done
 }
 
 func (o *operator) readAt(ctx context.Context, address string) tierrules.ConfigRead {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeoutFor(maxAnswerBytes))
+	ctx, cancel := context.WithTimeout(ctx, requestTimeoutFor(len(o.currentConfiguration().body())))
 	defer cancel()
 	read := tierrules.ConfigRead{Sent: o.lab.record.now()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/api/Config.Read", nil)
