--- a/internal/lab/tierlab/powerloss_test.go
+++ b/internal/lab/tierlab/powerloss_test.go
@@ -22,7 +22,7 @@
 			tier := tierworld.DefaultSoakTier()
 			tier.Forwarders = 3
 			world := tierworld.LossSoak(seed, lossSoakSeconds, tier)
-			result, err := Run(ctx, Options{Program: binary, Scenario: ScenarioFor(world)})
+			result, err := Run(ctx, Options{Program: volatileBinary, Scenario: ScenarioFor(world)})
 			Expect(err).NotTo(HaveOccurred())
 			Expect(result.Crashes).To(BeEmpty())
 			Expect(result.Verdict.Breaches).To(BeEmpty())
--- a/internal/lab/tierlab/tierlab_test.go
+++ b/internal/lab/tierlab/tierlab_test.go
@@ -17,13 +17,17 @@
 	RunSpecs(t, "The tier on loopback")
 }
 
-// binary is the path of emberquay, built for the suite.
-var binary string
+// binary is the path of emberquay, built for the suite; volatileBinary is that of a build that loses what is not synced when
+// it is killed.
+var binary, volatileBinary string
 
 var _ = BeforeSuite(func() {
 	binary = filepath.Join(GinkgoT().TempDir(), "emberquay")
 	out, err := exec.Command("go", "build", "-o", binary, "emberquay/cmd/emberquay").CombinedOutput()
 	Expect(err).NotTo(HaveOccurred(), string(out))
+	volatileBinary = binary + "-powerloss"
+	out, err = exec.Command("go", "build", "-tags", "powerloss", "-o", volatileBinary, "emberquay/cmd/emberquay").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
 })
 
 var _ = Describe("A short scenario against the real processes", func() {
--- a/internal/vfs/vfs.go
+++ b/internal/vfs/vfs.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return osFile{f}, nil
+	return wrap(f), nil
 }
 
 // Open opens a file for reading.
@@ -94,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return osFile{f}, nil
+	return wrap(f), nil
 }
 
 // OpenReadWrite opens an existing file for reading and writing without truncating it.
@@ -103,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return osFile{f}, nil
+	return wrap(f), nil
 }
 
 // Remove removes a file.
