--- a/cmd/quaylab/soak.go
+++ b/cmd/quaylab/soak.go
@@ -97,11 +97,14 @@
 
 // day plays a day and prints a line; for a day that broke a rule, it prints the full result.
 func (c *tierSoakCmd) day(ctx context.Context, program string, seed uint64, tier tierworld.Tier) soakDay {
-	draw := tierworld.Soak
+	bounds := tierlab.Bounds()
+	if c.SiteBounds {
+		bounds = tierlab.SiteBounds()
+	}
+	world := tierworld.Soak(seed, c.Seconds, tier)
 	if c.Losses {
-		draw = tierworld.LossSoak
+		world = tierworld.LossSoak(seed, c.Seconds, bounds.Recovery.Seconds(), tier)
 	}
-	world := draw(seed, c.Seconds, tier)
 	if c.IdleRoutes > 0 {
 		world.Tier.IdleRoutes = c.IdleRoutes
 	}
@@ -109,11 +112,7 @@
 		world.Tier.ProcessorShare = c.ProcessorShare
 	}
 	world.Tier.Cores = c.Cores
-	options := tierlab.Options{Program: program, Scenario: tierlab.ScenarioFor(world)}
-	if c.SiteBounds {
-		bounds := tierlab.SiteBounds()
-		options.Bounds = &bounds
-	}
+	options := tierlab.Options{Program: program, Scenario: tierlab.ScenarioFor(world), Bounds: &bounds}
 	if c.Logs != "" {
 		options.Dir = filepath.Join(c.Logs, fmt.Sprintf("seed-%d", seed))
 	}
--- a/internal/lab/referee/tierrules/planned.go
+++ b/internal/lab/referee/tierrules/planned.go
@@ -42,6 +42,7 @@
 	}
 	fault := j.Faults[i]
 	var before, servedBefore, after, servedAfter int
+	var unserved *Request // after the recovery bound
 	for _, r := range j.Requests {
 		switch {
 		case r.Ended < fault.From:
@@ -50,11 +51,15 @@
 		case r.Sent > fault.To+j.Bounds.Recovery:
 			after++
 			servedAfter += served(r)
+			if !r.succeeded() {
+				unserved = r
+			}
 		}
 	}
 	j.verdict.Checked[Recover] = after
 	if 4*servedBefore >= before && 4*servedAfter < after {
-		j.addBreach(Recover, fault.To+j.Bounds.Recovery, nil, "%d of %d requests are served after the final fault, %d of %d before", servedAfter, after, servedBefore, before)
+		j.addBreach(Recover, fault.To+j.Bounds.Recovery, unserved, "%d of %d requests are served after the final fault, %d of %d before; %s got %d", servedAfter, after,
+			servedBefore, before, unserved.Target, unserved.status())
 	}
 	j.judgeContinuations(fault)
 }
--- a/internal/lab/tierworld/loss.go
+++ b/internal/lab/tierworld/loss.go
@@ -6,8 +6,8 @@
 	// lossRandStream is the PCG stream of LossSoak.
 	lossRandStream = 0x1055
 	// lossStartSeconds is the earliest time of the first loss; lossIntervalSeconds is the least time between two, in which
-	// a process with an empty disk has recovered; lossRecoverySeconds is left after the last one.
-	lossStartSeconds, lossIntervalSeconds, lossRecoverySeconds = 3.0, 6.0, 9.0
+	// a process with an empty disk has recovered; lossJudgedSeconds is left after the last one and the time for recovery.
+	lossStartSeconds, lossIntervalSeconds, lossJudgedSeconds = 3.0, 6.0, 4.0
 	// maxRestartSeconds is the longest time within which all processes are started again after a loss of power.
 	maxRestartSeconds = 2.5
 	// smallIdleRoutes, middleIdleRoutes and manyIdleRoutes make configurations of some 5 kB, 0.4 MB and 3.6 MB.
@@ -18,8 +18,9 @@
 
 // LossSoak draws a day on which the configuration changes about once a second, while power and disks are lost around the
 // acknowledgements: all processes at once, with or without one disk, before or after an acknowledgement, and single control
-// planes that have just given one. The last loss is one of all power. The load is low. The same seed draws the same day.
-func LossSoak(seed uint64, seconds float64, tier Tier) *World {
+// planes that have just given one. The last loss is one of all power, after which there is time for the recovery, which is in
+// seconds as well. The load is low. The same seed draws the same day.
+func LossSoak(seed uint64, seconds, recovery float64, tier Tier) *World {
 	w := Default()
 	w.Seconds, w.Tier, w.Trouble = seconds, tier, nil
 	w.Traffic.PlainPerS, w.Traffic.TextsPerS, w.Programs.PerS = 40, 4, 2
@@ -34,7 +35,7 @@
 	b := soakBuilder{world: w, rng: rand.New(rand.NewPCG(seed, lossRandStream))}
 	b.plannedEndSeconds = seconds
 	b.addSeries(0.4, 1.4, b.drawConfigChange)
-	last := seconds - lossRecoverySeconds - maxRestartSeconds
+	last := seconds - recovery - lossJudgedSeconds - maxRestartSeconds
 	for at := b.uniform(lossStartSeconds, lossStartSeconds+2); at+lossIntervalSeconds < last; at += lossIntervalSeconds + b.uniform(0, 2) {
 		b.addLoss(at)
 	}
--- a/internal/lab/tierworld/loss_test.go
+++ b/internal/lab/tierworld/loss_test.go
@@ -8,11 +8,11 @@
 )
 
 var _ = Describe("LossSoak", func() {
-	const seconds = 30
+	const seconds, recovery = 30, 5
 
 	It("draws the same world from the same seed and different worlds from different seeds", func() {
 		draw := func(seed uint64) *tierworld.World {
-			return tierworld.LossSoak(seed, seconds, tierworld.DefaultSoakTier())
+			return tierworld.LossSoak(seed, seconds, recovery, tierworld.DefaultSoakTier())
 		}
 		Expect(draw(7)).To(Equal(draw(7)))
 		Expect(draw(7)).NotTo(Equal(draw(8)))
@@ -23,7 +23,7 @@
 		sizes := map[int]bool{}
 		disks := map[string]bool{}
 		for seed := range uint64(50) {
-			w := tierworld.LossSoak(seed, seconds, tierworld.DefaultSoakTier())
+			w := tierworld.LossSoak(seed, seconds, recovery, tierworld.DefaultSoakTier())
 			sizes[w.Tier.IdleRoutes] = true
 			for _, t := range w.Trouble {
 				drawn[t.Kind]++
@@ -36,7 +36,7 @@
 			}
 			last := w.Trouble[len(w.Trouble)-1]
 			Expect(last.Kind.LosesAllProcesses()).To(BeTrue())
-			Expect(last.AtS + last.ForS).To(BeNumerically("<", seconds-8))
+			Expect(last.AtS + last.ForS).To(BeNumerically("<", seconds-recovery-3))
 		}
 		for _, kind := range []tierworld.TroubleKind{tierworld.LosePower, tierworld.LosePowerEarly, tierworld.LoseAcknowledger,
 			tierworld.Kill, tierworld.Freeze, tierworld.Invalid, tierworld.Race} {
