--- a/internal/tier/controlplane/contacts.go
+++ b/internal/tier/controlplane/contacts.go
@@ -23,7 +23,7 @@
 			controls = found
 			p.replica.SetContacts(controls)
 		}
-		if found := p.memberAddresses(); !slices.Equal(found, members) {
+		if found := p.voterAddresses(); !slices.Equal(found, members) {
 			members = found
 			p.base.Cluster.SetContacts(members)
 		}
@@ -45,12 +45,3 @@
 	}
 	return addresses
 }
-
-// memberAddresses returns the internal addresses of the members of the newest view that the replica knows.
-func (p *Plane) memberAddresses() []string {
-	var addresses []string
-	for _, m := range p.replica.Members() {
-		addresses = append(addresses, m.Address)
-	}
-	return addresses
-}
--- a/internal/tier/controlstate/bench_test.go
+++ b/internal/tier/controlstate/bench_test.go
@@ -7,8 +7,8 @@
 	"emberquay/internal/tier/controlstate"
 )
 
-// BenchmarkSnapshot measures what each commit costs at each member: the whole state is encoded, and decoded again for
-// publication.
+// BenchmarkSnapshot measures the encoding of the whole state, which each commit costs at each member, and its restoration by
+// another replica.
 func BenchmarkSnapshot(b *testing.B) {
 	for _, changes := range []uint64{10, 1000, 8192} {
 		state := controlstate.New()
--- a/internal/tier/routing/modify.go
+++ b/internal/tier/routing/modify.go
@@ -26,8 +26,8 @@
 	return modify(document, map[string]*itemList{}, patch)
 }
 
-// Modify is like the function of that name for the configuration of the snapshot, which is not read again: what it costs
-// beside copying the text grows with the change.
+// Modify is like the function of that name for the configuration of the snapshot, whose routes are not read again: beside a
+// list of their names and a copy of the text, the cost grows with the change only.
 func (s *Snapshot) Modify(patch []byte) ([]byte, error) {
 	lists := map[string]*itemList{}
 	if s.source.document.values["routes"].IsArray() {
